--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,126 @@
+// Package outcome defines the machine-readable final answer that acacialift gives when it does not pass on an
+// endpoint's own answer.
+package outcome
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome states what is known about the execution of a request.
+type Outcome string
+
+const (
+	// NotRun means that no endpoint started the request and none will.
+	NotRun Outcome = "not_run"
+	// Failed means that the request ran, wholly or partly, and ended.
+	Failed Outcome = "failed"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Stage is the last stage that a request reached.
+type Stage string
+
+// The stages of a request, in order.
+const (
+	StageAdmission  Stage = "admission"
+	StageCreditWait Stage = "credit_wait"
+	StageConnect    Stage = "connect"
+	StagePrefill    Stage = "prefill"
+	StageDecode     Stage = "decode"
+)
+
+// HeaderName is the response header that carries the outcome.
+const HeaderName = "X-Acacia-Outcome"
+
+// Error is a final answer given by acacialift itself.
+type Error struct {
+	// Outcome is the claim made to the caller.
+	Outcome Outcome
+	// Stage is the last stage that the request reached.
+	Stage Stage
+	// Code is a stable identifier of the reason, such as "unknown_profile".
+	Code string
+	// Message explains the reason to a person; it never names addresses or keys.
+	Message string
+	// Status is the HTTP status code.
+	Status int
+	// RepeatSafe is true if sending the request again cannot run it twice.
+	RepeatSafe bool
+	// RetryAfter is the delay after which a repeat can help; zero means that no delay is advised.
+	RetryAfter time.Duration
+	// RequestID identifies the request in the decision log.
+	RequestID string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s at %s: %s: %s", e.Outcome, e.Stage, e.Code, e.Message)
+}
+
+// Body is the JSON form of an Error.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the content of a Body.
+type BodyError struct {
+	Outcome      Outcome `json:"outcome"`
+	Stage        Stage   `json:"stage"`
+	Code         string  `json:"code"`
+	Message      string  `json:"message"`
+	RepeatSafe   bool    `json:"repeat_safe"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+	RequestID    string  `json:"request_id,omitempty"`
+}
+
+// JSON returns the body of the final answer.
+func (e *Error) JSON() []byte {
+	body := Body{Error: BodyError{
+		Outcome:      e.Outcome,
+		Stage:        e.Stage,
+		Code:         e.Code,
+		Message:      e.Message,
+		RepeatSafe:   e.RepeatSafe,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		RequestID:    e.RequestID,
+	}}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		// Marshalling a struct of strings, integers and booleans cannot fail.
+		panic(err)
+	}
+	return encoded
+}
+
+// WriteTo sends the final answer as a whole HTTP response.
+func (e *Error) WriteTo(w http.ResponseWriter) {
+	body := e.JSON()
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(HeaderName, string(e.Outcome))
+	if e.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	_, _ = w.Write(body)
+}
+
+// Refusal returns a NotRun error at the given stage. A repeat is safe because nothing was handed to an endpoint.
+func Refusal(status int, stage Stage, code, message string, retryAfter time.Duration) *Error {
+	return &Error{
+		Outcome:    NotRun,
+		Stage:      stage,
+		Code:       code,
+		Message:    message,
+		Status:     status,
+		RepeatSafe: true,
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,335 @@
+// Package peer carries typed messages between the system's own processes: msgpack envelopes in length-prefixed frames
+// over TCP.
+package peer
+
+import "time"
+
+// Kind identifies the type of an envelope's body.
+type Kind uint8
+
+// The message kinds. The numbers are part of the wire format.
+const (
+	KindHello Kind = iota + 1
+	KindError
+	KindHeartbeat
+	KindDocumentAsk
+	KindDocument
+	KindClaim
+	KindPromise
+	KindViewAsk
+	KindView
+	KindCreditAsk
+	KindCreditReply
+	KindCreditReport
+	KindKeyClaim
+	KindKeyReply
+	KindKeyEnd
+	KindSummary
+	KindAck
+)
+
+// Role is the kind of process at the other end of a connection.
+type Role string
+
+// The roles of a connection's initiator.
+const (
+	RoleController Role = "controller"
+	RoleGateway    Role = "gateway"
+)
+
+// Hello is the first message on each connection.
+type Hello struct {
+	// Key is the shared secret of the peers' port.
+	Key string
+	// Name is the instance name of the initiator.
+	Name string
+	// Incarnation is the start time of the initiator in wall-clock milliseconds.
+	Incarnation int64
+	// Role is the initiator's kind of process.
+	Role Role
+}
+
+// Error refuses a message or a connection.
+type Error struct {
+	// Code is a stable identifier such as "wrong_key".
+	Code string
+	// Message explains the refusal.
+	Message string
+}
+
+// Ack answers messages that need no content in reply.
+type Ack struct{}
+
+// MemberState is the liveness of an instance as seen by its neighbours.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberAlive   MemberState = "alive"
+	MemberSuspect MemberState = "suspect"
+	MemberDead    MemberState = "dead"
+	MemberLeaving MemberState = "leaving"
+)
+
+// MemberUpdate is a claim about one instance, ordered by incarnation, then by sequence.
+type MemberUpdate struct {
+	Name        string
+	Incarnation int64
+	Sequence    uint64
+	State       MemberState
+}
+
+// Heartbeat is sent to each neighbour once a second.
+type Heartbeat struct {
+	Name         string
+	Incarnation  int64
+	Sequence     uint64
+	State        MemberState
+	Revision     uint64
+	ListRevision uint64
+	// Updates holds at most 16 member updates.
+	Updates []MemberUpdate
+}
+
+// Subject names one of the two published values.
+type Subject string
+
+// The published values.
+const (
+	SubjectConfig    Subject = "config"
+	SubjectInstances Subject = "instances"
+)
+
+// DocumentAsk requests a published value if its revision is at least MinRevision.
+type DocumentAsk struct {
+	Subject     Subject
+	MinRevision uint64
+}
+
+// Document carries a published value; Revision 0 means that none is known.
+type Document struct {
+	Subject  Subject
+	Revision uint64
+	Bytes    []byte
+}
+
+// ClaimItem asks a voter to promise one resource to the sender.
+type ClaimItem struct {
+	// Resource is "endpoint/NAME" or "keys/SERVICE/SLOT".
+	Resource string
+	// VoterSet is the hash of the holder's voter set for the resource.
+	VoterSet uint64
+	// LabelStart and LabelEnd bound the key labels in wall-clock milliseconds; both are 0 for endpoints.
+	LabelStart int64
+	LabelEnd   int64
+	// Release gives the lease up instead of claiming it.
+	Release bool
+}
+
+// Claim asks a voter for promises.
+type Claim struct {
+	Holder      string
+	Incarnation int64
+	// Revision is the holder's configuration revision.
+	Revision uint64
+	Items    []ClaimItem
+}
+
+// PromiseItem answers one ClaimItem.
+type PromiseItem struct {
+	Resource string
+	Granted  bool
+	// Reason is set on a refusal, such as "held", "silent", "voter_set", "revision" or "label".
+	Reason string
+	// LabelEnd is the highest label end that the voter has promised to any other holder.
+	LabelEnd int64
+}
+
+// Promise answers a Claim.
+type Promise struct {
+	Revision uint64
+	Items    []PromiseItem
+}
+
+// ViewAsk is sent by a gateway to its own controller; the controller answers when its view is newer than Version.
+type ViewAsk struct {
+	Version uint64
+}
+
+// OwnerView names the current owner of an endpoint or key slot.
+type OwnerView struct {
+	Resource string
+	Instance string
+	Address  string
+}
+
+// EndpointState is the owner's judgement of an endpoint.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointCold    EndpointState = "cold"
+	EndpointWarming EndpointState = "warming"
+	EndpointWarm    EndpointState = "warm"
+	EndpointUnknown EndpointState = "unknown"
+	EndpointLeaving EndpointState = "leaving"
+)
+
+// EndpointSummary is the load of one endpoint as its owner sees it.
+type EndpointSummary struct {
+	Endpoint string
+	Owner    string
+	State    EndpointState
+	// FreeTokens is the KV memory that the owner can still grant.
+	FreeTokens int64
+	// FreeStreams is the number of streams that the owner can still grant.
+	FreeStreams int
+	// QueuedTokens is the number of prompt tokens granted whose prefill has not ended.
+	QueuedTokens int64
+	// LongPrefills is the number of long prompts in prefill.
+	LongPrefills int
+	// AgeMS is the age of the engine's report in milliseconds.
+	AgeMS int64
+}
+
+// View is what a gateway needs to route.
+type View struct {
+	Version  uint64
+	Revision uint64
+	// Document is set if the revision differs from the one that the gateway last received.
+	Document []byte
+	Owners   []OwnerView
+	Summary  []EndpointSummary
+	// Draining is true when the instance is leaving.
+	Draining bool
+}
+
+// LengthClass groups prompts by their number of tokens.
+type LengthClass string
+
+// The length classes: short up to 8 k tokens, medium up to 100 k, long above.
+const (
+	ClassShort  LengthClass = "short"
+	ClassMedium LengthClass = "medium"
+	ClassLong   LengthClass = "long"
+)
+
+// CreditAsk asks an endpoint's owner for one reservation.
+type CreditAsk struct {
+	RequestID string
+	Endpoint  string
+	Team      string
+	Profile   string
+	Class     LengthClass
+	// PromptTokens and OutputTokens are reserved together in the engine's memory.
+	PromptTokens int64
+	OutputTokens int64
+	// Revision is the configuration revision under which the request was admitted.
+	Revision uint64
+	// BudgetLeft is the time that the request has left.
+	BudgetLeft time.Duration
+	// Group is true if the reservation is one member of a group.
+	Group bool
+}
+
+// CreditReply answers a CreditAsk.
+type CreditReply struct {
+	Granted bool
+	// Reason is set on a refusal, such as "not_owner", "cold_limit", "memory", "streams", "long_prefills",
+	// "team_share", "budget", "out_of_service" or "leaving".
+	Reason string
+	// ValidFor is the time from the moment the gateway sent the ask until the credit expires.
+	ValidFor time.Duration
+	// Fence is the owner's fencing number, passed on to the engine.
+	Fence int64
+	// RetryAfter is the owner's estimate of when an ask could be granted.
+	RetryAfter time.Duration
+	Summary    EndpointSummary
+}
+
+// ReportState is the progress of a reservation.
+type ReportState string
+
+// The states of a reservation as the gateway reports them.
+const (
+	ReportUnused  ReportState = "unused"
+	ReportStarted ReportState = "started"
+	ReportPrefill ReportState = "prefill_done"
+	ReportDone    ReportState = "done"
+	ReportFailed  ReportState = "failed"
+	ReportHeld    ReportState = "held"
+)
+
+// CreditReportItem reports one reservation.
+type CreditReportItem struct {
+	RequestID    string
+	Endpoint     string
+	State        ReportState
+	Class        LengthClass
+	Team         string
+	PromptTokens int64
+	OutputTokens int64
+	// FirstToken is the time from hand-over to the first event; 0 if none arrived.
+	FirstToken time.Duration
+}
+
+// CreditReport is sent by a gateway to an owner when a reservation changes and once a second for held ones.
+type CreditReport struct {
+	Gateway     string
+	Incarnation int64
+	Items       []CreditReportItem
+}
+
+// KeyClaim asks the home of an idempotency key whether the request may run.
+type KeyClaim struct {
+	Service string
+	Key     string
+	// LabelMS is the issue time in the key, in wall-clock milliseconds.
+	LabelMS int64
+	// Digest is a hash of method, path and body; a different digest under the same key is refused.
+	Digest    uint64
+	RequestID string
+}
+
+// KeyVerdict is the home's answer to a KeyClaim.
+type KeyVerdict string
+
+// The verdicts on an idempotency key.
+const (
+	KeyGranted  KeyVerdict = "granted"
+	KeyRunning  KeyVerdict = "running"
+	KeyEnded    KeyVerdict = "ended"
+	KeyUnknown  KeyVerdict = "unknown"
+	KeyRefused  KeyVerdict = "refused"
+	KeyMismatch KeyVerdict = "mismatch"
+)
+
+// KeyReply answers a KeyClaim.
+type KeyReply struct {
+	Verdict KeyVerdict
+	// Token identifies the claim in KeyEnd; it is set if Verdict is KeyGranted.
+	Token uint64
+	// Outcome and Status are set if Verdict is KeyEnded. Outcome is empty if the endpoint answered itself.
+	Outcome string
+	Status  int
+	// RetryAfter is set if Verdict is KeyRefused.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// KeyEnd reports the end of a claimed request to the key's home.
+type KeyEnd struct {
+	Service string
+	Key     string
+	Token   uint64
+	// NotRun is true if provably no byte was handed to an endpoint; the key may then be claimed again.
+	NotRun  bool
+	Outcome string
+	Status  int
+}
+
+// Summary carries endpoint summaries from an owner to the other controllers.
+type Summary struct {
+	Owner     string
+	Endpoints []EndpointSummary
+}
