--- /dev/null
+++ b/cmd/acaciactl/main.go
@@ -0,0 +1,4 @@
+// Command acaciactl is the operators' command-line client.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/config/instances.go
@@ -0,0 +1,22 @@
+package config
+
+// InstanceList is one revision of the platform's list of entry instances. It lags behind reality.
+type InstanceList struct {
+	Revision  uint64     `yaml:"revision"`
+	Instances []Instance `yaml:"instances"`
+}
+
+// Instance is one entry instance, which runs a gateway and a controller.
+type Instance struct {
+	Name   string `yaml:"name"`
+	Domain string `yaml:"domain"`
+	Region string `yaml:"region"`
+	// PeerAddress is the IP:port of the controller's peers' port.
+	PeerAddress string `yaml:"peer"`
+	// GatewayAddress is the IP:port of the callers' port.
+	GatewayAddress string `yaml:"gateway"`
+	// OperatorsAddress is the IP:port of the operators' API.
+	OperatorsAddress string `yaml:"operators"`
+	// Leaving is true once a planned stop was announced.
+	Leaving bool `yaml:"leaving"`
+}
