--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,354 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// maxQueuedBytes bounds the unsent bytes of one connection; nbio closes a connection beyond it.
+	maxQueuedBytes = 8 << 20
+	// helloTimeout closes an accepted connection that does not introduce itself.
+	helloTimeout = 5 * time.Second
+)
+
+// Handler answers requests from other processes. It runs on the connection's read loop and must not block.
+type Handler interface {
+	// Handle returns the kind and body of the reply; a nil body sends none.
+	Handle(from Hello, envelope *Envelope) (Kind, any)
+}
+
+// Events tells the owner of a node about refused connections.
+type Events interface {
+	// Refused is called with a reason that contains no key.
+	Refused(remote string, reason string)
+}
+
+// Options configures a Node.
+type Options struct {
+	// Listen is the IP:port of the peers' port; empty for processes that only call others.
+	Listen string
+	// Self introduces this process on the connections that it opens.
+	Self Hello
+	// Handler answers requests; required if Listen is set.
+	Handler Handler
+	// Events may be nil.
+	Events Events
+}
+
+// CallError is a failed call to another process.
+type CallError struct {
+	Address string
+	// Code is "dial", "closed", "timeout", "refused" or "malformed".
+	Code string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("call to peer %s: %s: %v", e.Address, e.Code, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Node sends and answers messages on one nbio engine.
+type Node struct {
+	options Options
+	engine  *nbio.Engine
+	seq     atomic.Uint64
+
+	// BytesSent and BytesReceived count the frames of all connections.
+	BytesSent     atomic.Int64
+	BytesReceived atomic.Int64
+	Messages      atomic.Int64
+
+	mu      sync.Mutex
+	clients map[string]*clientConn
+}
+
+// NewNode starts a node.
+func NewNode(options Options) (*Node, error) {
+	n := &Node{options: options, clients: make(map[string]*clientConn)}
+	config := nbio.Config{Name: "peer", Network: "tcp", NPoller: 1, MaxWriteBufferSize: maxQueuedBytes}
+	if options.Listen != "" {
+		config.Addrs = []string{options.Listen}
+	}
+	n.engine = nbio.NewEngine(config)
+	n.engine.OnOpen(n.onOpen)
+	n.engine.OnData(n.onData)
+	n.engine.OnClose(n.onClose)
+	if err := n.engine.Start(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Close stops the node and closes all connections.
+func (n *Node) Close() { n.engine.Stop() }
+
+// session is the state of one connection.
+type session struct {
+	decoder Decoder
+	// hello is nil until an accepted connection introduced itself.
+	hello  *Hello
+	client *clientConn
+}
+
+func (n *Node) onOpen(c *nbio.Conn) {
+	if c.Session() != nil {
+		return
+	}
+	c.SetSession(&session{})
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout))
+}
+
+func (n *Node) onClose(c *nbio.Conn, err error) {
+	s, ok := c.Session().(*session)
+	if ok && s.client != nil {
+		n.forget(s.client)
+		s.client.fail(err)
+	}
+}
+
+func (n *Node) onData(c *nbio.Conn, data []byte) {
+	s, ok := c.Session().(*session)
+	if !ok {
+		_ = c.Close()
+		return
+	}
+	n.BytesReceived.Add(int64(len(data)))
+	envelopes, err := s.decoder.Feed(data)
+	for i := range envelopes {
+		if !n.dispatch(c, s, &envelopes[i]) {
+			_ = c.Close()
+			return
+		}
+	}
+	if err != nil {
+		n.refuse(c, 0, "malformed_frame", err.Error())
+		_ = c.Close()
+	}
+}
+
+// dispatch returns false if the connection must be closed.
+func (n *Node) dispatch(c *nbio.Conn, s *session, envelope *Envelope) bool {
+	n.Messages.Add(1)
+	if s.client != nil {
+		if envelope.Reply {
+			s.client.deliver(envelope)
+		}
+		return true
+	}
+	if s.hello == nil {
+		return n.acceptHello(c, s, envelope)
+	}
+	kind, body := n.options.Handler.Handle(*s.hello, envelope)
+	if body == nil || envelope.Seq == 0 {
+		return true
+	}
+	return n.write(c, kind, envelope.Seq, true, body) == nil
+}
+
+func (n *Node) acceptHello(c *nbio.Conn, s *session, envelope *Envelope) bool {
+	var hello Hello
+	if envelope.Kind != KindHello || envelope.Decode(&hello) != nil {
+		n.refuse(c, envelope.Seq, "hello_expected", "the first message must be a hello")
+		return false
+	}
+	if subtle.ConstantTimeCompare([]byte(hello.Key), []byte(n.options.Self.Key)) != 1 {
+		n.refuse(c, envelope.Seq, "wrong_key", "wrong key of the peers' port")
+		return false
+	}
+	hello.Key = ""
+	s.hello = &hello
+	_ = c.SetReadDeadline(time.Time{})
+	return true
+}
+
+func (n *Node) refuse(c *nbio.Conn, seq uint64, code, message string) {
+	if n.options.Events != nil {
+		n.options.Events.Refused(c.RemoteAddr().String(), code+": "+message)
+	}
+	_ = n.write(c, KindError, seq, true, Error{Code: code, Message: message})
+}
+
+func (n *Node) write(c net.Conn, kind Kind, seq uint64, reply bool, body any) error {
+	frame, err := EncodeFrame(kind, seq, reply, body)
+	if err != nil {
+		return err
+	}
+	n.BytesSent.Add(int64(len(frame)))
+	_, err = c.Write(frame)
+	return err
+}
+
+// Call sends a request and decodes its reply into out. The context bounds dialling and waiting.
+func (n *Node) Call(ctx context.Context, address string, kind Kind, body, out any) error {
+	client, err := n.client(ctx, address)
+	if err != nil {
+		return &CallError{Address: address, Code: "dial", Err: err}
+	}
+	seq := n.seq.Add(1)
+	reply := client.expect(seq)
+	defer client.cancel(seq)
+	if err := n.write(client.conn, kind, seq, false, body); err != nil {
+		return &CallError{Address: address, Code: "closed", Err: err}
+	}
+	select {
+	case envelope, ok := <-reply:
+		if !ok {
+			return &CallError{Address: address, Code: "closed", Err: client.cause()}
+		}
+		return decodeReply(address, envelope, out)
+	case <-ctx.Done():
+		return &CallError{Address: address, Code: "timeout", Err: ctx.Err()}
+	}
+}
+
+func decodeReply(address string, envelope *Envelope, out any) error {
+	if envelope.Kind == KindError {
+		var refused Error
+		if err := envelope.Decode(&refused); err != nil {
+			return &CallError{Address: address, Code: "malformed", Err: err}
+		}
+		return &CallError{Address: address, Code: "refused", Err: errors.New(refused.Code + ": " + refused.Message)}
+	}
+	if err := envelope.Decode(out); err != nil {
+		return &CallError{Address: address, Code: "malformed", Err: err}
+	}
+	return nil
+}
+
+// Send sends a message without waiting for a reply; it may be lost.
+func (n *Node) Send(ctx context.Context, address string, kind Kind, body any) error {
+	client, err := n.client(ctx, address)
+	if err != nil {
+		return &CallError{Address: address, Code: "dial", Err: err}
+	}
+	if err := n.write(client.conn, kind, 0, false, body); err != nil {
+		return &CallError{Address: address, Code: "closed", Err: err}
+	}
+	return nil
+}
+
+// client returns the open connection to an address or opens one.
+func (n *Node) client(ctx context.Context, address string) (*clientConn, error) {
+	n.mu.Lock()
+	client := n.clients[address]
+	if client == nil {
+		client = &clientConn{address: address, ready: make(chan struct{}), pending: make(map[uint64]chan *Envelope)}
+		n.clients[address] = client
+		go n.open(client)
+	}
+	n.mu.Unlock()
+	select {
+	case <-client.ready:
+		if client.openErr != nil {
+			return nil, client.openErr
+		}
+		return client, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Node) open(client *clientConn) {
+	defer close(client.ready)
+	raw, err := net.DialTimeout("tcp", client.address, dialTimeout)
+	if err != nil {
+		client.openErr = err
+		n.forget(client)
+		return
+	}
+	conn, err := nbio.NBConn(raw)
+	if err != nil {
+		client.openErr = err
+		n.forget(client)
+		return
+	}
+	conn.SetSession(&session{client: client})
+	client.conn = conn
+	if _, err := n.engine.AddConn(conn); err != nil {
+		client.openErr = err
+		n.forget(client)
+		return
+	}
+	client.openErr = n.write(conn, KindHello, 0, false, n.options.Self)
+}
+
+func (n *Node) forget(client *clientConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.clients[client.address] == client {
+		delete(n.clients, client.address)
+	}
+}
+
+// clientConn is a connection that this process opened.
+type clientConn struct {
+	address string
+	// ready is closed when the connection stands or openErr is set.
+	ready   chan struct{}
+	openErr error
+	conn    *nbio.Conn
+
+	mu      sync.Mutex
+	pending map[uint64]chan *Envelope
+	err     error
+}
+
+func (c *clientConn) expect(seq uint64) <-chan *Envelope {
+	reply := make(chan *Envelope, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		close(reply)
+		return reply
+	}
+	c.pending[seq] = reply
+	return reply
+}
+
+func (c *clientConn) cancel(seq uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, seq)
+}
+
+func (c *clientConn) deliver(envelope *Envelope) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply := c.pending[envelope.Seq]; reply != nil {
+		delete(c.pending, envelope.Seq)
+		reply <- envelope
+	}
+}
+
+func (c *clientConn) fail(err error) {
+	if err == nil {
+		err = net.ErrClosed
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+	for seq, reply := range c.pending {
+		delete(c.pending, seq)
+		close(reply)
+	}
+}
+
+func (c *clientConn) cause() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,186 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestPeer(t *testing.T) { testkit.RunSpecs(t, "peer") }
+
+type echoHandler struct{}
+
+func (echoHandler) Handle(_ peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
+	var ask peer.DocumentAsk
+	if envelope.Kind != peer.KindDocumentAsk || envelope.Decode(&ask) != nil {
+		return peer.KindError, peer.Error{Code: "unexpected"}
+	}
+	return peer.KindDocument, peer.Document{Revision: ask.MinRevision}
+}
+
+type refusals chan string
+
+func (r refusals) Refused(_, reason string) { r <- reason }
+
+const testKey = "peer-key"
+
+func startServer() (string, refusals) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	Expect(listener.Close()).To(Succeed())
+	refused := make(refusals, 16)
+	server, err := peer.NewNode(peer.Options{
+		Listen: address, Self: peer.Hello{Key: testKey}, Handler: echoHandler{}, Events: refused,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	return address, refused
+}
+
+func startClient(key string) *peer.Node {
+	client, err := peer.NewNode(peer.Options{Self: peer.Hello{Key: key, Name: "c"}})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(client.Close)
+	return client
+}
+
+func ask(client *peer.Node, address string, revision uint64) (peer.Document, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var document peer.Document
+	err := client.Call(ctx, address, peer.KindDocumentAsk, peer.DocumentAsk{MinRevision: revision}, &document)
+	return document, err
+}
+
+var _ = Describe("Node", func() {
+	// Guards against replies that are delivered to another caller of the same connection.
+	It("delivers each reply to its own call", func() {
+		address, _ := startServer()
+		client := startClient(testKey)
+		results := make(chan bool, 50)
+		for i := range 50 {
+			go func() {
+				document, err := ask(client, address, uint64(i))
+				results <- err == nil && document.Revision == uint64(i)
+			}()
+		}
+		for range 50 {
+			Eventually(results, "10s").Should(Receive(BeTrue()))
+		}
+	})
+
+	// Guards against processes without the key that take part.
+	It("refuses a wrong key without logging it", func() {
+		address, refused := startServer()
+		_, err := ask(startClient("wrong-secret"), address, 1)
+		Expect(err).To(HaveOccurred())
+		var reason string
+		Eventually(refused, "10s").Should(Receive(&reason))
+		Expect(reason).To(ContainSubstring("wrong_key"))
+		Expect(reason).NotTo(ContainSubstring("wrong-secret"))
+	})
+
+	// Guards against a process that stops serving its peers after bad input.
+	DescribeTable("stays up after", func(input []byte) {
+		address, refused := startServer()
+		raw, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer raw.Close()
+		_, err = raw.Write(input)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(refused, "10s").Should(Receive())
+		document, err := ask(startClient(testKey), address, 7)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(document.Revision).To(Equal(uint64(7)))
+	},
+		Entry("random bytes", []byte("GET / HTTP/1.1\r\n\r\n")),
+		Entry("an oversize frame", []byte{0xff, 0xff, 0xff, 0xff}),
+		Entry("an empty frame", []byte{0, 0, 0, 0}),
+		Entry("an unknown kind", []byte{0, 0, 0, 5, 0x94, 0x7f, 0x01, 0xc2, 0xc0}),
+		Entry("a frame that is not an array", []byte{0, 0, 0, 1, 0x01}),
+	)
+
+	// Guards against calls that wait for ever when the other process dies.
+	It("fails pending calls when the connection closes", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		go func() {
+			conn, err := listener.Accept()
+			if err == nil {
+				_, _ = conn.Read(make([]byte, 16))
+				_ = conn.Close()
+			}
+		}()
+		_, err = ask(startClient(testKey), listener.Addr().String(), 1)
+		Expect(err).To(BeAssignableToTypeOf(&peer.CallError{}))
+	})
+})
+
+// Guards against frames that depend on how TCP splits the stream.
+func TestDecoderSplits(t *testing.T) {
+	testkit.FixRapidSeed()
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 5).Draw(t, "frames")
+		var stream []byte
+		for i := range count {
+			body := peer.Document{Revision: uint64(i), Bytes: rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")}
+			frame, err := peer.EncodeFrame(peer.KindDocument, uint64(i), true, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stream = append(stream, frame...)
+		}
+		var decoder peer.Decoder
+		seen := 0
+		for len(stream) > 0 {
+			n := rapid.IntRange(1, len(stream)).Draw(t, "split")
+			envelopes, err := decoder.Feed(stream[:n])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, envelope := range envelopes {
+				if envelope.Seq != uint64(seen) {
+					t.Fatalf("frame %d arrived at position %d", envelope.Seq, seen)
+				}
+				seen++
+			}
+			stream = stream[n:]
+		}
+		if seen != count {
+			t.Fatalf("%d of %d frames decoded", seen, count)
+		}
+	})
+}
+
+// FuzzDecoder guards against panics and unbounded memory on hostile bytes.
+func FuzzDecoder(f *testing.F) {
+	frame, err := peer.EncodeFrame(peer.KindClaim, 3, false, peer.Claim{Holder: "a", Items: []peer.ClaimItem{{}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame)
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add(bytes.Repeat([]byte{0, 0, 0, 1, 0xdd}, 3))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var decoder peer.Decoder
+		envelopes, _ := decoder.Feed(data)
+		for i := range envelopes {
+			var claim peer.Claim
+			_ = envelopes[i].Decode(&claim)
+			var view peer.View
+			_ = envelopes[i].Decode(&view)
+		}
+	})
+}
