--- /dev/null
+++ b/internal/strictyaml/decode.go
@@ -0,0 +1,276 @@
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// The short tags of YAML's core schema that fields may have.
+const (
+	tagString = "!!str"
+	tagBool   = "!!bool"
+	tagInt    = "!!int"
+	tagFloat  = "!!float"
+	tagNull   = "!!null"
+)
+
+// start is the position of findings about a whole document.
+var start = position{line: 1, column: 1}
+
+// TextValue is a type that reads itself from a YAML string.
+type TextValue interface {
+	SetText(text string) error
+}
+
+// Decode reads one YAML document into target, a pointer to a struct with yaml tags, and returns the report of what was
+// found. The fields of target that could not be read keep their values. Documents of more than maxBytes are not read.
+func Decode(file string, data []byte, maxBytes int, target any) *Report {
+	r := newReport(file)
+	if len(data) > maxBytes {
+		r.reject(start, "", "the document has %d bytes; at most %d are allowed", len(data), maxBytes)
+		return r
+	}
+	if at, ok := firstInvalidUTF8(data); ok {
+		r.reject(at, "", "the document is not valid UTF-8")
+		return r
+	}
+	root := r.parse(data)
+	if root == nil {
+		return r
+	}
+	r.decodeValue(root, "", reflect.ValueOf(target).Elem())
+	return r
+}
+
+func firstInvalidUTF8(data []byte) (position, bool) {
+	if utf8.Valid(data) {
+		return position{}, false
+	}
+	at := start
+	for len(data) > 0 {
+		char, size := utf8.DecodeRune(data)
+		if char == utf8.RuneError && size == 1 {
+			break
+		}
+		at.column++
+		if char == '\n' {
+			at = position{line: at.line + 1, column: 1}
+		}
+		data = data[size:]
+	}
+	return at, true
+}
+
+// parse returns the root node of the only document in data, or nil after it reported why there is none.
+func (r *Report) parse(data []byte) (root *yaml.Node) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.reject(start, "", "the YAML parser failed: %v", cause)
+			root = nil
+		}
+	}()
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var document yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		r.reject(start, "", "the document is empty")
+		return nil
+	}
+	if err != nil {
+		r.addSyntaxError(err)
+		return nil
+	}
+	var second yaml.Node
+	switch err := decoder.Decode(&second); {
+	case errors.Is(err, io.EOF):
+	case err != nil:
+		r.addSyntaxError(err)
+		return nil
+	default:
+		r.reject(positionOf(&second), "", "the file contains more than one YAML document")
+		return nil
+	}
+	if len(document.Content) != 1 {
+		r.reject(start, "", "the document is empty")
+		return nil
+	}
+	return document.Content[0]
+}
+
+var errorLine = regexp.MustCompile(`^line (\d+): `)
+
+// addSyntaxError reports an error of the YAML parser, which names the line only.
+func (r *Report) addSyntaxError(err error) {
+	at := start
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	if match := errorLine.FindStringSubmatch(message); match != nil {
+		at.line, _ = strconv.Atoi(match[1])
+		message = message[len(match[0]):]
+	}
+	r.reject(at, "", "not valid YAML: %s", message)
+}
+
+func positionOf(node *yaml.Node) position {
+	return position{line: max(node.Line, 1), column: max(node.Column, 1)}
+}
+
+func (r *Report) decodeValue(node *yaml.Node, path string, target reflect.Value) {
+	r.positions[path] = positionOf(node)
+	if node.Kind == yaml.AliasNode {
+		r.reject(positionOf(node), path, "aliases are not allowed")
+		return
+	}
+	if node.Anchor != "" {
+		r.reject(positionOf(node), path, "anchors are not allowed")
+		return
+	}
+	if node.Kind == yaml.ScalarNode && node.ShortTag() == tagNull {
+		r.reject(positionOf(node), path, "has no value")
+		return
+	}
+	if text, ok := target.Addr().Interface().(TextValue); ok {
+		r.decodeText(node, path, text)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Pointer:
+		value := reflect.New(target.Type().Elem())
+		r.decodeValue(node, path, value.Elem())
+		if !r.rejected[path] {
+			target.Set(value)
+		}
+	case reflect.Struct:
+		r.decodeStruct(node, path, target)
+	case reflect.Slice:
+		r.decodeSlice(node, path, target)
+	default:
+		r.decodeScalar(node, path, target)
+	}
+}
+
+func (r *Report) decodeText(node *yaml.Node, path string, target TextValue) {
+	if node.Kind != yaml.ScalarNode || node.ShortTag() != tagString {
+		r.reject(positionOf(node), path, "must be a string, not %s", describe(node))
+		return
+	}
+	if err := target.SetText(node.Value); err != nil {
+		r.reject(positionOf(node), path, "%v", err)
+	}
+}
+
+func (r *Report) decodeStruct(node *yaml.Node, path string, target reflect.Value) {
+	if node.Kind != yaml.MappingNode {
+		r.reject(positionOf(node), path, "must be a mapping, not %s", describe(node))
+		return
+	}
+	fields := make(map[string]reflect.Value)
+	collectFields(target, fields)
+	seen := make(map[string]bool)
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		fieldPath := join(path, key.Value)
+		field, known := fields[key.Value]
+		switch {
+		case key.Kind != yaml.ScalarNode || key.Anchor != "":
+			r.add(positionOf(key), path, "a key must be a plain field name")
+		case seen[key.Value]:
+			r.add(positionOf(key), fieldPath, "the field appears twice")
+		case !known:
+			r.add(positionOf(key), fieldPath, "unknown field")
+		default:
+			r.decodeValue(value, fieldPath, field)
+		}
+		seen[key.Value] = true
+	}
+}
+
+func collectFields(target reflect.Value, fields map[string]reflect.Value) {
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		if field.Anonymous {
+			collectFields(target.Field(i), fields)
+			continue
+		}
+		if name := field.Tag.Get("yaml"); name != "" && name != "-" {
+			fields[name] = target.Field(i)
+		}
+	}
+}
+
+func (r *Report) decodeSlice(node *yaml.Node, path string, target reflect.Value) {
+	if node.Kind != yaml.SequenceNode {
+		r.reject(positionOf(node), path, "must be a list, not %s", describe(node))
+		return
+	}
+	values := reflect.MakeSlice(target.Type(), len(node.Content), len(node.Content))
+	for i, item := range node.Content {
+		r.decodeValue(item, fmt.Sprintf("%s[%d]", path, i), values.Index(i))
+	}
+	target.Set(values)
+}
+
+func (r *Report) decodeScalar(node *yaml.Node, path string, target reflect.Value) {
+	wanted, tags := scalarType(target.Kind())
+	if node.Kind != yaml.ScalarNode || !strings.Contains(tags, node.ShortTag()) {
+		r.reject(positionOf(node), path, "must be %s, not %s", wanted, describe(node))
+		return
+	}
+	if err := node.Decode(target.Addr().Interface()); err != nil {
+		r.reject(positionOf(node), path, "must be %s in the range of its type", wanted)
+	}
+}
+
+// scalarType returns the name of a Go kind in messages and the YAML tags that it accepts.
+func scalarType(kind reflect.Kind) (name, tags string) {
+	switch kind {
+	case reflect.String:
+		return "a string", tagString
+	case reflect.Bool:
+		return "true or false", tagBool
+	case reflect.Float64:
+		return "a number", tagFloat + tagInt
+	case reflect.Uint64:
+		return "an integer of at least 0", tagInt
+	default:
+		return "an integer", tagInt
+	}
+}
+
+func describe(node *yaml.Node) string {
+	switch node.Kind {
+	case yaml.MappingNode:
+		return "a mapping"
+	case yaml.SequenceNode:
+		return "a list"
+	case yaml.AliasNode:
+		return "an alias"
+	}
+	switch node.ShortTag() {
+	case tagString:
+		return "a string"
+	case tagBool:
+		return "a boolean"
+	case tagInt:
+		return "an integer"
+	case tagFloat:
+		return "a number"
+	default:
+		return "a value of type " + node.ShortTag()
+	}
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
