--- /dev/null
+++ b/internal/standin/segment.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// segmentContent identifies the part of a prompt whose KV cache a segment holds.
+type segmentContent struct {
+	Bytes int    `json:"bytes"`
+	Hash  uint64 `json:"hash,string"`
+}
+
+type segmentBody struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+}
+
+type segmentAnswer struct {
+	ID     string `json:"id"`
+	Tokens int64  `json:"tokens"`
+	segmentContent
+}
+
+// segmentReference is an exported segment and the engine that holds it.
+type segmentReference struct {
+	id      string
+	address string
+}
+
+// importError tells which segment a leader could not import.
+type importError struct {
+	id  string
+	err error
+}
+
+func (e *importError) Error() string { return fmt.Sprintf("import of segment %s: %v", e.id, e.err) }
+
+func (e *importError) Unwrap() error { return e.err }
+
+// serveSegment prefills one segment of a group prompt and keeps it until it is imported, released or cancelled.
+func (e *Engine) serveSegment(w http.ResponseWriter, r *http.Request) {
+	var body segmentBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.ID == "" {
+		refuse(w, http.StatusBadRequest, "bad_request", "the body must be JSON with id and prompt")
+		return
+	}
+	priority, err := intHeader(r.Header, "X-Priority", 0)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if !e.acceptFenceHeader(w, r) {
+		return
+	}
+	tokens := EstimateTokens(len(body.Prompt))
+	content := segmentContent{Bytes: len(body.Prompt), Hash: xxhash.Sum64String(body.Prompt)}
+	s, err := e.admit(r.Context(), admission{
+		id:       body.ID,
+		priority: int(priority),
+		prefill:  tokens,
+		tokens:   tokens,
+		segment:  &content,
+	})
+	if err != nil {
+		answerNotAdmitted(w, err)
+		return
+	}
+	defer s.cancel(nil)
+	out := &answerWriter{engine: e, ctx: s.ctx, w: w}
+	if err := e.exportSegment(s); err != nil {
+		e.abandon(s)
+		out.fail(err)
+		return
+	}
+	answer := mustJSON(segmentAnswer{ID: s.id, Tokens: tokens, segmentContent: content})
+	w.Header().Set("Content-Type", "application/json")
+	if err := out.write(answer); err != nil {
+		out.fail(err)
+	}
+}
+
+func (e *Engine) exportSegment(s *stream) error {
+	e.startPrefill(s)
+	select {
+	case <-s.prefilled:
+	case <-s.ctx.Done():
+		return context.Cause(s.ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.phase = PhaseExported
+	return nil
+}
+
+// serveImport hands an exported segment to the group's leader and frees its memory.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	if e.waitWhileSilent(r.Context()) != nil {
+		return
+	}
+	s := e.takeSegment(r.PathValue("id"))
+	if s == nil {
+		writeError(w, http.StatusNotFound, "unknown_segment", "no exported segment has this id")
+		return
+	}
+	writeJSON(w, http.StatusOK, segmentAnswer{ID: s.id, Tokens: s.tokens, segmentContent: *s.segment})
+}
+
+func (e *Engine) takeSegment(id string) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.streams {
+		if s.id == id && s.phase == PhaseExported {
+			e.free(s)
+			e.stats.Imported++
+			return s
+		}
+	}
+	return nil
+}
+
+// parseImports reads "ID@IP:PORT, ID@IP:PORT", the segments in the order of the prompt.
+func parseImports(value string) ([]segmentReference, error) {
+	if strings.TrimSpace(value) == "" {
+		return nil, nil
+	}
+	var references []segmentReference
+	for part := range strings.SplitSeq(value, ",") {
+		id, address, ok := strings.Cut(strings.TrimSpace(part), "@")
+		if !ok || id == "" || address == "" {
+			return nil, fmt.Errorf("X-Import has the malformed entry %q", part)
+		}
+		references = append(references, segmentReference{id: id, address: address})
+	}
+	return references, nil
+}
+
+// importSegments fetches a leader's segments and checks that they are the beginning of its prompt, in order.
+func importSegments(ctx context.Context, c completion) error {
+	rest := c.prompt
+	for _, reference := range c.imports {
+		content, err := fetchSegment(ctx, reference)
+		if err != nil {
+			return &importError{id: reference.id, err: err}
+		}
+		if content.Bytes > len(rest) || xxhash.Sum64(rest[:content.Bytes]) != content.Hash {
+			return &importError{id: reference.id, err: fmt.Errorf("content differs from the prompt")}
+		}
+		rest = rest[content.Bytes:]
+	}
+	if len(c.imports) > 0 && EstimateTokens(len(rest)) > c.ownTokens {
+		return &importError{id: "own", err: fmt.Errorf("segments and own share do not cover the prompt")}
+	}
+	return nil
+}
+
+func fetchSegment(ctx context.Context, reference segmentReference) (segmentContent, error) {
+	target := "http://" + reference.address + "/v1/segments/" + url.PathEscape(reference.id) + "/import"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return segmentContent{}, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return segmentContent{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return segmentContent{}, fmt.Errorf("member answered %s", response.Status)
+	}
+	var answer segmentAnswer
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.segmentContent, err
+}
--- /dev/null
+++ b/internal/standin/text.go
@@ -0,0 +1,56 @@
+// Package standin holds fakes of the systems that acacialift meets: model engines and plain services. They serve tests
+// and the README only.
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bytesPerToken is the token estimate of the design: bytes / 4, rounded up.
+const bytesPerToken = 4
+
+// EstimateTokens returns the number of tokens of a prompt of the given length in bytes.
+func EstimateTokens(bytes int) int64 {
+	return int64((bytes + bytesPerToken - 1) / bytesPerToken)
+}
+
+// ExpectedText returns the text that an engine generates for a prompt. The prompt is the value of the field "prompt",
+// or ChatPrompt of the messages.
+func ExpectedText(prompt []byte, tokens int) string {
+	return expectedText(xxhash.Sum64(prompt), tokens)
+}
+
+func expectedText(promptHash uint64, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(tokenText(promptHash, i))
+	}
+	return b.String()
+}
+
+// tokenText returns the text of one generated token, nine bytes long.
+func tokenText(promptHash uint64, index int) string {
+	var key [16]byte
+	binary.BigEndian.PutUint64(key[:8], promptHash)
+	binary.BigEndian.PutUint64(key[8:], uint64(index))
+	return fmt.Sprintf("%08x ", uint32(xxhash.Sum64(key[:])))
+}
+
+// ChatMessage is one message of a chat completion.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatPrompt returns the prompt of a chat: the contents of the messages, joined by line feeds.
+func ChatPrompt(messages []ChatMessage) []byte {
+	contents := make([]string, len(messages))
+	for i, m := range messages {
+		contents[i] = m.Content
+	}
+	return []byte(strings.Join(contents, "\n"))
+}
