--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -236,7 +236,7 @@
 type CreditReply struct {
 	Granted bool
 	// Reason is set on a refusal, such as "not_owner", "cold_limit", "memory", "streams", "long_prefills",
-	// "team_share", "budget", "out_of_service" or "leaving".
+	// "team_share", "budget", "out_of_service" or "leaving"; package credit lists all.
 	Reason string
 	// ValidFor is the time from the moment the gateway sent the ask until the credit expires.
 	ValidFor time.Duration
@@ -258,6 +258,9 @@
 	ReportDone    ReportState = "done"
 	ReportFailed  ReportState = "failed"
 	ReportHeld    ReportState = "held"
+	// ReportCancelled means that the gateway ended the stream itself, for instance because its caller left. It says
+	// nothing against the endpoint, but the engine may still hold the stream.
+	ReportCancelled ReportState = "cancelled"
 )
 
 // CreditReportItem reports one reservation.
