Add the account of an endpoint at its owner

Cause: without an account an endpoint in cold start, or one whose engine restarted unnoticed, gets work from eight gateways that do not know of each other.

Ruled out: trusting an engine report taken right after the acquisition of the lease. A credit of the earlier owner may be handed over until it expires, so the report must be sampled after the last possible hand-over. Ruled out: relying on the 5 s staleness rule for restarts without notice; a warm limit of work would reach the cold engine until then.

Before: no accounting. After: reservations, ramp, length classes, fair shares and orphans. Work that the latest report does not list never exceeds the cold limit, at any step of the ramp.

--- /dev/null
+++ b/internal/credit/limits.go
@@ -0,0 +1,100 @@
+// Package credit keeps the account of one endpoint at its owner: reservations, the cold-start ramp, length classes and
+// fair shares. It does no I/O; times are passed in and must come from one monotonic clock.
+package credit
+
+import (
+	"math"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+const (
+	defaultLongPrefills = 1
+	defaultShortShare   = 0.25
+	// maxSteps bounds the ramp of a service whose cold limit is 0 and therefore never doubles.
+	maxSteps = 32
+)
+
+// Limits are the bounds of one endpoint under one configuration revision.
+type Limits struct {
+	// Plain is true for plain services: only streams count and no engine reports are expected.
+	Plain bool
+	// Cold is the first step of the ramp, Warm the last.
+	Cold config.Limit
+	Warm config.Limit
+	// LongPrefills is the number of long prompts that may be in prefill at once.
+	LongPrefills int
+	// ShortShare is the share of tokens and streams that only short prompts may use, 0 to 1.
+	ShortShare float64
+	// PrefillRate is the expected prefill speed in tokens per second; 0 switches all estimates off.
+	PrefillRate float64
+	// Weights are the teams' weights; a missing or non-positive weight counts as 1.
+	Weights map[string]int
+}
+
+// LimitsOf returns the limits of a service's endpoints, with defaults filled in.
+func LimitsOf(service *config.Service, teams []config.Team) Limits {
+	limits := Limits{
+		Plain:        service.Kind == config.KindPlain,
+		Cold:         service.Cold,
+		Warm:         service.Warm,
+		LongPrefills: service.LongPrefills,
+		ShortShare:   defaultShortShare,
+		PrefillRate:  service.PrefillRate,
+		Weights:      make(map[string]int, len(teams)),
+	}
+	if limits.LongPrefills <= 0 {
+		limits.LongPrefills = defaultLongPrefills
+	}
+	if service.ShortShare != nil {
+		limits.ShortShare = math.Min(math.Max(*service.ShortShare, 0), 1)
+	}
+	for _, team := range teams {
+		limits.Weights[team.Name] = team.Weight
+	}
+	return limits
+}
+
+func (l Limits) weight(team string) float64 {
+	if weight := l.Weights[team]; weight > 0 {
+		return float64(weight)
+	}
+	return 1
+}
+
+// at returns the limit in force at a step of the ramp: the cold limit doubled step times, at most the warm limit.
+func (l Limits) at(step int) config.Limit {
+	limit := config.Limit{Streams: min(l.Cold.Streams, l.Warm.Streams), Tokens: min(l.Cold.Tokens, l.Warm.Tokens)}
+	for range step {
+		limit.Streams = min(2*limit.Streams, l.Warm.Streams)
+		limit.Tokens = min(2*limit.Tokens, l.Warm.Tokens)
+	}
+	return limit
+}
+
+// top returns the first step whose limit is the warm limit.
+func (l Limits) top() int {
+	step := 0
+	for step < maxSteps && !l.covers(l.at(step), l.Warm) {
+		step++
+	}
+	return step
+}
+
+// covers tells whether limit is at least as large as needed in every dimension that the service uses.
+func (l Limits) covers(limit, needed config.Limit) bool {
+	return limit.Streams >= needed.Streams && (l.Plain || limit.Tokens >= needed.Tokens)
+}
+
+// forClass returns the part of limit that prompts of the class may use together with all longer ones. A limit of a single
+// stream has no share for short prompts, because no other prompt could ever run.
+func (l Limits) forClass(limit config.Limit, class peer.LengthClass) config.Limit {
+	if l.Plain || class == peer.ClassShort {
+		return limit
+	}
+	streams := int(math.Ceil(l.ShortShare * float64(limit.Streams)))
+	streams = min(streams, max(limit.Streams-1, 0))
+	tokens := int64(math.Ceil(l.ShortShare * float64(limit.Tokens)))
+	return config.Limit{Streams: limit.Streams - streams, Tokens: limit.Tokens - tokens}
+}
--- /dev/null
+++ b/internal/credit/reservation.go
@@ -0,0 +1,374 @@
+package credit
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+// hold is work that counts against the endpoint: a grant of this account, a reservation of an earlier owner that a
+// gateway reported, or a stream that only the engine's report shows.
+type hold struct {
+	tokens      int64
+	prompt      int64
+	class       peer.LengthClass
+	team        string
+	gateway     string
+	incarnation int64
+	group       bool
+	// own is true if this account granted the hold; epoch and expected are set then.
+	own      bool
+	epoch    uint64
+	expected time.Duration
+	// deadline is the time at which the request's budget has certainly passed; zero if the budget is unknown.
+	deadline time.Time
+	// usableTill is the time by which the engine lists the stream or never will.
+	usableTill time.Time
+	// lastHeld is the last sign that a live gateway holds the stream; zero if there was none.
+	lastHeld time.Time
+	// contacted is the last report of the same gateway process about any reservation.
+	contacted time.Time
+	gone      bool
+	// reported is true once a gateway has said that it holds the hold; started once it has handed the request over.
+	reported  bool
+	started   bool
+	prefilled bool
+	// closed is true once the gateway has ended the stream while the engine may still hold its memory.
+	closed bool
+	// listed is true if the engine's latest report shows the stream; everListed if any report did.
+	listed     bool
+	everListed bool
+	firstList  time.Time
+}
+
+// usage is the sum of all holds.
+type usage struct {
+	total config.Limit
+	// longer covers medium and long prompts.
+	longer config.Limit
+	// unconfirmed and unconfirmedLonger cover the holds that the engine's latest report does not show; a prompt counts
+	// at most as much as the cold limit leaves to it.
+	unconfirmed       config.Limit
+	unconfirmedLonger config.Limit
+	queuedTokens      int64
+	longPrefills      int
+	teams             map[string]config.Limit
+}
+
+func add(limit *config.Limit, tokens int64) {
+	limit.Streams++
+	limit.Tokens += tokens
+}
+
+func (a *Account) usage() usage {
+	use := usage{teams: make(map[string]config.Limit)}
+	for _, h := range a.holds {
+		a.addHold(&use, h)
+	}
+	// Memory that the engine uses beyond its listed streams is nobody's to grant.
+	use.total.Tokens += a.engine.unattributed
+	use.longer.Tokens += a.engine.unattributed
+	return use
+}
+
+func (a *Account) addHold(use *usage, h *hold) {
+	add(&use.total, h.tokens)
+	team := use.teams[h.team]
+	add(&team, h.tokens)
+	use.teams[h.team] = team
+	if h.class != peer.ClassShort {
+		add(&use.longer, h.tokens)
+	}
+	if !h.listed {
+		charge := a.unconfirmedCharge(h.class, h.tokens)
+		add(&use.unconfirmed, charge)
+		if h.class != peer.ClassShort {
+			add(&use.unconfirmedLonger, charge)
+		}
+	}
+	if h.prefilled || h.closed {
+		return
+	}
+	use.queuedTokens += h.prompt
+	if h.class == peer.ClassLong {
+		use.longPrefills++
+	}
+}
+
+// unconfirmedCharge returns the tokens that a hold counts until the engine lists it. A prompt larger than the cold limit
+// could otherwise never run; it fills the part of the limit that is open to its class instead, so that it is the only
+// unconfirmed one beside short prompts.
+func (a *Account) unconfirmedCharge(class peer.LengthClass, tokens int64) int64 {
+	return min(tokens, a.limits.forClass(a.limits.at(0), class).Tokens)
+}
+
+// refusal returns the reason why the ask must be refused, or "".
+func (a *Account) refusal(now time.Time, ask peer.CreditAsk, use usage) string {
+	tokens := a.tokens(ask.PromptTokens, ask.OutputTokens)
+	switch {
+	case ask.RequestID == "" || ask.PromptTokens < 0 || ask.OutputTokens < 0 || tokens < 0:
+		return ReasonBadAsk
+	case ask.Endpoint != a.options.Endpoint:
+		return ReasonNotOwner
+	case a.outOfService:
+		return ReasonOutOfService
+	case a.leaving:
+		return ReasonLeaving
+	case a.seen(ask.RequestID):
+		return ReasonDuplicate
+	case a.acquiring(now):
+		return ReasonAcquiring
+	case a.silent(now):
+		return ReasonUnknown
+	case ask.BudgetLeft <= 0 || a.prefillWait(now, use.queuedTokens+ask.PromptTokens) > ask.BudgetLeft:
+		return ReasonBudget
+	}
+	return a.capacityRefusal(now, ask, tokens, use)
+}
+
+// capacityRefusal compares an ask with what is in use. Its refusals are demand that fair shares take into account.
+func (a *Account) capacityRefusal(now time.Time, ask peer.CreditAsk, tokens int64, use usage) string {
+	class := peer.ClassOf(ask.PromptTokens)
+	if !a.limits.Plain && class == peer.ClassLong && use.longPrefills >= a.limits.LongPrefills {
+		return ReasonLongPrefills
+	}
+	a.fair.team(now, ask.Team, use.teams[ask.Team].Streams == 0)
+	reason := a.limitRefusal(class, tokens, use)
+	if reason == "" && a.overShare(now, ask.Team, tokens, use) {
+		reason = ReasonTeamShare
+	}
+	one := config.Limit{Streams: 1, Tokens: tokens}
+	if reason != "" && a.limits.covers(a.limits.forClass(a.limit(), class), one) {
+		a.fair.refused(now, ask.Team)
+	}
+	return reason
+}
+
+func (a *Account) limitRefusal(class peer.LengthClass, tokens int64, use usage) string {
+	limit := a.limit()
+	if reason := a.excess(limit, use.total, tokens); reason != "" {
+		return reason
+	}
+	if class != peer.ClassShort {
+		if reason := a.excess(a.limits.forClass(limit, class), use.longer, tokens); reason != "" {
+			return reason
+		}
+	}
+	if a.limits.Plain {
+		return ""
+	}
+	return a.unconfirmedRefusal(class, tokens, use)
+}
+
+// unconfirmedRefusal bounds the work that the engine's latest report does not show by the cold limit, at every step. If
+// the engine restarted right after that report, this is exactly the work that the cold engine gets, so that a restart
+// that nobody has noticed yet cannot overload it.
+func (a *Account) unconfirmedRefusal(class peer.LengthClass, tokens int64, use usage) string {
+	cold := a.limits.at(0)
+	charge := a.unconfirmedCharge(class, tokens)
+	if a.excess(cold, use.unconfirmed, charge) != "" {
+		return ReasonUnconfirmed
+	}
+	if class != peer.ClassShort && a.excess(a.limits.forClass(cold, class), use.unconfirmedLonger, charge) != "" {
+		return ReasonUnconfirmed
+	}
+	return ""
+}
+
+// excess returns the reason why one more stream with the given tokens does not fit the limit, or "".
+func (a *Account) excess(limit, used config.Limit, tokens int64) string {
+	warm := a.ramp.step == a.limits.top()
+	switch {
+	case used.Streams+1 > limit.Streams && warm:
+		return ReasonStreams
+	case !a.limits.Plain && used.Tokens+tokens > limit.Tokens && warm:
+		return ReasonMemory
+	case used.Streams+1 > limit.Streams, !a.limits.Plain && used.Tokens+tokens > limit.Tokens:
+		return ReasonColdLimit
+	default:
+		return ""
+	}
+}
+
+func (a *Account) seen(id string) bool {
+	_, ended := a.ended[id]
+	return ended || a.holds[id] != nil
+}
+
+const (
+	leastRetry = 100 * time.Millisecond
+	// mostCapacityRetry stays below demandLife.
+	mostCapacityRetry = 500 * time.Millisecond
+	mostRetry         = 5 * time.Second
+	unknownRetry      = time.Second
+)
+
+// retryAfter estimates when an ask could be granted; 0 means that a retry at this endpoint cannot help soon.
+func (a *Account) retryAfter(now time.Time, reason string, use usage) time.Duration {
+	queue := a.prefillWait(now, use.queuedTokens)
+	switch reason {
+	case ReasonAcquiring:
+		return clamp(a.options.AcquiredAt.Add(usableFor).Sub(now), leastRetry, mostRetry)
+	case ReasonUnknown:
+		return unknownRetry
+	case ReasonBudget, ReasonLongPrefills:
+		return clamp(queue, leastRetry, mostRetry)
+	case ReasonColdLimit, ReasonUnconfirmed, ReasonMemory, ReasonStreams, ReasonTeamShare:
+		return clamp(queue, leastRetry, mostCapacityRetry)
+	default:
+		return 0
+	}
+}
+
+func clamp(d, least, most time.Duration) time.Duration { return min(max(d, least), most) }
+
+// Report applies a gateway's report. Repeated, late and reordered items are harmless: an end is final.
+func (a *Account) Report(now time.Time, report peer.CreditReport) {
+	a.noteIncarnation(report.Gateway, report.Incarnation)
+	for _, h := range a.holds {
+		if h.gateway == report.Gateway && h.incarnation == report.Incarnation {
+			h.contacted = now
+		}
+	}
+	for _, item := range report.Items {
+		if item.Endpoint == a.options.Endpoint && item.RequestID != "" {
+			a.reportItem(now, report, item)
+		}
+	}
+	a.refresh(now)
+}
+
+func (a *Account) reportItem(now time.Time, report peer.CreditReport, item peer.CreditReportItem) {
+	if _, ended := a.ended[item.RequestID]; ended {
+		return
+	}
+	h := a.holds[item.RequestID]
+	if end, isEnd := ends[item.State]; isEnd {
+		end(a, now, item, h)
+		return
+	}
+	if h == nil {
+		h = &hold{usableTill: now.Add(usableFor)}
+		a.holds[item.RequestID] = h
+	}
+	if h.gateway == "" {
+		a.adopt(h, report, item)
+	}
+	if report.Incarnation >= a.incarnations[report.Gateway] {
+		// A report of a process that a newer one has replaced was sent before the older one died.
+		h.lastHeld = now
+		h.contacted = now
+		h.gone = false
+	}
+	h.reported = true
+	h.started = h.started || item.State == peer.ReportStarted || item.State == peer.ReportPrefill
+	if item.State == peer.ReportPrefill && !h.prefilled {
+		h.prefilled = true
+		a.firstToken(now, h, item.FirstToken)
+	}
+}
+
+// adopt completes a hold that this account did not grant with what its gateway knows.
+func (a *Account) adopt(h *hold, report peer.CreditReport, item peer.CreditReportItem) {
+	h.gateway, h.incarnation = report.Gateway, report.Incarnation
+	h.team = item.Team
+	h.tokens = max(h.tokens, a.tokens(item.PromptTokens, item.OutputTokens))
+	h.prompt = item.PromptTokens
+	h.class = peer.ClassOf(item.PromptTokens)
+}
+
+// ends maps the final report states to their effects. The hold is nil if the account does not know the request.
+var ends = map[peer.ReportState]func(a *Account, now time.Time, item peer.CreditReportItem, h *hold){
+	peer.ReportUnused:    (*Account).reportUnused,
+	peer.ReportDone:      (*Account).reportDone,
+	peer.ReportFailed:    (*Account).reportFailed,
+	peer.ReportCancelled: (*Account).reportCancelled,
+}
+
+func (a *Account) reportUnused(now time.Time, item peer.CreditReportItem, h *hold) {
+	if h != nil && (h.started || h.everListed) {
+		return
+	}
+	a.release(now, item.RequestID)
+}
+
+func (a *Account) reportDone(now time.Time, item peer.CreditReportItem, h *hold) {
+	if h == nil {
+		a.release(now, item.RequestID)
+		return
+	}
+	if !h.prefilled {
+		a.firstToken(now, h, item.FirstToken)
+	}
+	a.completed(now, h)
+	if h.group {
+		// A member's segment stays in memory until it is imported or released.
+		a.close(now, item.RequestID, h)
+		return
+	}
+	a.release(now, item.RequestID)
+}
+
+func (a *Account) reportFailed(now time.Time, item peer.CreditReportItem, h *hold) {
+	a.ramp.drop(dropRequestFailed)
+	a.reportCancelled(now, item, h)
+}
+
+func (a *Account) reportCancelled(now time.Time, item peer.CreditReportItem, h *hold) {
+	if h == nil || a.limits.Plain {
+		a.release(now, item.RequestID)
+		return
+	}
+	a.close(now, item.RequestID, h)
+}
+
+// close keeps counting a hold that its gateway has ended until the engine no longer lists it.
+func (a *Account) close(now time.Time, id string, h *hold) {
+	a.ended[id] = now
+	h.closed = true
+	h.lastHeld = now
+}
+
+// release removes a hold; late reports about it are ignored from now on.
+func (a *Account) release(now time.Time, id string) {
+	delete(a.holds, id)
+	a.ended[id] = now
+}
+
+// noteIncarnation records a gateway's process. A newer process of the same instance proves that the older one is dead.
+func (a *Account) noteIncarnation(gateway string, incarnation int64) {
+	if incarnation > a.incarnations[gateway] {
+		a.incarnations[gateway] = incarnation
+		a.GatewayDead(gateway, incarnation-1)
+	}
+}
+
+// GatewayDead records that a gateway's process and all earlier ones of its instance are dead. Their streams become orphans
+// HolderSilence after the last report that held them. A report of the same process that arrives later proves it alive.
+func (a *Account) GatewayDead(gateway string, incarnation int64) {
+	for _, h := range a.holds {
+		if h.gateway == gateway && h.incarnation <= incarnation {
+			h.gone = true
+		}
+	}
+}
+
+// releasePlain releases the holds of a plain service that cannot be in progress any more. It has no engine report to
+// prove it; a hold ends with its budget, with its gateway, or when the gateway keeps reporting and no longer names it.
+func (a *Account) releasePlain(now time.Time) {
+	for id, h := range a.holds {
+		silence := now.Sub(h.lastHeld)
+		switch {
+		case now.Before(h.usableTill) || silence < HolderSilence:
+		case h.gone, h.deadline.IsZero(), now.After(h.deadline), h.contacted.Sub(h.lastHeld) >= HolderSilence:
+			a.release(now, id)
+		}
+	}
+}
+
+// phaseDone tells whether a listed stream is past its prefill.
+func phaseDone(phase engine.Phase) bool {
+	return phase == engine.PhaseDecode || phase == engine.PhaseExported
+}
