Check the published document and the instance list in full

Cause: Parse accepted unknown fields, dangling references and absurd limits, and stopped at the first fault. Operators need all findings with their place, and an instance must never put half a document in force.

Ruled out: the YAML library's own line numbers for syntax errors. They name the line where the surrounding construct begins, or the one before. The line is found by the shortest prefix that gives the same error.

A valid document is unchanged by writing and reading it.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -2,7 +2,7 @@
 // teams.
 package config
 
-import "time"
+import "github.com/acacialift/acacialift/internal/strictyaml"
 
 // Document is one revision of the published configuration.
 type Document struct {
@@ -82,7 +82,8 @@
 	Address string `yaml:"address"`
 	Domain  string `yaml:"domain"`
 	// Leaving stops new work to the endpoint.
-	Leaving bool    `yaml:"leaving"`
+	Leaving bool `yaml:"leaving"`
+	// Fencing defaults to FencingIgnored, the weaker behaviour.
 	Fencing Fencing `yaml:"fencing"`
 }
 
@@ -96,7 +97,8 @@
 	MaxBudget Duration `yaml:"max_budget"`
 	// MaxOutputTokens bounds and defaults the output of a completion.
 	MaxOutputTokens int64 `yaml:"max_output_tokens"`
-	// Group is the number of endpoints that take a prompt larger than one engine's memory together; 0 means none.
+	// Group is the number of endpoints that take a prompt larger than one engine's memory together; 0 means none, and 1
+	// is not allowed.
 	Group int `yaml:"group"`
 	// Idempotent declares that all requests of the profile may be repeated.
 	Idempotent bool `yaml:"idempotent"`
@@ -110,7 +112,4 @@
 }
 
 // Duration is a time.Duration written as in "30s".
-type Duration time.Duration
-
-// Std returns the value as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
+type Duration = strictyaml.Duration
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,27 +1,47 @@
 package config
 
-import (
-	"fmt"
-	"time"
+import "github.com/acacialift/acacialift/internal/strictyaml"
 
-	"go.yaml.in/yaml/v3"
+// MaxDocumentBytes bounds a published value; the configuration service holds values of up to 1 MB.
+const MaxDocumentBytes = 1_000_000
+
+// The defaults of optional fields.
+const (
+	DefaultTeamWeight   = 1
+	DefaultLongPrefills = 1
+	DefaultShortShare   = 0.25
 )
 
-// UnmarshalYAML reads a duration such as "30s".
-func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
-	value, err := time.ParseDuration(node.Value)
-	if err != nil {
-		return fmt.Errorf("line %d: %q is not a duration", node.Line, node.Value)
-	}
-	*d = Duration(value)
-	return nil
-}
+// Finding is one fault of a document, with its line, column and field.
+type Finding = strictyaml.Finding
+
+// FindingsError reports all findings of a document, ordered by line and column.
+type FindingsError = strictyaml.FindingsError
+
+// Parse reads and checks a document and fills in its defaults. Faults are returned as a *FindingsError.
+func Parse(data []byte) (*Index, error) { return ParseFile("", data) }
 
-// Parse reads and checks a document.
-func Parse(data []byte) (*Index, error) {
+// ParseFile is Parse with a file name for the findings. It does not open the file.
+func ParseFile(file string, data []byte) (*Index, error) {
 	var doc Document
-	if err := yaml.Unmarshal(data, &doc); err != nil {
-		return nil, fmt.Errorf("parse configuration: %w", err)
+	c := newChecker(strictyaml.Decode(file, data, MaxDocumentBytes, &doc))
+	c.document(&doc)
+	if err := c.report.Err(); err != nil {
+		return nil, err
 	}
 	return NewIndex(&doc), nil
 }
+
+// ParseInstances reads and checks an instance list. Faults are returned as a *FindingsError.
+func ParseInstances(data []byte) (*InstanceList, error) { return ParseInstancesFile("", data) }
+
+// ParseInstancesFile is ParseInstances with a file name for the findings. It does not open the file.
+func ParseInstancesFile(file string, data []byte) (*InstanceList, error) {
+	var list InstanceList
+	c := newChecker(strictyaml.Decode(file, data, MaxDocumentBytes, &list))
+	c.instances(&list)
+	if err := c.report.Err(); err != nil {
+		return nil, err
+	}
+	return &list, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,7 +35,7 @@
 
 // Gateway holds the settings of acacia-gateway.
 type Gateway struct {
-	Common
+	Common    `yaml:",inline"`
 	Addresses GatewayAddresses `yaml:"addresses"`
 	Keys      GatewayKeys      `yaml:"keys"`
 	Limits    Limits           `yaml:"limits"`
@@ -69,7 +69,7 @@
 
 // Controller holds the settings of acacia-controller.
 type Controller struct {
-	Common
+	Common    `yaml:",inline"`
 	Addresses ControllerAddresses `yaml:"addresses"`
 	Keys      ControllerKeys      `yaml:"keys"`
 	// Platform lists the IP:port addresses of the configuration service and the instance list, tried in turn.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -119,7 +119,7 @@
 		Expect(findings(err)).To(ConsistOf(finding))
 	},
 		Entry("a negative lag", "balancer_lag: -1s\n", "12:15: balancer_lag: must be from 0s to 10m0s"),
-		Entry("an alias", "log_level: *x\n", "1:1: not valid YAML: unknown anchor 'x' referenced"),
+		Entry("an alias", "log_level: *x\n", "12:1: not valid YAML: unknown anchor 'x' referenced"),
 		Entry("an anchor", "log_level: &x info\n", "12:12: log_level: anchors are not allowed"),
 		Entry("a second document", "---\ninstance: nadi-2\n", "12:1: the file contains more than one YAML document"),
 	)
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -7,7 +7,7 @@
 	"io"
 	"reflect"
 	"regexp"
-	"strconv"
+	"sort"
 	"strings"
 	"unicode/utf8"
 
@@ -52,71 +52,88 @@
 }
 
 func firstInvalidUTF8(data []byte) (position, bool) {
-	if utf8.Valid(data) {
-		return position{}, false
-	}
-	at := start
-	for len(data) > 0 {
-		char, size := utf8.DecodeRune(data)
+	for offset := 0; offset < len(data); {
+		char, size := utf8.DecodeRune(data[offset:])
 		if char == utf8.RuneError && size == 1 {
-			break
-		}
-		at.column++
-		if char == '\n' {
-			at = position{line: at.line + 1, column: 1}
+			return positionAt(data, offset), true
 		}
-		data = data[size:]
+		offset += size
 	}
-	return at, true
+	return position{}, false
 }
 
 // parse returns the root node of the only document in data, or nil after it reported why there is none.
-func (r *Report) parse(data []byte) (root *yaml.Node) {
+func (r *Report) parse(data []byte) *yaml.Node {
+	first, second, err := parseNodes(data)
+	switch {
+	case err != nil:
+		message := strings.TrimPrefix(err.Error(), "yaml: ")
+		r.reject(locateError(data, err), "", "not valid YAML: %s", errorLine.ReplaceAllString(message, ""))
+	case second != nil:
+		r.reject(positionOf(second), "", "the file contains more than one YAML document")
+	case first == nil || len(first.Content) != 1:
+		r.reject(start, "", "the document is empty")
+	default:
+		return first.Content[0]
+	}
+	return nil
+}
+
+// parseNodes returns the first two documents in data; a document that is not there is nil.
+func parseNodes(data []byte) (first, second *yaml.Node, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			r.reject(start, "", "the YAML parser failed: %v", cause)
-			root = nil
+			err = fmt.Errorf("the parser failed: %v", cause)
 		}
 	}()
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	var document yaml.Node
-	err := decoder.Decode(&document)
-	if errors.Is(err, io.EOF) {
-		r.reject(start, "", "the document is empty")
-		return nil
-	}
-	if err != nil {
-		r.addSyntaxError(err)
-		return nil
+	var nodes [2]yaml.Node
+	if err := decoder.Decode(&nodes[0]); err != nil {
+		return nil, nil, exceptEOF(err)
 	}
-	var second yaml.Node
-	switch err := decoder.Decode(&second); {
-	case errors.Is(err, io.EOF):
-	case err != nil:
-		r.addSyntaxError(err)
-		return nil
-	default:
-		r.reject(positionOf(&second), "", "the file contains more than one YAML document")
-		return nil
+	if err := decoder.Decode(&nodes[1]); err != nil {
+		return &nodes[0], nil, exceptEOF(err)
 	}
-	if len(document.Content) != 1 {
-		r.reject(start, "", "the document is empty")
+	return &nodes[0], &nodes[1], nil
+}
+
+func exceptEOF(err error) error {
+	if errors.Is(err, io.EOF) {
 		return nil
 	}
-	return document.Content[0]
+	return err
 }
 
-var errorLine = regexp.MustCompile(`^line (\d+): `)
+// errorLine matches the line that yaml.v3 names: in most cases the one where the construct around the error begins, or
+// the line before it.
+var errorLine = regexp.MustCompile(`^line \d+: `)
+
+// locateError finds the line of a syntax error: the last one of the shortest run of lines, from the start of data, that
+// gives the same error.
+func locateError(data []byte, err error) position {
+	lines := bytes.SplitAfter(data, []byte("\n"))
+	ends := make([]int, len(lines))
+	end := 0
+	for i, line := range lines {
+		end += len(line)
+		ends[i] = end
+	}
+	i := sort.Search(len(lines)-1, func(i int) bool {
+		_, _, prefixErr := parseNodes(data[:ends[i]])
+		return prefixErr != nil && prefixErr.Error() == err.Error()
+	})
+	indentation := len(lines[i]) - len(bytes.TrimLeft(lines[i], " \t"))
+	return position{line: i + 1, column: indentation + 1}
+}
 
-// addSyntaxError reports an error of the YAML parser, which names the line only.
-func (r *Report) addSyntaxError(err error) {
-	at := start
-	message := strings.TrimPrefix(err.Error(), "yaml: ")
-	if match := errorLine.FindStringSubmatch(message); match != nil {
-		at.line, _ = strconv.Atoi(match[1])
-		message = message[len(match[0]):]
+// positionAt returns the line and column of a byte offset.
+func positionAt(data []byte, offset int) position {
+	before := data[:offset]
+	lineStart := bytes.LastIndexByte(before, '\n') + 1
+	return position{
+		line:   bytes.Count(before, []byte("\n")) + 1,
+		column: utf8.RuneCount(before[lineStart:]) + 1,
 	}
-	r.reject(at, "", "not valid YAML: %s", message)
 }
 
 func positionOf(node *yaml.Node) position {
--- a/internal/strictyaml/duration.go
+++ b/internal/strictyaml/duration.go
@@ -20,3 +20,6 @@
 	*d = Duration(value)
 	return nil
 }
+
+// MarshalYAML returns the form that SetText reads.
+func (d Duration) MarshalYAML() (any, error) { return d.Std().String(), nil }
--- a/internal/strictyaml/finding.go
+++ b/internal/strictyaml/finding.go
@@ -81,16 +81,20 @@
 	return ok
 }
 
+// Line returns the line of a field, or that of its closest parent in the document.
+func (r *Report) Line(path string) int { return r.position(path).line }
+
 // Add reports a finding about a field. A field that is not in the document is reported at its closest parent. Findings
 // about a field that could not be read, or that is part of one, are dropped, since that was reported before.
 func (r *Report) Add(path, format string, args ...any) {
-	if r.unreadable(path) {
+	if r.Unreadable(path) {
 		return
 	}
 	r.add(r.position(path), path, fmt.Sprintf(format, args...))
 }
 
-func (r *Report) unreadable(path string) bool {
+// Unreadable tells whether the field, or one that it is part of, was reported because it could not be read.
+func (r *Report) Unreadable(path string) bool {
 	for path != "" && !r.rejected[path] {
 		path = parentOf(path)
 	}
