--- /dev/null
+++ b/internal/standin/prefill_test.go
@@ -0,0 +1,32 @@
+package standin
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("prefill", func() {
+	// Guards against a long prompt that blocks short ones, and against priorities that have no effect.
+	It("serves the higher priority first and shares among equals chunk by chunk", func() {
+		engine, err := NewEngine(EngineOptions{Address: "127.0.0.1:0", MemoryTokens: 1 << 20})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(engine.server.Close)
+		for _, a := range []admission{
+			{id: "long", prefill: 3 * prefillChunkTokens},
+			{id: "short", prefill: prefillChunkTokens},
+			{id: "urgent", prefill: 2 * prefillChunkTokens, priority: 1},
+		} {
+			s, err := engine.admit(context.Background(), a)
+			Expect(err).NotTo(HaveOccurred())
+			engine.startPrefill(s)
+		}
+		var order []string
+		for s, chunk := engine.nextChunk(); s != nil; s, chunk = engine.nextChunk() {
+			order = append(order, s.id)
+			engine.finishChunk(s, chunk)
+		}
+		Expect(order).To(Equal([]string{"urgent", "urgent", "long", "short", "long", "long"}))
+	})
+})
