Serve requests end to end with gateway and controller processes

The gateway asks its controller for the view, asks the endpoint's owner for a credit, hands the request over within the credit's validity and streams the answer. The controller watches the platform, heartbeats its neighbours, holds leases, keeps the accounts of the endpoints it owns and answers the operators' API.

--- /dev/null
+++ b/cmd/acacia-controller/main.go
@@ -0,0 +1,70 @@
+// Command acacia-controller runs the control state of an entry instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/acacialift/acacialift/internal/controller"
+	"github.com/acacialift/acacialift/internal/logging"
+	"github.com/acacialift/acacialift/internal/settings"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "acacia-controller",
+		Usage: "configuration, membership, leases, credits, operators' API",
+		Description: "SIGTERM or SIGINT starts a planned stop: the leases are given up once the instance's gateway is\n" +
+			"done. A second signal ends it at once.\n\n" +
+			"Example: acacia-controller --settings controller.yaml",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in YAML", Required: true}},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	s, err := settings.LoadController(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := logging.New(os.Stderr, level, s.Instance, "controller")
+	logging.RouteNbio(log)
+	c, err := controller.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+			c.StartDrain("signal")
+		case <-c.Drained():
+		}
+		select {
+		case <-signals:
+		case <-c.Drained():
+		}
+		cancel()
+	}()
+	if err := c.Serve(ctx); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/exchange.go
@@ -0,0 +1,18 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/acacialift/acacialift/internal/engine"
+)
+
+// countingExchange counts the reads from the platform.
+type countingExchange struct{ controller *Controller }
+
+// Do implements platform.Exchange.
+func (e countingExchange) Do(
+	ctx context.Context, req engine.Request, beforeWrite func() error, receiver engine.Receiver,
+) error {
+	e.controller.count(platformReads)
+	return e.controller.engines.Do(ctx, req, beforeWrite, receiver)
+}
--- /dev/null
+++ b/internal/controller/handle.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/credit"
+	"github.com/acacialift/acacialift/internal/lease"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+// Handle implements peer.Handler.
+func (c *Controller) Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
+	switch envelope.Kind {
+	case peer.KindHeartbeat:
+		return handle(envelope, c.handleHeartbeat, peer.KindHeartbeat)
+	case peer.KindDocumentAsk:
+		return handle(envelope, c.handleDocumentAsk, peer.KindDocument)
+	case peer.KindClaim:
+		return handle(envelope, c.handleClaim, peer.KindPromise)
+	case peer.KindSummary:
+		return handle(envelope, c.handleSummary, peer.KindAck)
+	case peer.KindViewAsk:
+		return handle(envelope, c.handleViewAsk, peer.KindView)
+	case peer.KindCreditAsk:
+		return handle(envelope, func(ask *peer.CreditAsk) any { return c.handleCreditAsk(from, ask) }, peer.KindCreditReply)
+	case peer.KindCreditReport:
+		return handle(envelope, c.handleCreditReport, peer.KindAck)
+	case peer.KindKeyClaim:
+		return handle(envelope, func(claim *peer.KeyClaim) any { return c.handleKeyClaim(from, claim) }, peer.KindKeyReply)
+	case peer.KindKeyEnd:
+		return handle(envelope, c.handleKeyEnd, peer.KindAck)
+	}
+	return peer.KindError, peer.Error{Code: "unexpected_kind", Message: "controllers do not answer this message"}
+}
+
+// handle decodes a message and returns the reply of its handler.
+func handle[M any](envelope *peer.Envelope, f func(*M) any, reply peer.Kind) (peer.Kind, any) {
+	var message M
+	if err := envelope.Decode(&message); err != nil {
+		return peer.KindError, peer.Error{Code: "malformed_body", Message: err.Error()}
+	}
+	return reply, f(&message)
+}
+
+func (c *Controller) handleHeartbeat(heartbeat *peer.Heartbeat) any {
+	c.receiveHeartbeat(*heartbeat)
+	return c.outgoingHeartbeat(heartbeat.Name)
+}
+
+func (c *Controller) handleDocumentAsk(ask *peer.DocumentAsk) any {
+	return c.documents.answer(ask)
+}
+
+func (c *Controller) handleClaim(claim *peer.Claim) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.voter.Answer(now, now.UnixMilli(), claim)
+}
+
+func (c *Controller) handleSummary(summary *peer.Summary) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.put(time.Now(), summary)
+	return peer.Ack{}
+}
+
+func (c *Controller) handleViewAsk(ask *peer.ViewAsk) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.gateway = gatewayContact{at: now, incarnation: ask.Incarnation, stats: ask.Stats}
+	return c.view(now, ask)
+}
+
+// handleCreditAsk grants only while the lease on the endpoint stands on this process's clock.
+func (c *Controller) handleCreditAsk(from peer.Hello, ask *peer.CreditAsk) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	owned := c.accounts[ask.Endpoint]
+	held, ok := c.holder.Holds(now, lease.EndpointResource(ask.Endpoint))
+	if owned == nil || !ok {
+		return peer.CreditReply{Reason: credit.ReasonNotOwner}
+	}
+	if !held.MayGrant(now) {
+		return peer.CreditReply{Reason: credit.ReasonAcquiring, RetryAfter: held.GrantFrom.Sub(now)}
+	}
+	reply := owned.account.Ask(now, *ask, from.Name, from.Incarnation)
+	if reply.Granted {
+		c.count("credit.granted")
+	} else {
+		c.count("credit.refused." + reply.Reason)
+	}
+	s := reply.Summary
+	c.log.Info().Str("request_id", ask.RequestID).Str("endpoint", ask.Endpoint).Str("gateway", from.Name).
+		Str("team", ask.Team).Str("class", string(ask.Class)).Int64("prompt_tokens", ask.PromptTokens).
+		Int64("output_tokens", ask.OutputTokens).Bool("granted", reply.Granted).Str("reason", reply.Reason).
+		Str("state", string(s.State)).Int64("free_tokens", s.FreeTokens).Int("free_streams", s.FreeStreams).
+		Int64("queued_tokens", s.QueuedTokens).Int64("report_age_ms", s.AgeMS).Msg("credit")
+	return reply
+}
+
+func (c *Controller) handleCreditReport(report *peer.CreditReport) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	byEndpoint := make(map[string][]peer.CreditReportItem)
+	for _, item := range report.Items {
+		byEndpoint[item.Endpoint] = append(byEndpoint[item.Endpoint], item)
+	}
+	for endpoint, items := range byEndpoint {
+		if owned := c.accounts[endpoint]; owned != nil {
+			owned.account.Report(now, peer.CreditReport{
+				Gateway: report.Gateway, Incarnation: report.Incarnation, Items: items,
+			})
+		}
+	}
+	return peer.Ack{}
+}
--- /dev/null
+++ b/internal/controller/ownership.go
@@ -0,0 +1,237 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/credit"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/lease"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+const (
+	leaseTick    = 50 * time.Millisecond
+	claimTimeout = lease.LeaseLength
+	// handOffDelay is the time for which another instance must be preferred before a held resource is given up, so that
+	// a short doubt about a member does not interrupt an endpoint's owner.
+	handOffDelay = 3 * time.Second
+)
+
+// ownership caches which resources this instance should hold.
+type ownership struct {
+	revision     uint64
+	listRevision uint64
+	liveKey      string
+	resources    map[string]lease.Info
+	wanted       map[string]bool
+	// unwantedSince maps a held resource to the time since which another instance is preferred.
+	unwantedSince map[string]time.Time
+}
+
+// ownedAccount is the account of an endpoint that this instance owns.
+type ownedAccount struct {
+	account  *credit.Account
+	endpoint *config.Endpoint
+	acquired time.Time
+	// polled is the time of the last request for a load report; polling is true while one is under way.
+	polled  time.Time
+	polling bool
+	// report is the last load report, with the fence that the engine reported.
+	report     engine.LoadReport
+	reportedAt time.Time
+	// cancelled maps a stream to the time of the last cancel order.
+	cancelled map[string]time.Time
+}
+
+func (c *Controller) serveLeases(ctx context.Context) error {
+	return every(ctx, leaseTick, c.leaseRound)
+}
+
+func (c *Controller) leaseRound(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	if c.index == nil || c.list == nil {
+		c.mu.Unlock()
+		return
+	}
+	c.chooseResources(now)
+	claims := c.holder.Claims(now, now.UnixMilli())
+	addresses := make(map[string]string, len(claims))
+	for _, claim := range claims {
+		addresses[claim.Voter] = c.peerAddress(claim.Voter)
+	}
+	c.reconcile(now)
+	c.mu.Unlock()
+	for _, claim := range claims {
+		go c.claim(ctx, claim, addresses[claim.Voter])
+	}
+}
+
+func (c *Controller) claim(ctx context.Context, outgoing lease.Outgoing, address string) {
+	if outgoing.Voter == c.settings.Instance {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := time.Now()
+		promise := c.voter.Answer(now, now.UnixMilli(), outgoing.Claim)
+		c.holder.HandlePromise(now, now.UnixMilli(), outgoing.Voter, promise)
+		return
+	}
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var promise peer.Promise
+	if err := c.node.Call(ctx, address, peer.KindClaim, outgoing.Claim, &promise); err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.holder.HandlePromise(now, now.UnixMilli(), outgoing.Voter, &promise)
+	c.logPromise(outgoing.Voter, &promise)
+}
+
+func (c *Controller) logPromise(voter string, promise *peer.Promise) {
+	for _, item := range promise.Items {
+		if !item.Granted {
+			c.log.Debug().Str("resource", item.Resource).Str("voter", voter).Str("reason", item.Reason).Msg("claim_refused")
+		}
+	}
+}
+
+// chooseResources tells the holder which resources to claim. The preferred holders are worked out again only if the
+// configuration, the instance list or the set of live instances changed; the caller holds the lock.
+func (c *Controller) chooseResources(now time.Time) {
+	o := &c.ownership
+	live := c.table.Live()
+	key := liveKey(live)
+	revision, listRevision := c.revisions()
+	if o.resources == nil || o.revision != revision {
+		o.resources = lease.Describe(c.index)
+	}
+	if o.wanted == nil || o.revision != revision || o.listRevision != listRevision || o.liveKey != key {
+		o.wanted = c.preferredResources(live)
+		o.revision, o.listRevision, o.liveKey = revision, listRevision, key
+	}
+	if o.unwantedSince == nil {
+		o.unwantedSince = make(map[string]time.Time)
+	}
+	for resource := range o.wanted {
+		delete(o.unwantedSince, resource)
+		c.holder.Want(now, resource)
+	}
+	for _, resource := range c.holder.Wanted() {
+		if !o.wanted[resource] {
+			c.giveUpLater(now, resource)
+		}
+	}
+}
+
+func liveKey(live []config.Instance) string {
+	names := make([]string, 0, len(live))
+	for i := range live {
+		names = append(names, live[i].Name)
+	}
+	return strings.Join(names, " ")
+}
+
+func (c *Controller) preferredResources(live []config.Instance) map[string]bool {
+	wanted := make(map[string]bool)
+	for resource, info := range c.ownership.resources {
+		if info.Refusal == "" && lease.Preferred(resource, info, live) == c.settings.Instance {
+			wanted[resource] = true
+		}
+	}
+	return wanted
+}
+
+// giveUpLater drops a resource once another instance has been preferred for handOffDelay. A leaving instance keeps its
+// leases until its gateway is done.
+func (c *Controller) giveUpLater(now time.Time, resource string) {
+	if c.table.Leaving() {
+		return
+	}
+	since, known := c.ownership.unwantedSince[resource]
+	if !known {
+		c.ownership.unwantedSince[resource] = now
+		return
+	}
+	if now.Sub(since) < handOffDelay {
+		return
+	}
+	delete(c.ownership.unwantedSince, resource)
+	c.holder.Drop(resource)
+	c.log.Info().Str("resource", resource).Str("reason", "another_instance_preferred").Msg("lease_dropped")
+}
+
+// reconcile opens accounts and key registries for leases that were acquired and discards those of ended ones; the
+// caller holds the lock.
+func (c *Controller) reconcile(now time.Time) {
+	for _, resource := range c.holder.Wanted() {
+		held, ok := c.holder.Holds(now, resource)
+		if !ok {
+			continue
+		}
+		if name, isEndpoint := strings.CutPrefix(resource, lease.EndpointResource("")); isEndpoint {
+			c.openAccount(name, &held)
+		} else {
+			c.openSlot(resource, &held)
+		}
+	}
+	c.closeAccounts(now)
+	c.closeSlots(now)
+}
+
+func (c *Controller) openAccount(name string, held *lease.Lease) {
+	if existing := c.accounts[name]; existing != nil && existing.acquired.Equal(held.AcquiredAt) {
+		return
+	}
+	endpoint := c.index.Endpoint(name)
+	if endpoint == nil {
+		return
+	}
+	service := c.index.Service(endpoint.Service)
+	c.accounts[name] = &ownedAccount{
+		account: credit.New(credit.Options{
+			Endpoint:   name,
+			Owner:      c.settings.Instance,
+			Fence:      held.AcquiredWallMS,
+			Limits:     credit.LimitsOf(service, c.index.Document.Teams),
+			AcquiredAt: held.AcquiredAt,
+		}),
+		endpoint:  endpoint,
+		acquired:  held.AcquiredAt,
+		cancelled: make(map[string]time.Time),
+	}
+	c.log.Info().Str("endpoint", name).Str("domain", endpoint.Domain).Int64("fence", held.AcquiredWallMS).
+		Msg("owner_acquired")
+}
+
+func (c *Controller) closeAccounts(now time.Time) {
+	for name := range c.accounts {
+		if _, ok := c.holder.Holds(now, lease.EndpointResource(name)); !ok {
+			delete(c.accounts, name)
+			c.log.Info().Str("endpoint", name).Msg("owner_ended")
+		}
+	}
+}
+
+// applyLimits passes a new configuration on to the accounts; the caller holds the lock.
+func (c *Controller) applyLimits() {
+	for name, owned := range c.accounts {
+		endpoint := c.index.Endpoint(name)
+		if endpoint == nil {
+			owned.account.SetLeaving(true)
+			continue
+		}
+		owned.endpoint = endpoint
+		domain := c.index.Domain(endpoint.Domain)
+		owned.account.SetOutOfService(domain == nil || domain.OutOfService)
+		owned.account.SetLeaving(endpoint.Leaving)
+		owned.account.SetLimits(credit.LimitsOf(c.index.Service(endpoint.Service), c.index.Document.Teams))
+	}
+}
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,164 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/engine"
+)
+
+const (
+	reportTick = 100 * time.Millisecond
+	// reportInterval is the time between two load reports of an endpoint.
+	reportInterval = time.Second
+	// firstReportInterval applies until an account has its first report, which a new owner needs before it grants.
+	firstReportInterval = 250 * time.Millisecond
+	reportTimeout       = 2 * time.Second
+	// cancelRepeat is the time after which a cancel order for a stream that is still reported is sent again.
+	cancelRepeat   = 2 * time.Second
+	maxReportBytes = 1 << 20
+)
+
+func (c *Controller) serveEngineReports(ctx context.Context) error {
+	return every(ctx, reportTick, c.pollEngines)
+}
+
+// pollEngines asks the owned model engines for their load and cancels streams without a live gateway.
+func (c *Controller) pollEngines(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.index == nil {
+		return
+	}
+	for name, owned := range c.accounts {
+		service := c.index.Service(owned.endpoint.Service)
+		if service == nil || service.Kind != config.KindModel || owned.polling {
+			continue
+		}
+		interval := reportInterval
+		if owned.reportedAt.IsZero() {
+			interval = firstReportInterval
+		}
+		if now.Sub(owned.polled) < interval {
+			continue
+		}
+		owned.polling, owned.polled = true, now
+		go c.pollEngine(ctx, name, owned.endpoint.Address, owned)
+	}
+}
+
+func (c *Controller) pollEngine(ctx context.Context, name, address string, owned *ownedAccount) {
+	report, err := c.loadReport(ctx, address)
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owned.polling = false
+	if c.accounts[name] != owned {
+		return
+	}
+	if err != nil {
+		owned.account.ReportFailed(now)
+		c.log.Warn().Str("endpoint", name).Err(err).Msg("load_report_failed")
+		return
+	}
+	sampled, err := report.SampleTime(now)
+	if err != nil {
+		owned.account.ReportFailed(now)
+		c.log.Warn().Str("endpoint", name).Err(err).Msg("load_report_refused")
+		return
+	}
+	before := owned.account.Summary(now).State
+	owned.account.EngineReport(now, *report, sampled)
+	owned.report, owned.reportedAt = *report, now
+	if after := owned.account.Summary(now).State; after != before {
+		c.log.Info().Str("endpoint", name).Str("from", string(before)).Str("to", string(after)).
+			Str("last_drop", owned.account.LastDrop()).Str("start_id", report.StartID).Msg("endpoint_state")
+	}
+	c.cancelOrphans(ctx, now, owned)
+}
+
+func (c *Controller) loadReport(ctx context.Context, address string) (*engine.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	body, err := c.fetch(ctx, engine.Request{Method: http.MethodGet, Target: "/load", Address: address})
+	if err != nil {
+		return nil, err
+	}
+	var report engine.LoadReport
+	if err := json.Unmarshal(body, &report); err != nil {
+		return nil, fmt.Errorf("decode load report: %w", err)
+	}
+	return &report, nil
+}
+
+// cancelOrphans orders the engine to drop streams that no live gateway holds; the caller holds the lock.
+func (c *Controller) cancelOrphans(ctx context.Context, now time.Time, owned *ownedAccount) {
+	for _, id := range owned.account.Orphans(now) {
+		if now.Sub(owned.cancelled[id]) < cancelRepeat {
+			continue
+		}
+		owned.cancelled[id] = now
+		fence := max(owned.acquired.UnixMilli(), owned.report.Fence+1)
+		owned.account.SetFence(fence)
+		go c.cancelStream(ctx, owned.endpoint.Name, owned.endpoint.Address, id, fence)
+	}
+	for id, at := range owned.cancelled {
+		if now.Sub(at) > time.Minute {
+			delete(owned.cancelled, id)
+		}
+	}
+}
+
+func (c *Controller) cancelStream(ctx context.Context, endpoint, address, id string, fence int64) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	order, err := json.Marshal(engine.Order{Fence: fence, Action: engine.ActionCancel, ID: id})
+	if err == nil {
+		_, err = c.fetch(ctx, engine.Request{Method: http.MethodPost, Target: "/orders", Address: address, Body: order})
+	}
+	c.count("orphans.cancelled")
+	c.log.Info().Str("endpoint", endpoint).Str("request_id", id).Int64("fence", fence).
+		Str("reason", "no_live_gateway").AnErr("error", err).Msg("orphan_cancel")
+}
+
+var errReportTooLarge = errors.New("answer is too large")
+
+// bodyCollector is an engine.Receiver that keeps a small body.
+type bodyCollector struct {
+	status int
+	body   bytes.Buffer
+}
+
+// OnHead implements engine.Receiver.
+func (b *bodyCollector) OnHead(status int, _ http.Header) error {
+	b.status = status
+	return nil
+}
+
+// OnBody implements engine.Receiver.
+func (b *bodyCollector) OnBody(data []byte) error {
+	if b.body.Len()+len(data) > maxReportBytes {
+		return errReportTooLarge
+	}
+	b.body.Write(data)
+	return nil
+}
+
+// fetch returns the body of a 200 answer.
+func (c *Controller) fetch(ctx context.Context, req engine.Request) ([]byte, error) {
+	collector := &bodyCollector{}
+	if err := c.engines.Do(ctx, req, nil, collector); err != nil {
+		return nil, err
+	}
+	if collector.status != http.StatusOK {
+		return nil, fmt.Errorf("%s %s answered %d", req.Method, req.Target, collector.status)
+	}
+	return collector.body.Bytes(), nil
+}
--- /dev/null
+++ b/internal/gateway/credits.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+const (
+	creditTimeout  = time.Second
+	heldInterval   = time.Second
+	reportTimeout  = time.Second
+	endpointPrefix = "endpoint/"
+)
+
+// credit is a granted reservation of one endpoint.
+type credit struct {
+	endpoint *config.Endpoint
+	ask      peer.CreditAsk
+	reply    peer.CreditReply
+	// expires is the time on this process's monotonic clock after which the credit must not be used; it counts from the
+	// moment the ask was sent.
+	expires time.Time
+}
+
+// usable tells whether the credit may still be used. It is checked immediately before the hand-over.
+func (c *credit) usable(now time.Time) bool { return now.Before(c.expires) }
+
+// heldCredits asks owners for credits, reports their use, and repeats the list of held ones to each owner.
+type heldCredits struct {
+	node        *peer.Node
+	views       *views
+	instance    string
+	incarnation int64
+
+	mu   sync.Mutex
+	held map[string]peer.CreditReportItem
+}
+
+func newHeldCredits(node *peer.Node, v *views, instance string, incarnation int64) *heldCredits {
+	return &heldCredits{
+		node: node, views: v, instance: instance, incarnation: incarnation,
+		held: make(map[string]peer.CreditReportItem),
+	}
+}
+
+// String implements fmt.Stringer.
+func (h *heldCredits) String() string { return "held-credits" }
+
+// Serve repeats the held reservations once a second until the context ends, so that a new owner learns them.
+func (h *heldCredits) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(heldInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			h.sendHeld(ctx)
+		}
+	}
+}
+
+func (h *heldCredits) sendHeld(ctx context.Context) {
+	byOwner := make(map[string][]peer.CreditReportItem)
+	h.mu.Lock()
+	for _, item := range h.held {
+		if owner, ok := h.owner(item.Endpoint); ok {
+			item.State = peer.ReportHeld
+			byOwner[owner.Address] = append(byOwner[owner.Address], item)
+		}
+	}
+	h.mu.Unlock()
+	for address, items := range byOwner {
+		h.send(ctx, address, items)
+	}
+}
+
+func (h *heldCredits) owner(endpoint string) (peer.OwnerView, bool) {
+	current := h.views.current.Load()
+	if current == nil {
+		return peer.OwnerView{}, false
+	}
+	owner, ok := current.owners[endpointPrefix+endpoint]
+	return owner, ok
+}
+
+func (h *heldCredits) send(ctx context.Context, address string, items []peer.CreditReportItem) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report := peer.CreditReport{Gateway: h.instance, Incarnation: h.incarnation, Items: items}
+	// A lost report is repeated by the list of held reservations, or found by its absence from it.
+	_ = h.node.Send(ctx, address, peer.KindCreditReport, report)
+}
+
+// ask requests a credit from the endpoint's owner. A nil credit comes with the reason for the log and, if the owner
+// gave one, the time after which a repeat can help.
+func (h *heldCredits) ask(
+	ctx context.Context, endpoint *config.Endpoint, ask peer.CreditAsk,
+) (granted *credit, reason string, retry time.Duration) {
+	owner, ok := h.owner(ask.Endpoint)
+	if !ok {
+		return nil, "no_owner", 0
+	}
+	callCtx, cancel := context.WithTimeout(ctx, creditTimeout)
+	defer cancel()
+	sent := time.Now()
+	var reply peer.CreditReply
+	if err := h.node.Call(callCtx, owner.Address, peer.KindCreditAsk, ask, &reply); err != nil {
+		// The grant may be under way. The owner keeps the reservation until it knows that no stream uses it.
+		h.report(owner.Address, ask, peer.ReportUnused, 0)
+		return nil, "owner_unreachable", 0
+	}
+	h.views.learn(reply.Summary)
+	if !reply.Granted {
+		return nil, reply.Reason, reply.RetryAfter
+	}
+	h.mu.Lock()
+	h.held[ask.RequestID] = reportItem(ask, peer.ReportHeld, 0)
+	h.mu.Unlock()
+	return &credit{endpoint: endpoint, ask: ask, reply: reply, expires: sent.Add(reply.ValidFor)}, "", 0
+}
+
+func reportItem(ask peer.CreditAsk, state peer.ReportState, firstToken time.Duration) peer.CreditReportItem {
+	return peer.CreditReportItem{
+		RequestID: ask.RequestID, Endpoint: ask.Endpoint, State: state, Class: ask.Class, Team: ask.Team,
+		PromptTokens: ask.PromptTokens, OutputTokens: ask.OutputTokens, FirstToken: firstToken,
+	}
+}
+
+// progress reports a change of a reservation to the endpoint's current owner.
+func (h *heldCredits) progress(c *credit, state peer.ReportState, firstToken time.Duration) {
+	ended := state == peer.ReportUnused || state == peer.ReportDone || state == peer.ReportFailed
+	if ended {
+		h.mu.Lock()
+		delete(h.held, c.ask.RequestID)
+		h.mu.Unlock()
+	}
+	if owner, ok := h.owner(c.ask.Endpoint); ok {
+		h.report(owner.Address, c.ask, state, firstToken)
+	}
+}
+
+func (h *heldCredits) report(address string, ask peer.CreditAsk, state peer.ReportState, firstToken time.Duration) {
+	items := []peer.CreditReportItem{reportItem(ask, state, firstToken)}
+	h.send(context.Background(), address, items)
+}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,30 @@
+package gateway
+
+import "time"
+
+const drainTick = 100 * time.Millisecond
+
+// StartDrain begins a planned stop: the listener stays open until the balancer's lag has passed, new requests are
+// refused after that, and Drained is closed when the last request has ended.
+func (g *Gateway) StartDrain(reason string) {
+	if !g.draining.CompareAndSwap(false, true) {
+		return
+	}
+	g.log.Info().Str("reason", reason).Msg("drain_started")
+	go g.drain()
+}
+
+func (g *Gateway) drain() {
+	time.Sleep(g.settings.BalancerLag.Std())
+	g.refusing.Store(true)
+	g.log.Info().Int64("open", g.stats.open.Load()).Msg("drain_refusing")
+	for g.stats.open.Load() > 0 {
+		time.Sleep(drainTick)
+	}
+	g.server.CloseListener()
+	g.log.Info().Msg("drain_complete")
+	close(g.drained)
+}
+
+// Drained is closed when a planned stop may end the process.
+func (g *Gateway) Drained() <-chan struct{} { return g.drained }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,119 @@
+// Package gateway serves callers: it admits a request, reserves capacity at the owner of an endpoint, hands the request
+// over, and passes the answer on.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/httpserver"
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/settings"
+)
+
+// Gateway is one gateway process.
+type Gateway struct {
+	settings    *settings.Gateway
+	log         zerolog.Logger
+	node        *peer.Node
+	server      *httpserver.Server
+	engines     *engine.Client
+	views       *views
+	held        *heldCredits
+	stats       *stats
+	incarnation int64
+	sequence    atomic.Uint64
+
+	// draining is true once a planned stop began, refusing once new requests are refused.
+	draining atomic.Bool
+	refusing atomic.Bool
+	drained  chan struct{}
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+}
+
+// New returns a gateway that listens at once; Serve runs it.
+func New(s *settings.Gateway, log zerolog.Logger) (*Gateway, error) {
+	incarnation := time.Now().UnixMilli()
+	node, err := peer.NewNode(peer.Options{Self: peer.Hello{
+		Key: s.Keys.Peers.Reveal(), Name: s.Instance, Incarnation: incarnation, Role: peer.RoleGateway,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		settings:    s,
+		log:         log,
+		node:        node,
+		engines:     engine.NewClient(),
+		stats:       newStats(),
+		incarnation: incarnation,
+		drained:     make(chan struct{}),
+		rand:        rand.New(rand.NewPCG(uint64(incarnation), uint64(incarnation)>>32)),
+	}
+	g.views = newViews(node, s.Addresses.Controller, incarnation, g.stats, log)
+	g.views.onDraining = func() { g.StartDrain("instance_leaving") }
+	g.held = newHeldCredits(node, g.views, s.Instance, incarnation)
+	g.server, err = httpserver.New(httpserver.Options{
+		Address:      s.Addresses.Callers,
+		Handler:      http.HandlerFunc(g.serveHTTP),
+		MaxBodyBytes: int(s.Limits.MaxBodyBytes),
+	})
+	if err != nil {
+		node.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// Serve runs the gateway's supervisor tree until the context ends.
+func (g *Gateway) Serve(ctx context.Context) error {
+	defer g.node.Close()
+	tree := suture.New("gateway", suture.Spec{EventHook: func(event suture.Event) {
+		g.log.Error().Str("detail", event.String()).Msg("supervisor_event")
+	}})
+	tree.Add(g.views)
+	tree.Add(g.held)
+	tree.Add(service{name: "callers", serve: g.server.Serve})
+	g.log.Info().Str("address", g.server.Address()).Msg("gateway_started")
+	return tree.Serve(ctx)
+}
+
+// service gives a function a name in the supervisor's events.
+type service struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// String implements fmt.Stringer.
+func (s service) String() string { return s.name }
+
+var _ fmt.Stringer = service{}
+
+func (g *Gateway) nextRequestID() peer.RequestID {
+	return peer.RequestID{Gateway: g.settings.Instance, Incarnation: g.incarnation, Sequence: g.sequence.Add(1)}
+}
+
+// partName returns the part of a request id for the n-th hand-over of a request.
+func partName(n int) string { return strconv.Itoa(n) }
+
+// jitter returns a random duration between half of d and d.
+func (g *Gateway) jitter(d time.Duration) time.Duration {
+	g.randMu.Lock()
+	defer g.randMu.Unlock()
+	return d/2 + time.Duration(g.rand.Int64N(int64(d/2)+1))
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	nbiologging "github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 )
 
@@ -45,3 +46,28 @@
 	}
 	return strings.ReplaceAll(text, " ", "_")
 }
+
+// RouteNbio sends the log of the nbio library to the given logger, as event "nbio".
+func RouteNbio(log zerolog.Logger) { nbiologging.SetLogger(nbioLogger{log}) }
+
+// nbioLogger implements nbio's logging.Logger.
+type nbioLogger struct{ log zerolog.Logger }
+
+// SetLevel does nothing; the zerolog level decides.
+func (nbioLogger) SetLevel(int) {}
+
+// Debug implements logging.Logger.
+func (l nbioLogger) Debug(format string, v ...any) { l.write(zerolog.DebugLevel, format, v) }
+
+// Info implements logging.Logger. Start and stop of an engine are of interest only while debugging.
+func (l nbioLogger) Info(format string, v ...any) { l.write(zerolog.DebugLevel, format, v) }
+
+// Warn implements logging.Logger.
+func (l nbioLogger) Warn(format string, v ...any) { l.write(zerolog.WarnLevel, format, v) }
+
+// Error implements logging.Logger.
+func (l nbioLogger) Error(format string, v ...any) { l.write(zerolog.ErrorLevel, format, v) }
+
+func (l nbioLogger) write(level zerolog.Level, format string, v []any) {
+	l.log.WithLevel(level).Str("detail", strings.TrimSpace(fmt.Sprintf(format, v...))).Msg("nbio")
+}
--- /dev/null
+++ b/internal/operators/client.go
@@ -0,0 +1,117 @@
+// Package operators is the client of the operators' API.
+package operators
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/status"
+)
+
+const requestTimeout = 3 * time.Second
+
+// Answer is one instance's report, or the reason for which there is none.
+type Answer struct {
+	Instance config.Instance
+	Report   *status.Report
+	Err      error
+}
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Address string
+	Status  int
+	Body    string
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.Address, e.Status, strings.TrimSpace(e.Body))
+}
+
+// Client asks the controllers of a deployment.
+type Client struct {
+	exchange *engine.Client
+	key      string
+}
+
+// NewClient returns a client that presents the given bearer key.
+func NewClient(key string) *Client {
+	return &Client{exchange: engine.NewClient(), key: key}
+}
+
+// StatusOfAll asks all instances at once and returns their answers in list order.
+func (c *Client) StatusOfAll(ctx context.Context, instances []config.Instance) []Answer {
+	answers := make([]Answer, len(instances))
+	var wait sync.WaitGroup
+	for i := range instances {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answers[i].Instance = instances[i]
+			answers[i].Report, answers[i].Err = c.Status(ctx, instances[i].OperatorsAddress)
+		}()
+	}
+	wait.Wait()
+	return answers
+}
+
+// Status asks one instance.
+func (c *Client) Status(ctx context.Context, address string) (*status.Report, error) {
+	body, err := c.do(ctx, http.MethodGet, "/status", address)
+	if err != nil {
+		return nil, err
+	}
+	var report status.Report
+	if err := json.Unmarshal(body, &report); err != nil {
+		return nil, fmt.Errorf("decode status of %s: %w", address, err)
+	}
+	return &report, nil
+}
+
+// Drain starts a planned stop of one instance.
+func (c *Client) Drain(ctx context.Context, address string) error {
+	_, err := c.do(ctx, http.MethodPost, "/drain", address)
+	return err
+}
+
+func (c *Client) do(ctx context.Context, method, target, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	header := http.Header{"Authorization": {"Bearer " + c.key}}
+	var received collector
+	request := engine.Request{Method: method, Target: target, Address: address, Header: header}
+	if err := c.exchange.Do(ctx, request, nil, &received); err != nil {
+		return nil, err
+	}
+	if received.status >= http.StatusMultipleChoices {
+		return nil, &StatusError{Address: address, Status: received.status, Body: received.body.String()}
+	}
+	return received.body.Bytes(), nil
+}
+
+// collector is an engine.Receiver that keeps the body.
+type collector struct {
+	status int
+	body   bytes.Buffer
+}
+
+// OnHead implements engine.Receiver.
+func (c *collector) OnHead(status int, _ http.Header) error {
+	c.status = status
+	return nil
+}
+
+// OnBody implements engine.Receiver.
+func (c *collector) OnBody(data []byte) error {
+	c.body.Write(data)
+	return nil
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -130,6 +130,8 @@
 type Claim struct {
 	Holder      string
 	Incarnation int64
+	// Sequence increases with each claim of an incarnation. A voter ignores a release that an older claim carries.
+	Sequence uint64
 	// Revision is the holder's configuration revision.
 	Revision uint64
 	Items    []ClaimItem
@@ -139,14 +141,19 @@
 type PromiseItem struct {
 	Resource string
 	Granted  bool
-	// Reason is set on a refusal, such as "held", "silent", "voter_set", "revision" or "label".
+	// Reason is set on a refusal, such as "held", "silent", "voter_set", "revision" or "label"; package lease has the
+	// list.
 	Reason string
-	// LabelEnd is the highest label end that the voter has promised to any other holder.
+	// LabelEnd is set on a grant of a key slot: the highest label end that the voter may have promised to any other
+	// holder.
 	LabelEnd int64
 }
 
 // Promise answers a Claim.
 type Promise struct {
+	// Sequence is that of the claim.
+	Sequence uint64
+	// Revision is the voter's configuration revision.
 	Revision uint64
 	Items    []PromiseItem
 }
@@ -154,6 +161,39 @@
 // ViewAsk is sent by a gateway to its own controller; the controller answers when its view is newer than Version.
 type ViewAsk struct {
 	Version uint64
+	// Revision is the configuration revision that the gateway has; the document is sent only if it differs.
+	Revision uint64
+	// Incarnation is the gateway's start time in wall-clock milliseconds.
+	Incarnation int64
+	Stats       GatewayStats
+}
+
+// GatewayStats is what a gateway counted since its start, for the operators' API.
+type GatewayStats struct {
+	Requests int64
+	// Open is the number of requests in progress.
+	Open int64
+	// Answers counts final answers given by the gateway itself, by outcome, stage and code.
+	Answers []AnswerCount
+	// FirstToken is the time to first token by length class.
+	FirstToken []ClassLatency
+}
+
+// AnswerCount counts final answers of one kind.
+type AnswerCount struct {
+	Outcome string
+	Stage   string
+	Code    string
+	Count   int64
+}
+
+// ClassLatency summarizes recent latencies of one length class.
+type ClassLatency struct {
+	Class LengthClass
+	Count int64
+	P50MS float64
+	P95MS float64
+	P99MS float64
 }
 
 // OwnerView names the current owner of an endpoint or key slot.
@@ -331,8 +371,10 @@
 	Status  int
 }
 
-// Summary carries endpoint summaries from an owner to the other controllers.
+// Summary carries what an owner holds to the other controllers, once a second.
 type Summary struct {
 	Owner     string
 	Endpoints []EndpointSummary
+	// KeySlots names the key slots that the owner holds.
+	KeySlots []string
 }
--- /dev/null
+++ b/internal/peer/requestid.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"strconv"
+	"strings"
+)
+
+// RequestID names one hand-over to an endpoint. Engines report it back, so that an owner can tell which gateway process
+// started a stream.
+type RequestID struct {
+	Gateway     string
+	Incarnation int64
+	// Sequence numbers the requests of the gateway's incarnation.
+	Sequence uint64
+	// Part tells the hand-overs of one request apart: an attempt, or a segment of a group prompt.
+	Part string
+}
+
+// requestIDFields is the number of fields of the id of a hand-over.
+const requestIDFields = 4
+
+// String returns "GATEWAY:INCARNATION:SEQUENCE:PART", or without ":PART" if Part is empty.
+func (id RequestID) String() string {
+	fields := []string{id.Gateway, strconv.FormatInt(id.Incarnation, 10), strconv.FormatUint(id.Sequence, 10)}
+	if id.Part != "" {
+		fields = append(fields, id.Part)
+	}
+	return strings.Join(fields, ":")
+}
+
+// ParseRequestID reads the id of a hand-over; ok is false for ids of other origin.
+func ParseRequestID(text string) (id RequestID, ok bool) {
+	fields := strings.Split(text, ":")
+	if len(fields) != requestIDFields {
+		return RequestID{}, false
+	}
+	incarnation, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return RequestID{}, false
+	}
+	sequence, err := strconv.ParseUint(fields[2], 10, 64)
+	if err != nil {
+		return RequestID{}, false
+	}
+	return RequestID{Gateway: fields[0], Incarnation: incarnation, Sequence: sequence, Part: fields[3]}, true
+}
