Add the load tool with byte-for-byte checks and a comparison of runs

Cause: the guarantees about whole answers, true refusals and single execution, and the latencies by prompt length, need a caller that checks and measures at a fixed rate.

Ruled out: kept-alive connections, because Go's transport repeats some requests on its own when one breaks, which hides repeats from the counts; one bound for all requests in flight, because waiting long prompts would delay the short ones inside the tool; a prompt of its own for each request, because a million tokens are 4 MB. Latencies count from the planned arrival, so that a stalled gateway cannot hide its own queue.

Before: no load tool.

--- /dev/null
+++ b/internal/loadgen/audit.go
@@ -0,0 +1,74 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/acacialift/acacialift/internal/outcome"
+)
+
+// audit compares the stand-ins' executions with the answers: no key may have run twice, and nothing that was answered
+// not_run may have run.
+func (r *recorder) audit(ctx context.Context, addresses []string) error {
+	// Endpoints of one plain service report the same ledger, so that their counts are not added.
+	executions := make(map[string]int)
+	for _, address := range addresses {
+		counts, err := fetchExecutions(ctx, address)
+		if err != nil {
+			return fmt.Errorf("stand-in's counts from %s: %w", address, err)
+		}
+		for id, n := range counts {
+			executions[id] = max(executions[id], n)
+		}
+	}
+	r.compareKeys(executions)
+	for id := range r.notRun {
+		if executions[id] > 0 {
+			r.addViolation(Violation{Kind: ViolationRan, Detail: "request " + id})
+		}
+	}
+	return nil
+}
+
+func (r *recorder) compareKeys(executions map[string]int) {
+	for key, outcomes := range r.keys {
+		if executions[key] > 1 {
+			r.addViolation(Violation{
+				Class:  ClassBooking,
+				Kind:   ViolationRanTwice,
+				Detail: fmt.Sprintf("key %s ran %d times", key, executions[key]),
+			})
+		}
+		if executions[key] > 0 && allNotRun(outcomes) {
+			r.addViolation(Violation{Class: ClassBooking, Kind: ViolationRan, Detail: "key " + key})
+		}
+	}
+}
+
+func allNotRun(outcomes []string) bool {
+	for _, o := range outcomes {
+		if o != string(outcome.NotRun) {
+			return false
+		}
+	}
+	return true
+}
+
+func fetchExecutions(ctx context.Context, address string) (map[string]int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/standin/stats", nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	var stats struct {
+		Executions map[string]int `json:"executions"`
+	}
+	err = json.NewDecoder(answer.Body).Decode(&stats)
+	return stats.Executions, err
+}
--- /dev/null
+++ b/internal/loadgen/plan.go
@@ -0,0 +1,94 @@
+package loadgen
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// kind tells what a planned request does.
+type kind int
+
+const (
+	kindModel kind = iota
+	kindBooking
+	kindRead
+)
+
+// The classes of requests to the plain service in results.
+const (
+	ClassBooking   = "booking"
+	ClassDuplicate = "duplicate"
+	ClassRead      = "read"
+)
+
+// job is one planned request.
+type job struct {
+	index int
+	// at is the planned arrival after the start of the run.
+	at        time.Duration
+	kind      kind
+	class     Class
+	team      string
+	profile   string
+	tokens    int
+	chat      bool
+	streaming bool
+	// duplicate sends a booking again at the next gateway.
+	duplicate bool
+	// lawn is the number of the schedule that is booked or read.
+	lawn int
+}
+
+// lawns is the number of different schedules.
+const lawns = 1000
+
+// plan returns the run's jobs. It depends on the options only.
+func plan(o Options) []job {
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	jobs := make([]job, o.Requests)
+	var at time.Duration
+	for i := range jobs {
+		at += time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second))
+		jobs[i] = planJob(o, random, i, at)
+	}
+	return jobs
+}
+
+// planJob draws all values for each job, used or not, so that a changed share changes no other choice.
+func planJob(o Options, random *rand.Rand, index int, at time.Duration) job {
+	j := job{index: index, at: at}
+	toService := random.Float64() < o.ServiceShare && o.Service != ""
+	isRead := random.Float64() < 0.5
+	j.class = o.Classes[draw(random, len(o.Classes), func(i int) float64 { return o.Classes[i].Share })]
+	j.team = o.Teams[draw(random, len(o.Teams), func(i int) float64 { return o.Teams[i].Weight })].Name
+	j.profile = o.Profiles[random.IntN(len(o.Profiles))]
+	j.tokens = o.MinOutputTokens + random.IntN(o.MaxOutputTokens-o.MinOutputTokens+1)
+	j.chat = random.Float64() < o.ChatShare
+	j.streaming = random.Float64() >= o.WholeShare
+	j.duplicate = random.Float64() < o.DuplicateShare
+	j.lawn = random.IntN(lawns)
+	if !toService {
+		return j
+	}
+	j.kind, j.class, j.profile = kindBooking, Class{Name: ClassBooking}, o.ServiceProfile
+	if isRead {
+		j.kind, j.class = kindRead, Class{Name: ClassRead}
+	}
+	return j
+}
+
+// draw returns an index with a chance in proportion to its weight.
+func draw(random *rand.Rand, n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	at := random.Float64() * total
+	for i := range n {
+		at -= weight(i)
+		if at < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
--- /dev/null
+++ b/internal/loadgen/plan_test.go
@@ -0,0 +1,65 @@
+package loadgen
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func planOptions(seed uint64, requests int) Options {
+	o := Options{Gateways: []string{"g"}, Requests: requests, Rate: 100, Seed: seed, Profiles: []string{"a", "b"}}
+	Expect(o.complete()).To(Succeed())
+	return o
+}
+
+var _ = Describe("plan", func() {
+	// Guards against runs with the same seed that cannot be compared.
+	It("depends on the seed only, in order of arrival", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			o := planOptions(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 200).Draw(t, "requests"))
+			jobs := plan(o)
+			other := plan(o)
+			for i := range jobs {
+				if jobs[i] != other[i] || (i > 0 && jobs[i].at < jobs[i-1].at) {
+					t.Fatalf("job %d differs or is out of order", i)
+				}
+			}
+		})
+	})
+
+	// Guards against a mix that lacks the long prompts or large teams whose effect is to be measured.
+	It("has one long prompt in fifty and a few large teams", func() {
+		long := 0
+		teams := make(map[string]int)
+		jobs := plan(planOptions(1, 50_000))
+		for _, j := range jobs {
+			teams[j.team]++
+			if j.class.Tokens > longClassTokens {
+				long++
+			}
+		}
+		Expect(long).To(BeNumerically("~", 1000, 100))
+		Expect(teams).To(HaveLen(10))
+		Expect(teams["team-01"]).To(BeNumerically("~", 12_000, 600))
+		Expect(teams["team-10"]).To(BeNumerically("~", 2_000, 300))
+	})
+
+	// Guards against prompts that differ in length from their class, or that two requests share.
+	It("gives each job a prompt of its class's length", func() {
+		o := planOptions(1, 2)
+		p := newPrompts(o)
+		seen := make(map[string]bool)
+		for _, class := range o.Classes {
+			prefix, rest := p.parts(job{index: class.Tokens, class: class})
+			Expect(len(prefix) + len(rest)).To(Equal(class.Tokens * bytesPerToken))
+			seen[string(prefix)] = true
+		}
+		Expect(seen).To(HaveLen(len(o.Classes)))
+	})
+
+	// Guards against a run that starts with options that cannot work.
+	It("reports all findings in the options together", func() {
+		err := (&Options{Rate: -1}).complete()
+		Expect(err).To(MatchError(And(ContainSubstring("gateway"), ContainSubstring("rate"), ContainSubstring("profile"))))
+	})
+})
--- a/internal/standin/text.go
+++ b/internal/standin/text.go
@@ -21,13 +21,20 @@
 // ExpectedText returns the text that an engine generates for a prompt. The prompt is the value of the field "prompt",
 // or ChatPrompt of the messages.
 func ExpectedText(prompt []byte, tokens int) string {
-	return expectedText(xxhash.Sum64(prompt), tokens)
+	return ExpectedTextOfParts(tokens, prompt)
 }
 
-func expectedText(promptHash uint64, tokens int) string {
+// ExpectedTextOfParts is ExpectedText for a prompt given in parts, so that long prompts need not be joined.
+func ExpectedTextOfParts(tokens int, parts ...[]byte) string {
+	digest := xxhash.New()
+	for _, part := range parts {
+		// A digest's Write never fails.
+		_, _ = digest.Write(part)
+	}
+	hash := digest.Sum64()
 	var b strings.Builder
 	for i := range tokens {
-		b.WriteString(tokenText(promptHash, i))
+		b.WriteString(tokenText(hash, i))
 	}
 	return b.String()
 }
