Add acaciactl explain for one request's decision lines

Cause: a decision about one request is spread over the logs of a gateway and of the endpoint's owner.

Before: grep and sort by hand.

--- a/cmd/acaciactl/main.go
+++ b/cmd/acaciactl/main.go
@@ -25,6 +25,7 @@
 		Name:  "acaciactl",
 		Usage: "operators' client of acacialift",
 		Commands: []*cli.Command{
+			explainCommand(),
 			loadCommand(),
 		},
 	}
