--- a/cmd/acaciactl/main.go
+++ b/cmd/acaciactl/main.go
@@ -27,6 +27,8 @@
 		Commands: []*cli.Command{
 			statusCommand(),
 			drainCommand(),
+			explainCommand(),
+			loadCommand(),
 		},
 	}
 }
