--- /dev/null
+++ b/test/process/process_test.go
@@ -0,0 +1,140 @@
+package process_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/standin"
+)
+
+// coldEngine flags an engine that falls over when it gets more than the service's cold limit.
+var coldEngine = []string{
+	"--prefill-rate", "200000", "--token-interval", "5ms", "--memory-tokens", "400000",
+	"--warmup-requests", "4", "--cold-streams", "2", "--cold-tokens", "40000",
+}
+
+// expectedText is what the engine stand-in must answer to a prompt.
+func expectedText(prompt string, tokens int) string {
+	return standin.ExpectedText([]byte(prompt), tokens)
+}
+
+// streamedText joins the tokens of a stream and reports whether the stream has its terminal event.
+func streamedText(body string) (text string, whole bool) {
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			whole = true
+			continue
+		}
+		_, rest, ok := strings.Cut(data, `"text":"`)
+		if ok {
+			token, _, _ := strings.Cut(rest, `"`)
+			text += token
+		}
+	}
+	return text, whole
+}
+
+var _ = Describe("A fleet of processes", func() {
+	// Guards against a path that only works inside one process.
+	It("serves streamed and whole completions and bookings end to end", func() {
+		f := startFleet(fleetOptions{instances: 3, engines: 2, desks: 1, engineFlags: coldEngine})
+		for i := range 3 {
+			prompt := fmt.Sprintf("lawn %d", i)
+			text, whole := streamedText(f.complete(i, prompt, 8, true).body)
+			Expect(whole).To(BeTrue())
+			Expect(text).To(Equal(expectedText(prompt, 8)))
+			Expect(f.complete(i, prompt, 8, false).body).To(ContainSubstring(expectedText(prompt, 8)))
+		}
+		Expect(f.send(0, http.MethodPost, "/services/round-desk/bookings", "desk", "", `{"lawn":4}`).status).To(Equal(201))
+		Expect(f.send(1, http.MethodGet, "/services/round-desk/schedule/4", "desk", "", "").status).To(Equal(200))
+	})
+
+	// Guards against gateways that together overload a cold engine, and against an owner that goes on granting after it
+	// was paused past its lease.
+	It("keeps cold engines up while owners are paused and continued", func() {
+		f := startFleet(fleetOptions{instances: 4, engines: 2, engineFlags: coldEngine})
+		var wait sync.WaitGroup
+		load := func(rounds int) {
+			for round := range rounds {
+				for i := range 4 {
+					wait.Add(1)
+					go func() {
+						defer wait.Done()
+						f.complete(i, fmt.Sprintf("lawn %d of round %d", i, round), 4, true)
+					}()
+				}
+			}
+		}
+		owner := f.list.Instances[f.ownerOf("turf-0")].Name + "-controller"
+		load(5)
+		f.signal(owner, syscall.SIGSTOP)
+		load(5)
+		Eventually(func() string { return f.liveOwner("turf-0") }, startLimit, "200ms").ShouldNot(BeElementOf("",
+			strings.TrimSuffix(owner, "-controller")))
+		f.signal(owner, syscall.SIGCONT)
+		load(10)
+		wait.Wait()
+		for _, name := range []string{"turf-0", "turf-1"} {
+			stats := f.engineStats(name)
+			Expect(stats.Falls).To(BeZero(), name)
+			Expect(stats.PeakColdStreams).To(BeNumerically("<=", 2), name)
+		}
+	})
+
+	// Guards against engine memory that stays reserved for streams of a killed gateway, although the engine itself does
+	// not notice the closed connection.
+	It("frees the streams of a killed gateway", func() {
+		flags := append([]string{"--leak"}, coldEngine...)
+		flags = append(flags, "--token-interval", "1s")
+		f := startFleet(fleetOptions{instances: 3, engines: 1, engineFlags: flags})
+		go func() { f.complete(0, "a season of job sheets", 60, true) }()
+		Eventually(func() int { return f.engineStats("turf-0").Streams }, startLimit, "100ms").Should(Equal(1))
+		f.signal("entry-0-gateway", syscall.SIGKILL)
+		Eventually(func() int64 { return f.engineStats("turf-0").UsedTokens }, startLimit, "200ms").Should(BeZero())
+		Expect(f.engineStats("turf-0").Cancelled).To(Equal(1))
+	})
+
+	// Guards against new work for a failure domain that operators took out, and against one that never comes back.
+	It("sends no work to a domain that is out of service and uses it again afterwards", func() {
+		f := startFleet(fleetOptions{instances: 3, engines: 3, engineFlags: coldEngine})
+		setOut := func(out bool) func(*config.Document) {
+			return func(d *config.Document) { d.Domains[0].OutOfService = out }
+		}
+		f.publish(setOut(true))
+		f.waitForRevision(2)
+		before := f.engineStats("turf-0").Started
+		for i := range 30 {
+			Expect(f.complete(i%3, fmt.Sprintf("lawn %d", i), 2, false).status).To(Equal(200))
+		}
+		Expect(f.engineStats("turf-0").Started).To(Equal(before))
+		f.publish(setOut(false))
+		f.waitForRevision(3)
+		Eventually(func() int {
+			f.complete(0, "lawn after the return", 2, false)
+			return f.engineStats("turf-0").Started
+		}, startLimit, "50ms").Should(BeNumerically(">", before))
+	})
+
+	// Guards against a configuration outage that stops service, and against a revision that reaches only watchers.
+	It("goes on without the platform and spreads a revision when it is back", func() {
+		f := startFleet(fleetOptions{instances: 3, engines: 1, engineFlags: coldEngine})
+		f.signal("platform", syscall.SIGSTOP)
+		for i := range 9 {
+			Expect(f.complete(i%3, fmt.Sprintf("lawn %d", i), 2, false).status).To(Equal(200))
+		}
+		f.signal("platform", syscall.SIGCONT)
+		f.publish(func(d *config.Document) { d.Teams[1].Weight = 2 })
+		f.waitForRevision(2)
+	})
+})
