--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,213 @@
+// Package platform reads the values that operators and the platform publish: the configuration and the list of
+// instances.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/engine"
+)
+
+// Kind names one of the two published values.
+type Kind string
+
+// The published values.
+const (
+	KindConfig    Kind = "config"
+	KindInstances Kind = "instances"
+)
+
+// RevisionHeader is the response header with the revision of the value.
+const RevisionHeader = "X-Revision"
+
+// ReadTimeout bounds one exchange beyond the time that the platform was asked to wait; it answers in milliseconds.
+const ReadTimeout = 2 * time.Second
+
+// Exchange sends one HTTP request; *engine.Client implements it.
+type Exchange interface {
+	Do(ctx context.Context, req engine.Request, beforeWrite func() error, receiver engine.Receiver) error
+}
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// Addresses lists the platform's IP:port addresses; there is at least one.
+	Addresses []string
+	// Exchange sends the requests.
+	Exchange Exchange
+	// Clock measures the timeouts.
+	Clock clockwork.Clock
+	// Rand selects the first address, so that controllers spread over the addresses.
+	Rand *rand.Rand
+}
+
+// Client reads published values. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+
+	mu   sync.Mutex
+	next int
+}
+
+// Value is one published value as the platform sent it.
+type Value struct {
+	// Revision is the revision that the platform states; the one inside Bytes decides.
+	Revision uint64
+	// Bytes holds at most config.MaxDocumentBytes+1 bytes; a longer value is cut, so that the checks refuse it.
+	Bytes []byte
+	// Address is the platform address that sent the value.
+	Address string
+}
+
+// AttemptError is the failure of one address.
+type AttemptError struct {
+	Address string
+	Err     error
+}
+
+// Error implements the error interface.
+func (e *AttemptError) Error() string { return fmt.Sprintf("platform %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *AttemptError) Unwrap() error { return e.Err }
+
+// ReadError reports that no address gave an answer.
+type ReadError struct {
+	Kind     Kind
+	Attempts []*AttemptError
+}
+
+// Error implements the error interface.
+func (e *ReadError) Error() string {
+	parts := make([]string, len(e.Attempts))
+	for i, attempt := range e.Attempts {
+		parts[i] = attempt.Error()
+	}
+	return fmt.Sprintf("read %s: %s", e.Kind, strings.Join(parts, "; "))
+}
+
+// StatusError is an answer with an unexpected HTTP status.
+type StatusError struct{ Status int }
+
+// Error implements the error interface.
+func (e *StatusError) Error() string { return fmt.Sprintf("unexpected status %d", e.Status) }
+
+var (
+	errRevisionHeader = errors.New("the answer has no valid " + RevisionHeader)
+	errTimeout        = errors.New("no whole answer in time")
+	errTooLarge       = errors.New("the value is too large")
+)
+
+// NewClient returns a client.
+func NewClient(options ClientOptions) *Client {
+	return &Client{options: options, next: options.Rand.IntN(len(options.Addresses))}
+}
+
+// Read asks for a value with a revision above after. The platform may hold the request for up to wait (whole seconds)
+// until there is one. Read returns nil without an error if there is none, and a *ReadError if no address answered. The
+// addresses are tried in turn. The next read begins at another address unless this one returned a value, so that an
+// address that serves an old revision cannot hold the client back.
+func (c *Client) Read(ctx context.Context, kind Kind, after uint64, wait time.Duration) (*Value, error) {
+	failure := &ReadError{Kind: kind}
+	for range c.options.Addresses {
+		index, address := c.address()
+		value, err := c.readFrom(ctx, address, kind, after, wait)
+		if err == nil && value != nil {
+			return value, nil
+		}
+		c.moveOn(index)
+		if err == nil {
+			return nil, nil
+		}
+		failure.Attempts = append(failure.Attempts, &AttemptError{Address: address, Err: err})
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failure
+}
+
+func (c *Client) address() (int, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next, c.options.Addresses[c.next]
+}
+
+// moveOn selects the address after index, unless another read did so already.
+func (c *Client) moveOn(index int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == index {
+		c.next = (index + 1) % len(c.options.Addresses)
+	}
+}
+
+func (c *Client) readFrom(ctx context.Context, address string, kind Kind, after uint64, wait time.Duration) (
+	*Value, error,
+) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := c.options.Clock.AfterFunc(wait+ReadTimeout, func() { cancel(errTimeout) })
+	defer timer.Stop()
+	request := engine.Request{
+		Method:  http.MethodGet,
+		Target:  fmt.Sprintf("/v1/%s?after=%d&wait=%d", kind, after, int(wait.Seconds())),
+		Address: address,
+	}
+	var answer answer
+	err := c.options.Exchange.Do(ctx, request, nil, &answer)
+	if err != nil && context.Cause(ctx) == errTimeout {
+		return nil, errTimeout
+	}
+	if err != nil && !errors.Is(err, errTooLarge) {
+		return nil, err
+	}
+	switch answer.status {
+	case http.StatusNotModified:
+		return nil, nil
+	case http.StatusOK:
+	default:
+		return nil, &StatusError{Status: answer.status}
+	}
+	revision, err := strconv.ParseUint(answer.header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return nil, errRevisionHeader
+	}
+	if revision <= after {
+		return nil, nil
+	}
+	return &Value{Revision: revision, Bytes: answer.body, Address: address}, nil
+}
+
+// answer collects one response and stops at the first byte beyond the size of a value.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// OnHead implements engine.Receiver.
+func (a *answer) OnHead(status int, header http.Header) error {
+	a.status, a.header = status, header
+	return nil
+}
+
+// OnBody implements engine.Receiver.
+func (a *answer) OnBody(data []byte) error {
+	room := config.MaxDocumentBytes + 1 - len(a.body)
+	a.body = append(a.body, data[:min(len(data), room)]...)
+	if len(a.body) > config.MaxDocumentBytes {
+		return errTooLarge
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,209 @@
+package platform
+
+import (
+	"bytes"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/acacialift/acacialift/internal/config"
+)
+
+// Verdict is a store's decision about an offered value.
+type Verdict string
+
+// The verdicts of a store.
+const (
+	// Accepted means that the value has a higher revision and is in force.
+	Accepted Verdict = "accepted"
+	// Same means that the value is the one in force.
+	Same Verdict = "same"
+	// Older means that the value has a lower revision than the one in force.
+	Older Verdict = "older"
+	// Conflict means that the value has the revision of the one in force and different bytes.
+	Conflict Verdict = "conflict"
+	// Rejected means that the value has findings.
+	Rejected Verdict = "rejected"
+)
+
+// Snapshot is the value in force. It is immutable.
+type Snapshot[T any] struct {
+	Value    T
+	Revision uint64
+	// Bytes is the value as published; it must not be changed.
+	Bytes []byte
+	// Source is who offered the value, such as "platform 10.0.0.1:80" or "peer nadi-2".
+	Source string
+	// AcceptedAt is when the value came into force on this instance.
+	AcceptedAt time.Time
+}
+
+// Rejection is an offered value that has findings.
+type Rejection struct {
+	// Bytes holds at most the first config.MaxDocumentBytes of the value.
+	Bytes  []byte
+	Source string
+	At     time.Time
+	Err    error
+}
+
+// RevisionConflict is an offered value that has the revision of the one in force and different bytes.
+type RevisionConflict struct {
+	Revision uint64
+	Source   string
+	At       time.Time
+}
+
+// Status describes a store to operators.
+type Status struct {
+	// Revision is 0 if no value is in force.
+	Revision uint64
+	Source   string
+	// Age is the time since the value came into force on this instance.
+	Age time.Duration
+	// Rejection is the last rejected value, or nil.
+	Rejection *Rejection
+	// Conflict is the last conflict with the revision in force, or nil.
+	Conflict *RevisionConflict
+}
+
+// Store holds the highest revision of one published value. The revision in force never goes down. It is safe for
+// concurrent use.
+type Store[T any] struct {
+	parse func([]byte) (T, uint64, error)
+	clock clockwork.Clock
+
+	mu          sync.Mutex
+	current     *Snapshot[T]
+	rejection   *Rejection
+	conflict    *RevisionConflict
+	subscribers map[chan struct{}]struct{}
+}
+
+// NewConfigStore returns an empty store of the configuration.
+func NewConfigStore(clock clockwork.Clock) *Store[*config.Index] {
+	return newStore(clock, func(data []byte) (*config.Index, uint64, error) {
+		index, err := config.Parse(data)
+		if err != nil {
+			return nil, 0, err
+		}
+		return index, index.Revision(), nil
+	})
+}
+
+// NewInstancesStore returns an empty store of the instance list.
+func NewInstancesStore(clock clockwork.Clock) *Store[*config.InstanceList] {
+	return newStore(clock, func(data []byte) (*config.InstanceList, uint64, error) {
+		list, err := config.ParseInstances(data)
+		if err != nil {
+			return nil, 0, err
+		}
+		return list, list.Revision, nil
+	})
+}
+
+func newStore[T any](clock clockwork.Clock, parse func([]byte) (T, uint64, error)) *Store[T] {
+	return &Store[T]{parse: parse, clock: clock, subscribers: make(map[chan struct{}]struct{})}
+}
+
+// Offer checks a value and puts it in force if its revision is the highest so far. The caller must not change data
+// afterwards. The error is not nil only with Rejected, and is then a *config.FindingsError.
+func (s *Store[T]) Offer(data []byte, source string) (Verdict, error) {
+	if verdict, err, known := s.known(data, source); known {
+		return verdict, err
+	}
+	// The value is parsed outside the lock because that takes up to tenths of a second.
+	value, revision, err := s.parse(data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err != nil:
+		s.reject(data, source, err)
+		return Rejected, err
+	case s.current == nil || revision > s.current.Revision:
+		s.accept(&Snapshot[T]{
+			Value: value, Revision: revision, Bytes: data, Source: source, AcceptedAt: s.clock.Now(),
+		})
+		return Accepted, nil
+	case revision < s.current.Revision:
+		return Older, nil
+	case bytes.Equal(data, s.current.Bytes):
+		return Same, nil
+	default:
+		s.conflict = &RevisionConflict{Revision: revision, Source: source, At: s.clock.Now()}
+		return Conflict, nil
+	}
+}
+
+// known decides about a value that was offered before, without parsing it again.
+func (s *Store[T]) known(data []byte, source string) (verdict Verdict, err error, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil && bytes.Equal(data, s.current.Bytes) {
+		return Same, nil, true
+	}
+	if s.rejection != nil && bytes.Equal(data, s.rejection.Bytes) {
+		s.reject(data, source, s.rejection.Err)
+		return Rejected, s.rejection.Err, true
+	}
+	return "", nil, false
+}
+
+func (s *Store[T]) reject(data []byte, source string, err error) {
+	kept := data[:min(len(data), config.MaxDocumentBytes)]
+	s.rejection = &Rejection{Bytes: kept, Source: source, At: s.clock.Now(), Err: err}
+}
+
+func (s *Store[T]) accept(snapshot *Snapshot[T]) {
+	s.current = snapshot
+	s.conflict = nil
+	for subscriber := range s.subscribers {
+		select {
+		case subscriber <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Current returns the value in force, or nil.
+func (s *Store[T]) Current() *Snapshot[T] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Revision returns the revision in force, or 0.
+func (s *Store[T]) Revision() uint64 {
+	if current := s.Current(); current != nil {
+		return current.Revision
+	}
+	return 0
+}
+
+// Status returns the state for operators.
+func (s *Store[T]) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := Status{Rejection: s.rejection, Conflict: s.conflict}
+	if s.current != nil {
+		status.Revision = s.current.Revision
+		status.Source = s.current.Source
+		status.Age = s.clock.Since(s.current.AcceptedAt)
+	}
+	return status
+}
+
+// Subscribe returns a channel that becomes ready after each accepted value; several values may share one signal. The
+// channel is never closed. cancel ends the subscription.
+func (s *Store[T]) Subscribe() (signal <-chan struct{}, cancel func()) {
+	subscriber := make(chan struct{}, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers[subscriber] = struct{}{}
+	return subscriber, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subscribers, subscriber)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,7 @@
 		Expect(g.LogLevel).To(Equal("info"))
 	})
 
+	// Guards against given values that are replaced by defaults.
 	It("reads the settings of a controller", func() {
 		s, err := settings.LoadController(writeFile("controller.yaml", controller))
 		Expect(err).NotTo(HaveOccurred())
@@ -114,6 +115,7 @@
 		}))
 	})
 
+	// Guards against settings that are accepted with a fault, or without a usable location.
 	DescribeTable("rejects faults of a controller's settings", func(change, finding string) {
 		_, err := settings.ParseController("c.yaml", []byte(controller+change))
 		Expect(findings(err)).To(ConsistOf(finding))
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -36,7 +36,7 @@
 func Decode(file string, data []byte, maxBytes int, target any) *Report {
 	r := newReport(file)
 	if len(data) > maxBytes {
-		r.reject(start, "", "the document has %d bytes; at most %d are allowed", len(data), maxBytes)
+		r.reject(start, "", "the document has more than %d bytes", maxBytes)
 		return r
 	}
 	if at, ok := firstInvalidUTF8(data); ok {
