Add acaciactl check

Cause: operators must see the findings of a file before they publish it.

Ruled out: guessing the kind from the file name, which says nothing about a draft. The kind is a flag or follows from the content.

--- /dev/null
+++ b/cmd/acaciactl/check.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/settings"
+)
+
+// The kinds of files that can be checked.
+const (
+	kindAuto       = "auto"
+	kindConfig     = "config"
+	kindInstances  = "instances"
+	kindGateway    = "gateway"
+	kindController = "controller"
+)
+
+var checkKinds = []string{kindAuto, kindConfig, kindInstances, kindGateway, kindController}
+
+const checkDescription = `Checks each file as an instance would and prints every finding as
+FILE:LINE:COLUMN: FIELD: MESSAGE. The exit code is 0 if no file has findings, otherwise 1.
+
+KIND is one of:
+  auto        by the content of each file (the default)
+  config      configuration document that operators publish
+  instances   the platform's list of instances
+  gateway     settings of a gateway
+  controller  settings of a controller
+
+Examples:
+  acaciactl check config.yaml
+  acaciactl check examples/vanua/*.yaml examples/vanua/settings/*.yaml
+  acaciactl check --kind config draft.yaml`
+
+// errFindings ends the command after the findings were printed.
+var errFindings = errors.New("some files cannot be used")
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check configuration documents, instance lists and settings",
+		ArgsUsage:   "FILE...",
+		Description: checkDescription,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "kind", Aliases: []string{"k"}, Value: kindAuto, Usage: "`KIND` of the files"},
+		},
+		Action: runCheck,
+	}
+}
+
+func runCheck(_ context.Context, c *cli.Command) error {
+	kind := c.String("kind")
+	if !slices.Contains(checkKinds, kind) {
+		return fmt.Errorf("unknown kind %q; it is one of %s", kind, strings.Join(checkKinds, ", "))
+	}
+	if c.NArg() == 0 {
+		return errors.New("no file is named; see acaciactl check --help")
+	}
+	failed := false
+	for _, file := range c.Args().Slice() {
+		if !checkFile(c.Root().Writer, file, kind) {
+			failed = true
+		}
+	}
+	if failed {
+		return errFindings
+	}
+	return nil
+}
+
+// checkFile prints the result of one file and tells whether the file can be used.
+func checkFile(out io.Writer, file, kind string) bool {
+	data, err := os.ReadFile(file)
+	if err == nil {
+		if kind == kindAuto {
+			kind = detectKind(data)
+		}
+		err = parseAs(kind, file, data)
+	}
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return false
+	}
+	fmt.Fprintf(out, "%s: ok (%s)\n", file, kind)
+	return true
+}
+
+func parseAs(kind, file string, data []byte) error {
+	var err error
+	switch kind {
+	case kindInstances:
+		_, err = config.ParseInstancesFile(file, data)
+	case kindGateway:
+		_, err = settings.ParseGateway(file, data)
+	case kindController:
+		_, err = settings.ParseController(file, data)
+	default:
+		_, err = config.ParseFile(file, data)
+	}
+	return err
+}
+
+// detectKind returns the kind of a file by the fields that only this kind has. A file that has none of them, or is not
+// YAML, is taken for a configuration document.
+func detectKind(data []byte) string {
+	if len(data) > config.MaxDocumentBytes {
+		return kindConfig
+	}
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil || len(document.Content) != 1 {
+		return kindConfig
+	}
+	root := document.Content[0]
+	switch {
+	case hasField(root, "instances"):
+		return kindInstances
+	case hasField(root, "instance") && (hasField(root, "platform") || hasField(root, "list_lag_bound")):
+		return kindController
+	case hasField(root, "instance"):
+		return kindGateway
+	default:
+		return kindConfig
+	}
+}
+
+func hasField(node *yaml.Node, name string) bool {
+	if node.Kind != yaml.MappingNode {
+		return false
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == name {
+			return true
+		}
+	}
+	return false
+}
