Fix the reuse of a rejection and report a missing key file once

The store kept the first 1,000,000 bytes of a rejected value and refused a valid value equal to them. A key file that cannot be read was also reported as too short.

Ruled out: keeping rejected values whole, since peers' frames allow more than a document may have.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -44,6 +45,8 @@
 type script struct {
 	replies  map[string][]reply
 	requests []string
+	// bytes counts the body bytes that were taken.
+	bytes int
 	// onEmpty runs when an address has no reply left; the exchange then waits for its context.
 	onEmpty func()
 }
@@ -70,7 +73,14 @@
 	if err := receiver.OnHead(next.status, header); err != nil {
 		return err
 	}
-	return receiver.OnBody(next.body)
+	// The body arrives in parts, as it does from a connection.
+	for part := range slices.Chunk(next.body, 64<<10) {
+		if err := receiver.OnBody(part); err != nil {
+			return &engine.Error{Err: err}
+		}
+		s.bytes += len(part)
+	}
+	return nil
 }
 
 func newClient(s *script, clock clockwork.Clock, addresses ...string) *platform.Client {
@@ -139,6 +149,7 @@
 		value, err := newClient(s, clock, "a").Read(context.Background(), platform.KindConfig, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(value.Bytes).To(HaveLen(config.MaxDocumentBytes + 1))
+		Expect(s.bytes).To(BeNumerically("<=", config.MaxDocumentBytes))
 		_, err = platform.NewConfigStore(clock).Offer(value.Bytes, "test")
 		Expect(err).To(MatchError("1:1: the document has more than 1000000 bytes"))
 	})
@@ -207,6 +218,15 @@
 		Expect(store.Status().Conflict).To(BeNil())
 	})
 
+	// Guards against a value that is refused because a longer one that begins with it was rejected.
+	It("accepts the beginning of a value that was too large", func() {
+		full := instances(3, strings.Repeat("x", config.MaxDocumentBytes-len(instances(3, ""))))
+		store := platform.NewInstancesStore(clockwork.NewFakeClock())
+		verdict, err := store.Offer(append(full, '\n'), "test")
+		Expect(verdict).To(Equal(platform.Rejected), "%v", err)
+		Expect(store.Offer(full, "test")).To(Equal(platform.Accepted))
+	})
+
 	// Guards against a component that misses a revision, or blocks the store by not reading its signals.
 	It("signals subscribers without waiting for them", func() {
 		store := platform.NewInstancesStore(clockwork.NewFakeClock())
@@ -302,6 +322,13 @@
 		Expect(pauses[10]).NotTo(Equal(pauses[11]))
 	})
 
+	// Guards against a long pause after a short failure because failures of an earlier outage still count.
+	It("begins the back-off again after a success", func() {
+		pauses, _, _ := run(always, append(make([]reply, 10), reply{status: 304}, reply{})...)
+		Expect(pauses[9]).To(BeNumerically(">=", 2*time.Second))
+		Expect(pauses[11]).To(BeNumerically("<=", 250*time.Millisecond))
+	})
+
 	// Guards against a flood of reads when watches end at once, or when a rejected value stays published.
 	It("bounds the reads of a watcher", func() {
 		rejected := reply{status: 200, revision: "9", body: []byte("revision: 9")}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -42,7 +42,9 @@
 // Rejection is an offered value that has findings.
 type Rejection struct {
 	// Bytes holds at most the first config.MaxDocumentBytes of the value.
-	Bytes  []byte
+	Bytes []byte
+	// Cut is true if the value was longer.
+	Cut    bool
 	Source string
 	At     time.Time
 	Err    error
@@ -143,7 +145,7 @@
 	if s.current != nil && bytes.Equal(data, s.current.Bytes) {
 		return Same, nil, true
 	}
-	if s.rejection != nil && bytes.Equal(data, s.rejection.Bytes) {
+	if s.rejection != nil && !s.rejection.Cut && bytes.Equal(data, s.rejection.Bytes) {
 		s.reject(data, source, s.rejection.Err)
 		return Rejected, s.rejection.Err, true
 	}
@@ -152,7 +154,7 @@
 
 func (s *Store[T]) reject(data []byte, source string, err error) {
 	kept := data[:min(len(data), config.MaxDocumentBytes)]
-	s.rejection = &Rejection{Bytes: kept, Source: source, At: s.clock.Now(), Err: err}
+	s.rejection = &Rejection{Bytes: kept, Cut: len(kept) < len(data), Source: source, At: s.clock.Now(), Err: err}
 }
 
 func (s *Store[T]) accept(snapshot *Snapshot[T]) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -169,7 +169,12 @@
 		return
 	case c.report.Has(filePath):
 		path = filePath
-		*key = c.readKey(path, file)
+		content, err := c.readKey(file)
+		if err != nil {
+			c.report.Add(path, "the key file cannot be read: %v", err)
+			return
+		}
+		*key = content
 	case !c.report.Has(path):
 		c.report.Add(path, "the field is missing; give it or %s", filePath)
 		return
@@ -179,14 +184,11 @@
 	}
 }
 
-// readKey returns the content of a key file without surrounding white space; it reports a file that cannot be read.
-func (c *checker) readKey(path, file string) Key {
+// readKey returns the content of a key file without surrounding white space.
+func (c *checker) readKey(file string) (Key, error) {
 	if !filepath.IsAbs(file) {
 		file = filepath.Join(c.folder, file)
 	}
 	content, err := os.ReadFile(file)
-	if err != nil {
-		c.report.Add(path, "the key file cannot be read: %v", err)
-	}
-	return Key(strings.TrimSpace(string(content)))
+	return Key(strings.TrimSpace(string(content))), err
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,12 +116,27 @@
 		}))
 	})
 
+	// Guards against a buffer bound that no request of the allowed size fits into.
+	It("rejects a buffer bound below the body bound", func() {
+		_, err := settings.ParseGateway("g.yaml", []byte(strings.Replace(gateway, "peers_file: peers.key",
+			"peers: 0123456789abcdef", 1)+"limits: {max_buffered_bytes: 2048}\n"))
+		Expect(findings(err)).To(ConsistOf(
+			"9:30: limits.max_buffered_bytes: must not be less than limits.max_body_bytes (8388608)"))
+	})
+
 	// Guards against settings that are accepted with a fault, or without a usable location.
-	DescribeTable("rejects faults of a controller's settings", func(change, finding string) {
-		_, err := settings.ParseController("c.yaml", []byte(controller+change))
+	DescribeTable("rejects faults of a controller's settings", func(added, finding string, replaced ...string) {
+		source := strings.NewReplacer(replaced...).Replace(controller) + added
+		_, err := settings.ParseController("c.yaml", []byte(source))
 		Expect(findings(err)).To(ConsistOf(finding))
 	},
 		Entry("a negative lag", "balancer_lag: -1s\n", "12:15: balancer_lag: must be from 0s to 10m0s"),
+		Entry("a key given twice", "", "9:15: keys.peers_file: must not be given together with keys.peers",
+			"  peers: 0123456789abcdef\n", "  peers: 0123456789abcdef\n  peers_file: peers.key\n"),
+		Entry("a key file that is missing", "", "8:15: keys.peers_file: the key file cannot be read: open missing.key: "+
+			"no such file or directory", "  peers: 0123456789abcdef\n", "  peers_file: missing.key\n"),
+		Entry("one address for two ports", "", "6:14: addresses.operators: must differ from addresses.peers",
+			"127.0.0.1:21200", "127.0.0.1:21100"),
 		Entry("an alias", "log_level: *x\n", "12:1: not valid YAML: unknown anchor 'x' referenced"),
 		Entry("an anchor", "log_level: &x info\n", "12:12: log_level: anchors are not allowed"),
 		Entry("a second document", "---\ninstance: nadi-2\n", "12:1: the file contains more than one YAML document"),
