--- a/cmd/acaciactl/main.go
+++ b/cmd/acaciactl/main.go
@@ -23,12 +23,9 @@
 func rootCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "acaciactl",
-		Usage: "operators' client of acacialift",
+		Usage: "work with acacialift deployments",
 		Commands: []*cli.Command{
-			statusCommand(),
-			drainCommand(),
-			explainCommand(),
-			loadCommand(),
+			checkCommand(),
 		},
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -172,6 +172,8 @@
 			`24:14: endpoints[0].address: "engine-1.vanua:80" is not IP:port`),
 		Entry("address without port", "127.0.0.1:21300", "127.0.0.1",
 			`24:14: endpoints[0].address: "127.0.0.1" is not IP:port`),
+		Entry("unspecified address", "127.0.0.1:21300", "0.0.0.0:80",
+			`24:14: endpoints[0].address: "0.0.0.0:80" is not IP:port`),
 		Entry("address used twice", "127.0.0.1:21301", "127.0.0.1:21300",
 			"26:53: endpoints[1].address: 127.0.0.1:21300 is already used by endpoints[0].address at line 24"),
 		Entry("empty service", "service: round-desk, ", "service: turf-assist, ",
@@ -185,6 +187,11 @@
 		Entry("group of one", "group: 2", "group: 1", "34:12: profiles[0].group: must be 0 or at least 2"),
 		Entry("group on a plain service", "10s\n", "10s\n    group: 2\n",
 			"39:12: profiles[1].group: is for profiles of model services only"),
+		Entry("engine limits on a plain service", "warm: {streams: 32}", "warm: {streams: 32, tokens: 9}\n    prefill_rate: 5",
+			"19:33: services[1].warm.tokens: is for model services only",
+			"20:19: services[1].prefill_rate: is for model services only"),
+		Entry("unreadable section without findings that follow from it", document[strings.Index(document, "endpoints:"):strings.Index(document, "profiles:")], "endpoints: none\n",
+			"21:12: endpoints: must be a list, not a string"),
 		Entry("unknown kind", "kind: plain", "kind: simple", "17:11: services[1].kind: must be model or plain"),
 		Entry("unknown fencing", "enforced", "strict", "26:100: endpoints[1].fencing: must be enforced or ignored"),
 		Entry("duplicate key", "    weight: 4\n", "    weight: 4\n    weight: 5\n",
@@ -212,7 +219,7 @@
 		_, err := config.Parse([]byte(document + padding))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = config.Parse([]byte(document + padding + "x"))
-		Expect(findings(err)).To(Equal([]string{"1:1: the document has 1000001 bytes; at most 1000000 are allowed"}))
+		Expect(findings(err)).To(Equal([]string{"1:1: the document has more than 1000000 bytes"}))
 	})
 
 	// Guards against small documents that expand to gigabytes.
@@ -236,6 +243,7 @@
 })
 
 var _ = Describe("ParseInstances", func() {
+	// Guards against fields that the YAML names do not reach.
 	It("reads a list", func() {
 		list, err := config.ParseInstances([]byte(instances))
 		Expect(err).NotTo(HaveOccurred())
