--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -192,6 +192,20 @@
 		Expect(stats.PeakColdStreams).To(Equal(2))
 	})
 
+	// Guards against a fallen engine that takes new work at once, or whose counts can no longer be read.
+	It("drops every connection while it is down, but not those of the tests", func() {
+		engine := startEngine(standin.EngineOptions{WarmupRequests: 1, ColdTokens: 1, FallDowntime: time.Hour})
+		for range 2 {
+			_, err := post(context.Background(), engine.Address(), "/v1/completions", slowBody)
+			Expect(err).To(HaveOccurred())
+		}
+		_, err := post(context.Background(), engine.Address(), "/orders", `{}`)
+		Expect(err).To(HaveOccurred())
+		status, content, _ := postAll(engine.Address(), "/standin/control", `{}`)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(content).To(ContainSubstring(`"falls":1,`))
+	})
+
 	// Guards against an engine that never warms up, and against a report that cannot contradict warmth.
 	It("warms up by completed requests and turns cold by control", func() {
 		engine := startEngine(standin.EngineOptions{WarmupRequests: 1, ColdStreams: 1})
