--- a/cmd/acaciactl/main.go
+++ b/cmd/acaciactl/main.go
@@ -26,6 +26,10 @@
 		Usage: "work with acacialift deployments",
 		Commands: []*cli.Command{
 			checkCommand(),
+			statusCommand(),
+			drainCommand(),
+			explainCommand(),
+			loadCommand(),
 		},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,9 +66,14 @@
 	g.views.onDraining = func() { g.StartDrain("instance_leaving") }
 	g.held = newHeldCredits(node, g.views, s.Instance, incarnation)
 	g.server, err = httpserver.New(httpserver.Options{
-		Address:      s.Addresses.Callers,
-		Handler:      http.HandlerFunc(g.serveHTTP),
-		MaxBodyBytes: int(s.Limits.MaxBodyBytes),
+		Address:          s.Addresses.Callers,
+		Handler:          http.HandlerFunc(g.serveHTTP),
+		MaxHeaderBytes:   int(s.Limits.MaxHeaderBytes),
+		MaxBodyBytes:     int(s.Limits.MaxBodyBytes),
+		MaxBufferedBytes: s.Limits.MaxBufferedBytes,
+		OnPanic: func(value any, stack []byte) {
+			g.log.Error().Interface("value", value).Bytes("stack", stack).Msg("handler_panic")
+		},
 	})
 	if err != nil {
 		node.Close()
