--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,415 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+// Lease is the right of one incarnation to act on a resource.
+type Lease struct {
+	Resource string
+	// ValidUntil is the end of the lease on the holder's monotonic clock.
+	ValidUntil time.Time
+	// AcquiredAt is the start of the uninterrupted lease.
+	AcquiredAt time.Time
+	// GrantFrom is the time from which an endpoint's owner may grant credits.
+	GrantFrom time.Time
+	// AcquiredWallMS is the wall clock at AcquiredAt, from which fencing numbers are derived.
+	AcquiredWallMS int64
+	// LabelStart and LabelEnd bound the labels of the keys that the holder may accept, [start, end) in wall-clock
+	// milliseconds. The interval is empty if LabelEnd is not above LabelStart.
+	LabelStart int64
+	LabelEnd   int64
+}
+
+// MayGrant tells whether an endpoint's owner may grant credits at the given time.
+func (l *Lease) MayGrant(now time.Time) bool {
+	return !now.Before(l.GrantFrom) && now.Before(l.ValidUntil)
+}
+
+// Outgoing is a claim to send to a voter.
+type Outgoing struct {
+	Voter string
+	Claim *peer.Claim
+}
+
+// Holder decides which claims one incarnation of an instance sends, and knows its leases.
+type Holder struct {
+	name        string
+	incarnation int64
+	revision    uint64
+	index       *config.Index
+	list        *config.InstanceList
+	resources   map[string]Info
+	tenures     map[string]*tenure
+	sequence    uint64
+	pending     map[uint64]*pendingClaim
+	// releases holds the resources to release, by voter.
+	releases map[string][]string
+}
+
+// tenure is the state of one wanted resource.
+type tenure struct {
+	resource string
+	info     Info
+	set      []string
+	hash     uint64
+	nextAt   time.Time
+	// attempt changes whenever the lease ends or an attempt is given up; promises of earlier attempts do not count.
+	attempt uint64
+	votes   map[string]vote
+	// held is the set of voters that refused the latest round because of another holder.
+	held   map[string]bool
+	leased bool
+	lease  Lease
+}
+
+// vote summarizes the promises of one voter in one attempt and voter set.
+type vote struct {
+	sentAt time.Time
+	// labelEnd is the highest label end promised to this holder.
+	labelEnd int64
+	// othersEnd is the highest label end reported for other holders.
+	othersEnd int64
+}
+
+// pendingClaim is a sent claim without an answer.
+type pendingClaim struct {
+	voter  string
+	sentAt time.Time
+	items  map[string]pendingItem
+}
+
+type pendingItem struct {
+	attempt  uint64
+	hash     uint64
+	labelEnd int64
+}
+
+// NewHolder returns a holder that wants nothing. The pair of instance name and incarnation must never be used twice.
+func NewHolder(name string, incarnation int64) *Holder {
+	return &Holder{
+		name:        name,
+		incarnation: incarnation,
+		tenures:     make(map[string]*tenure),
+		pending:     make(map[uint64]*pendingClaim),
+		releases:    make(map[string][]string),
+	}
+}
+
+// SetView adopts a configuration and an instance list. A lower revision than the one in force is ignored. Leases on
+// resources that nobody may hold under the new configuration end at once.
+func (h *Holder) SetView(now time.Time, index *config.Index, list *config.InstanceList) {
+	changed := false
+	if h.index == nil || index.Revision() > h.index.Revision() {
+		h.index, changed = index, true
+		h.resources = Describe(index)
+	}
+	if h.list == nil || list.Revision > h.list.Revision {
+		h.list, changed = list, true
+	}
+	if !changed {
+		return
+	}
+	h.revision = h.index.Revision()
+	for _, t := range h.tenures {
+		h.place(now, t)
+	}
+}
+
+// place applies the view to a tenure. A lease that a quorum of the earlier voter set promised stays valid until its
+// end; its renewal needs a quorum of the new set.
+func (h *Holder) place(now time.Time, t *tenure) {
+	info, known := h.resources[t.resource]
+	if !known {
+		info = Info{Refusal: ReasonUnknownResource}
+	}
+	if info.Refusal != "" {
+		h.giveUp(t)
+	}
+	t.info = info
+	var instances []config.Instance
+	if h.list != nil {
+		instances = h.list.Instances
+	}
+	set := VoterSet(t.resource, info.Region, instances)
+	hash := HashVoterSet(set)
+	if hash == t.hash && t.set != nil {
+		return
+	}
+	t.set, t.hash = set, hash
+	t.votes = make(map[string]vote)
+	t.held = make(map[string]bool)
+	t.nextAt = now
+}
+
+// Want makes the holder claim a resource until Drop.
+func (h *Holder) Want(now time.Time, resource string) {
+	if h.tenures[resource] != nil {
+		return
+	}
+	t := &tenure{resource: resource, votes: make(map[string]vote), held: make(map[string]bool)}
+	h.tenures[resource] = t
+	h.place(now, t)
+}
+
+// Drop ends the lease at once and releases the promises with the next Claims.
+func (h *Holder) Drop(resource string) {
+	t := h.tenures[resource]
+	if t == nil {
+		return
+	}
+	h.giveUp(t)
+	delete(h.tenures, resource)
+	// Answers to these claims must not count for a later tenure.
+	for _, p := range h.pending {
+		delete(p.items, resource)
+	}
+}
+
+// Wanted returns the wanted resources in name order.
+func (h *Holder) Wanted() []string {
+	names := make([]string, 0, len(h.tenures))
+	for name := range h.tenures {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Claims returns the claims and releases to send now, one message per voter in name order. The leases that they renew
+// are counted from now, so the caller sends them without waiting for anything.
+func (h *Holder) Claims(now time.Time, wallMS int64) []Outgoing {
+	h.expirePending(now)
+	out := make(map[string]*pendingClaim)
+	claims := make(map[string]*peer.Claim)
+	open := func(voter string) (*peer.Claim, *pendingClaim) {
+		if claims[voter] == nil {
+			h.sequence++
+			claims[voter] = &peer.Claim{
+				Holder: h.name, Incarnation: h.incarnation, Sequence: h.sequence, Revision: h.revision,
+			}
+			out[voter] = &pendingClaim{voter: voter, sentAt: now, items: make(map[string]pendingItem)}
+		}
+		return claims[voter], out[voter]
+	}
+	for voter, resources := range h.releases {
+		claim, _ := open(voter)
+		for _, resource := range resources {
+			claim.Items = append(claim.Items, peer.ClaimItem{Resource: resource, Release: true})
+		}
+	}
+	clear(h.releases)
+	for _, t := range h.due(now) {
+		item := t.claimItem(wallMS)
+		for _, voter := range t.set {
+			claim, sent := open(voter)
+			claim.Items = append(claim.Items, item)
+			sent.items[t.resource] = pendingItem{attempt: t.attempt, hash: t.hash, labelEnd: item.LabelEnd}
+		}
+		clear(t.held)
+		t.nextAt = now.Add(RenewEvery)
+	}
+	result := make([]Outgoing, 0, len(claims))
+	for voter, claim := range claims {
+		h.pending[claim.Sequence] = out[voter]
+		result = append(result, Outgoing{Voter: voter, Claim: claim})
+	}
+	slices.SortFunc(result, func(a, b Outgoing) int { return cmp.Compare(a.Voter, b.Voter) })
+	return result
+}
+
+// NextClaim returns the time at which Claims has something to send, or false if nothing is wanted.
+func (h *Holder) NextClaim(now time.Time) (time.Time, bool) {
+	if len(h.releases) > 0 {
+		return now, true
+	}
+	next, found := time.Time{}, false
+	for _, t := range h.tenures {
+		if t.claimable() && (!found || t.nextAt.Before(next)) {
+			next, found = t.nextAt, true
+		}
+	}
+	return next, found
+}
+
+// due returns the tenures to claim, in name order; if any is due, those due within batchWindow go along.
+func (h *Holder) due(now time.Time) []*tenure {
+	var soon []*tenure
+	any := false
+	for _, name := range h.Wanted() {
+		t := h.tenures[name]
+		t.lapse(now)
+		if !t.claimable() || t.nextAt.After(now.Add(batchWindow)) {
+			continue
+		}
+		soon = append(soon, t)
+		any = any || !t.nextAt.After(now)
+	}
+	if !any {
+		return nil
+	}
+	return soon
+}
+
+// expirePending forgets claims whose promises can no longer extend a lease.
+func (h *Holder) expirePending(now time.Time) {
+	for sequence, p := range h.pending {
+		if !now.Before(p.sentAt.Add(LeaseLength)) {
+			delete(h.pending, sequence)
+		}
+	}
+}
+
+// HandlePromise takes a voter's answer. Answers that are late, duplicated or belong to an attempt that has ended are
+// ignored.
+func (h *Holder) HandlePromise(now time.Time, wallMS int64, voter string, promise *peer.Promise) {
+	p := h.pending[promise.Sequence]
+	if p == nil || p.voter != voter {
+		return
+	}
+	delete(h.pending, promise.Sequence)
+	for i := range promise.Items {
+		answer := &promise.Items[i]
+		t := h.tenures[answer.Resource]
+		sent, claimed := p.items[answer.Resource]
+		if t == nil || !claimed {
+			continue
+		}
+		t.lapse(now)
+		if sent.attempt != t.attempt || sent.hash != t.hash {
+			continue
+		}
+		if answer.Granted {
+			t.count(voter, p.sentAt, sent.labelEnd, answer.LabelEnd)
+			t.evaluate(now, wallMS)
+			continue
+		}
+		if answer.Reason == ReasonHeld {
+			t.held[voter] = true
+			h.backOff(now, t)
+		}
+	}
+}
+
+// backOff gives an attempt up if other holders have so many voters that no quorum is left, so that two claimants that
+// split the voters do not block each other for ever.
+func (h *Holder) backOff(now time.Time, t *tenure) {
+	if t.leased || len(t.set)-len(t.held) >= Quorum(len(t.set)) {
+		return
+	}
+	h.giveUp(t)
+	seed := h.name + "\x00" + t.resource + "\x00" + strconv.FormatUint(t.attempt, 10) + "\x00" + strconv.FormatInt(h.incarnation, 10)
+	steps := 1 + xxhash.Sum64String(seed)%backoffSteps
+	t.nextAt = now.Add(time.Duration(steps) * backoffUnit)
+}
+
+// giveUp ends the attempt and the lease and queues releases to the voters that may have promised.
+func (h *Holder) giveUp(t *tenure) {
+	if t.info.Refusal == "" {
+		for _, voter := range t.set {
+			if !slices.Contains(h.releases[voter], t.resource) {
+				h.releases[voter] = append(h.releases[voter], t.resource)
+			}
+		}
+	}
+	t.reset()
+}
+
+// Holds returns the lease on a resource if the holder may act on it now.
+func (h *Holder) Holds(now time.Time, resource string) (Lease, bool) {
+	t := h.tenures[resource]
+	if t == nil {
+		return Lease{}, false
+	}
+	t.lapse(now)
+	if !t.leased {
+		return Lease{}, false
+	}
+	return t.lease, true
+}
+
+func (t *tenure) claimable() bool { return t.info.Refusal == "" && len(t.set) > 0 }
+
+// claimItem asks for labels up to LabelLength ahead, and never for a lower end than the one in use.
+func (t *tenure) claimItem(wallMS int64) peer.ClaimItem {
+	item := peer.ClaimItem{Resource: t.resource, VoterSet: t.hash}
+	if IsKeySlot(t.resource) {
+		item.LabelStart = t.lease.LabelStart
+		item.LabelEnd = max(wallMS+LabelLength.Milliseconds(), t.lease.LabelEnd)
+	}
+	return item
+}
+
+// lapse ends the attempt if the lease has run out.
+func (t *tenure) lapse(now time.Time) {
+	if t.leased && !now.Before(t.lease.ValidUntil) {
+		t.reset()
+	}
+}
+
+// reset ends the attempt. A claim sent before a gap must not count after it, because another holder may have come
+// between, whose label ends the voters had not yet reported.
+func (t *tenure) reset() {
+	t.attempt++
+	t.leased = false
+	t.lease = Lease{}
+	clear(t.votes)
+	clear(t.held)
+}
+
+// count adds a promise to the voter's vote. Promises may arrive in any order, so each field keeps its highest value.
+func (t *tenure) count(voter string, sentAt time.Time, labelEnd, othersEnd int64) {
+	v := t.votes[voter]
+	if v.sentAt.Before(sentAt) {
+		v.sentAt = sentAt
+	}
+	v.labelEnd = max(v.labelEnd, labelEnd)
+	v.othersEnd = max(v.othersEnd, othersEnd)
+	t.votes[voter] = v
+}
+
+// evaluate acquires or extends the lease if a quorum of votes is valid.
+func (t *tenure) evaluate(now time.Time, wallMS int64) {
+	var sent []time.Time
+	var reported []int64
+	var promised []int64
+	for _, v := range t.votes {
+		promised = append(promised, v.labelEnd)
+		if now.Before(v.sentAt.Add(LeaseLength)) {
+			sent = append(sent, v.sentAt)
+			reported = append(reported, v.othersEnd)
+		}
+	}
+	quorum := Quorum(len(t.set))
+	if len(sent) < quorum {
+		return
+	}
+	slices.SortFunc(sent, func(a, b time.Time) int { return b.Compare(a) })
+	slices.Sort(reported)
+	slices.SortFunc(promised, func(a, b int64) int { return cmp.Compare(b, a) })
+	start := reported[quorum-1]
+	if !t.leased {
+		t.leased = true
+		t.lease = Lease{
+			Resource:       t.resource,
+			AcquiredAt:     now,
+			GrantFrom:      now.Add(WaitBeforeGrant),
+			AcquiredWallMS: wallMS,
+			LabelStart:     start,
+		}
+	}
+	// Later answers may complete a quorum that reported less than the first one.
+	t.lease.LabelStart = min(t.lease.LabelStart, start)
+	t.lease.LabelEnd = max(t.lease.LabelEnd, promised[quorum-1])
+	if until := sent[quorum-1].Add(LeaseLength); until.After(t.lease.ValidUntil) {
+		t.lease.ValidUntil = until
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -130,6 +130,8 @@
 type Claim struct {
 	Holder      string
 	Incarnation int64
+	// Sequence increases with each claim of an incarnation. A voter ignores a release that an older claim carries.
+	Sequence uint64
 	// Revision is the holder's configuration revision.
 	Revision uint64
 	Items    []ClaimItem
@@ -139,14 +141,19 @@
 type PromiseItem struct {
 	Resource string
 	Granted  bool
-	// Reason is set on a refusal, such as "held", "silent", "voter_set", "revision" or "label".
+	// Reason is set on a refusal, such as "held", "silent", "voter_set", "revision" or "label"; package lease has the
+	// list.
 	Reason string
-	// LabelEnd is the highest label end that the voter has promised to any other holder.
+	// LabelEnd is set on a grant of a key slot: the highest label end that the voter may have promised to any other
+	// holder.
 	LabelEnd int64
 }
 
 // Promise answers a Claim.
 type Promise struct {
+	// Sequence is that of the claim.
+	Sequence uint64
+	// Revision is the voter's configuration revision.
 	Revision uint64
 	Items    []PromiseItem
 }
