Route by the policy package and claim idempotency keys at their home

The controller answers claims from one registry a process, under the label interval of the lease that it holds at that moment.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/acacialift/acacialift/internal/config"
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/httpserver"
+	"github.com/acacialift/acacialift/internal/idem"
 	"github.com/acacialift/acacialift/internal/lease"
 	"github.com/acacialift/acacialift/internal/member"
 	"github.com/acacialift/acacialift/internal/peer"
@@ -47,7 +48,7 @@
 	holder    *lease.Holder
 	ownership ownership
 	accounts  map[string]*ownedAccount
-	keys      map[string]*ownedSlot
+	keys      *idem.Registry
 	board     *board
 	gateway   gatewayContact
 }
@@ -76,7 +77,7 @@
 		voter:        lease.NewVoter(s.Instance),
 		holder:       lease.NewHolder(s.Instance, incarnation),
 		accounts:     make(map[string]*ownedAccount),
-		keys:         make(map[string]*ownedSlot),
+		keys:         idem.NewRegistry(idem.Options{MaxKeys: maxKeys}),
 		board:        newBoard(),
 	}
 	c.documents = newDocuments(c)
--- a/internal/controller/handle.go
+++ b/internal/controller/handle.go
@@ -10,6 +10,7 @@
 
 // Handle implements peer.Handler.
 func (c *Controller) Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
+	c.heardFromGateway(from)
 	switch envelope.Kind {
 	case peer.KindHeartbeat:
 		return handle(envelope, c.handleHeartbeat, peer.KindHeartbeat)
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -79,7 +79,8 @@
 	defer c.mu.Unlock()
 	report.Draining = c.table.Leaving()
 	report.Control.AccountsOwned = len(c.accounts)
-	report.Control.RegistriesOwned = len(c.keys)
+	report.Control.KeySlotsHeld = c.keySlotsHeld(now)
+	report.Control.KeysRemembered = c.keys.Len()
 	report.Members = c.memberStatus(now)
 	report.Endpoints = c.endpointStatus(now)
 	for _, resource := range c.holder.Wanted() {
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -168,8 +168,7 @@
 	c.log.Info().Str("resource", resource).Str("reason", "another_instance_preferred").Msg("lease_dropped")
 }
 
-// reconcile opens accounts and key registries for leases that were acquired and discards those of ended ones; the
-// caller holds the lock.
+// reconcile opens accounts for leases that were acquired and discards those of ended ones; the caller holds the lock.
 func (c *Controller) reconcile(now time.Time) {
 	for _, resource := range c.holder.Wanted() {
 		held, ok := c.holder.Holds(now, resource)
@@ -178,12 +177,9 @@
 		}
 		if name, isEndpoint := strings.CutPrefix(resource, lease.EndpointResource("")); isEndpoint {
 			c.openAccount(name, &held)
-		} else {
-			c.openSlot(resource, &held)
 		}
 	}
 	c.closeAccounts(now)
-	c.closeSlots(now)
 }
 
 func (c *Controller) openAccount(name string, held *lease.Lease) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,30 +1,82 @@
 package gateway
 
 import (
-	"sort"
+	"sync"
+	"time"
 
 	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/route"
 )
 
-// choice is an endpoint to ask for, with the reason for the decision log.
-type choice struct {
-	endpoint *config.Endpoint
-	reason   string
+// router guards the routing policy, whose random source is not safe for concurrent use.
+type router struct {
+	mu       sync.Mutex
+	policy   route.Policy
+	prefixes *route.Prefixes
 }
 
-// choose returns the endpoints of the service that accept work, the least loaded first.
-func (x *exchange) choose() []choice {
-	latest := x.gateway.views.current.Load()
-	var choices []choice
+func (r *router) order(request route.Request, candidates []route.Candidate, refusals route.Refusals) route.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Order(request, candidates, refusals)
+}
+
+func (r *router) notePrefix(prefix uint64, endpoint string, tokens int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefixes.Note(time.Now(), prefix, endpoint, tokens)
+}
+
+func (r *router) cached(prefix uint64, endpoint string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prefixes.Cached(time.Now(), prefix, endpoint)
+}
+
+func (x *exchange) routeRequest() route.Request {
+	request := route.Request{
+		ID:           x.id.String(),
+		Service:      x.service.Name,
+		Plain:        x.service.Kind == config.KindPlain,
+		Profile:      x.profile.Name,
+		Team:         x.req.Team,
+		Class:        x.class,
+		PromptTokens: x.req.PromptTokens,
+		OutputTokens: x.req.MaxTokens,
+		Prefix:       x.req.PrefixHash,
+	}
+	if request.Plain {
+		request.PromptTokens, request.OutputTokens, request.Prefix = 0, 0, 0
+	}
+	return request
+}
+
+// candidates lists the service's endpoints with the latest view. The view that the request was admitted under decides
+// on its profile only; endpoints taken out of service since then get no work.
+func (x *exchange) candidates(latest *view) []route.Candidate {
+	now := time.Now()
+	var candidates []route.Candidate
 	for _, endpoint := range latest.index.EndpointsOf(x.service.Name) {
-		if latest.index.AcceptsWork(endpoint) {
-			choices = append(choices, choice{endpoint: endpoint, reason: "least_queued"})
+		known := latest.summary[endpoint.Name]
+		_, owned := latest.owners[endpointPrefix+endpoint.Name]
+		candidate := route.Candidate{
+			Endpoint:     endpoint.Name,
+			Owned:        owned,
+			AcceptsWork:  latest.index.AcceptsWork(endpoint),
+			Summary:      known.EndpointSummary,
+			Age:          now.Sub(known.received),
+			PrefillRate:  x.service.PrefillRate,
+			LongPrefills: x.service.LongPrefills,
+		}
+		if known.Endpoint == "" {
+			candidate.Summary = peer.EndpointSummary{Endpoint: endpoint.Name, State: peer.EndpointUnknown}
+			candidate.Age = 0
+		}
+		if x.service.Kind == config.KindModel && x.req.PrefixHash != 0 {
+			candidate.CachedTokens = x.gateway.router.cached(x.req.PrefixHash, endpoint.Name)
 		}
+		candidates = append(candidates, candidate)
 	}
-	x.gateway.randMu.Lock()
-	x.gateway.rand.Shuffle(len(choices), func(i, j int) { choices[i], choices[j] = choices[j], choices[i] })
-	x.gateway.randMu.Unlock()
-	queued := func(c choice) int64 { return latest.summary[c.endpoint.Name].QueuedTokens }
-	sort.SliceStable(choices, func(i, j int) bool { return queued(choices[i]) < queued(choices[j]) })
-	return choices
+	return candidates
 }
--- a/internal/gateway/credits.go
+++ b/internal/gateway/credits.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	creditTimeout  = time.Second
+	creditTimeout  = 300 * time.Millisecond
 	heldInterval   = time.Second
 	reportTimeout  = time.Second
 	endpointPrefix = "endpoint/"
 )
 
-// credit is a granted reservation of one endpoint.
-type credit struct {
+// credited is a granted reservation of one endpoint.
+type credited struct {
 	endpoint *config.Endpoint
 	ask      peer.CreditAsk
 	reply    peer.CreditReply
@@ -27,7 +27,7 @@
 }
 
 // usable tells whether the credit may still be used. It is checked immediately before the hand-over.
-func (c *credit) usable(now time.Time) bool { return now.Before(c.expires) }
+func (c *credited) usable(now time.Time) bool { return now.Before(c.expires) }
 
 // heldCredits asks owners for credits, reports their use, and repeats the list of held ones to each owner.
 type heldCredits struct {
@@ -38,12 +38,14 @@
 
 	mu   sync.Mutex
 	held map[string]peer.CreditReportItem
+	// homes counts the open key claims by the address of the key's home.
+	homes map[string]int
 }
 
 func newHeldCredits(node *peer.Node, v *views, instance string, incarnation int64) *heldCredits {
 	return &heldCredits{
 		node: node, views: v, instance: instance, incarnation: incarnation,
-		held: make(map[string]peer.CreditReportItem),
+		held: make(map[string]peer.CreditReportItem), homes: make(map[string]int),
 	}
 }
 
@@ -73,12 +75,33 @@
 			byOwner[owner.Address] = append(byOwner[owner.Address], item)
 		}
 	}
+	// An empty report keeps the home of an open claim from taking this gateway for dead.
+	for home := range h.homes {
+		if _, ok := byOwner[home]; !ok {
+			byOwner[home] = nil
+		}
+	}
 	h.mu.Unlock()
 	for address, items := range byOwner {
 		h.send(ctx, address, items)
 	}
 }
 
+func (h *heldCredits) openKey(home string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.homes[home]++
+}
+
+func (h *heldCredits) closeKey(home string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.homes[home]--
+	if h.homes[home] == 0 {
+		delete(h.homes, home)
+	}
+}
+
 func (h *heldCredits) owner(endpoint string) (peer.OwnerView, bool) {
 	current := h.views.current.Load()
 	if current == nil {
@@ -100,7 +123,7 @@
 // gave one, the time after which a repeat can help.
 func (h *heldCredits) ask(
 	ctx context.Context, endpoint *config.Endpoint, ask peer.CreditAsk,
-) (granted *credit, reason string, retry time.Duration) {
+) (granted *credited, reason string, retry time.Duration) {
 	owner, ok := h.owner(ask.Endpoint)
 	if !ok {
 		return nil, "no_owner", 0
@@ -121,7 +144,7 @@
 	h.mu.Lock()
 	h.held[ask.RequestID] = reportItem(ask, peer.ReportHeld, 0)
 	h.mu.Unlock()
-	return &credit{endpoint: endpoint, ask: ask, reply: reply, expires: sent.Add(reply.ValidFor)}, "", 0
+	return &credited{endpoint: endpoint, ask: ask, reply: reply, expires: sent.Add(reply.ValidFor)}, "", 0
 }
 
 func reportItem(ask peer.CreditAsk, state peer.ReportState, firstToken time.Duration) peer.CreditReportItem {
@@ -132,7 +155,7 @@
 }
 
 // progress reports a change of a reservation to the endpoint's current owner.
-func (h *heldCredits) progress(c *credit, state peer.ReportState, firstToken time.Duration) {
+func (h *heldCredits) progress(c *credited, state peer.ReportState, firstToken time.Duration) {
 	ended := state == peer.ReportUnused || state == peer.ReportDone || state == peer.ReportFailed
 	if ended {
 		h.mu.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -22,9 +23,6 @@
 	noViewRetry = 2 * time.Second
 	// leavingRetry is the advised delay while the instance is leaving; the balancer selects another one.
 	leavingRetry = time.Second
-	// minCreditWait and maxCreditWait bound the time between two rounds of asks of one request.
-	minCreditWait = 5 * time.Millisecond
-	maxCreditWait = 250 * time.Millisecond
 )
 
 // exchange is one caller's request from admission to its final answer.
@@ -41,8 +39,11 @@
 	service *config.Service
 	class   peer.LengthClass
 	budget  time.Duration
-	// handOvers counts the hand-overs to endpoints; the part of a request id derives from it.
-	handOvers int
+	refused *refusals
+	// asks counts the credit asks; the part of a hand-over's id derives from it.
+	asks int
+	// answerStatus is the HTTP status of the endpoint's own answer.
+	answerStatus int
 	// firstToken is the time of the first part of the answer's body; zero before.
 	firstToken time.Time
 	// headSent is true once a byte of the answer went to the caller.
@@ -57,7 +58,7 @@
 	g.stats.requests.Add(1)
 	g.stats.open.Add(1)
 	defer g.stats.open.Add(-1)
-	x := &exchange{gateway: g, w: w, id: g.nextRequestID(), started: time.Now(), stage: outcome.StageAdmission}
+	x := &exchange{gateway: g, w: w, id: g.nextRequestID(), started: time.Now(), stage: outcome.StageAdmission, refused: newRefusals()}
 	x.log = g.log.With().Str("request_id", x.id.String()).Logger()
 	if final := x.run(r); final != nil {
 		x.answer(final)
@@ -71,12 +72,19 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.started.Add(x.budget))
 	defer cancel()
-	return x.serve(ctx)
+	if x.idempotent() || x.req.Key == "" {
+		return x.serve(ctx)
+	}
+	return x.serveKeyed(ctx)
 }
 
 // admit checks the request against the view that it keeps until its end.
 func (x *exchange) admit(r *http.Request) *outcome.Error {
-	req, refused := callers.Parse(r)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return badRequest("unreadable_body", "the body could not be read")
+	}
+	req, refused := callers.Parse(r, body)
 	if refused != nil {
 		return refused
 	}
@@ -164,44 +172,6 @@
 	}
 }
 
-// reserve asks owners in the order of preference until one grants a credit.
-func (x *exchange) reserve(ctx context.Context) (*credit, *outcome.Error) {
-	for {
-		retry := maxCreditWait
-		reason := "no_endpoint"
-		for _, choice := range x.choose() {
-			granted, why, after := x.askOwner(ctx, choice)
-			if granted != nil {
-				return granted, nil
-			}
-			reason = why
-			if after > 0 {
-				retry = min(retry, after)
-			}
-		}
-		wait := x.gateway.jitter(max(minCreditWait, retry))
-		if final := x.waitForCredit(ctx, wait, reason); final != nil {
-			return nil, final
-		}
-	}
-}
-
-// waitForCredit returns the final answer if the request cannot be granted a credit within its budget.
-func (x *exchange) waitForCredit(ctx context.Context, wait time.Duration, reason string) *outcome.Error {
-	deadline, _ := ctx.Deadline()
-	if time.Until(deadline) <= wait {
-		return x.giveUp(reason)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return x.giveUp(reason)
-	}
-}
-
 // giveUp ends a request for which no credit was granted. A hand-over that came before decides the outcome.
 func (x *exchange) giveUp(reason string) *outcome.Error {
 	if x.bytesSent {
@@ -211,37 +181,6 @@
 		"no endpoint could take the request within its time budget", time.Second)
 }
 
-func (x *exchange) askOwner(ctx context.Context, c choice) (*credit, string, time.Duration) {
-	deadline, _ := ctx.Deadline()
-	id := x.id
-	id.Part = partName(x.handOvers)
-	ask := peer.CreditAsk{
-		RequestID:    id.String(),
-		Endpoint:     c.endpoint.Name,
-		Team:         x.req.Team,
-		Profile:      x.profile.Name,
-		Class:        x.class,
-		PromptTokens: x.req.PromptTokens,
-		OutputTokens: x.req.MaxTokens,
-		Revision:     x.view.index.Revision(),
-		BudgetLeft:   time.Until(deadline),
-	}
-	if x.service.Kind == config.KindPlain {
-		ask.PromptTokens, ask.OutputTokens = 0, 0
-	}
-	granted, reason, retry := x.gateway.held.ask(ctx, c.endpoint, ask)
-	event := x.log.Info().Str("endpoint", c.endpoint.Name).Str("team", x.req.Team).Str("profile", x.profile.Name).
-		Str("class", string(x.class)).Int64("prompt_tokens", x.req.PromptTokens).Int64("output_tokens", x.req.MaxTokens).
-		Uint64("revision", ask.Revision).Str("choice", c.reason).Bool("granted", granted != nil)
-	if granted == nil {
-		event = event.Str("reason", reason).Dur("retry_after_ms", retry)
-	} else {
-		event = event.Int64("fence", granted.reply.Fence)
-	}
-	event.Msg("route")
-	return granted, reason, retry
-}
-
 var (
 	errCreditExpired  = errors.New("credit expired before the hand-over")
 	errRefused        = errors.New("endpoint refused the request")
@@ -251,8 +190,7 @@
 )
 
 // handOver sends the request to the granted endpoint. again is true if another endpoint may be tried.
-func (x *exchange) handOver(ctx context.Context, granted *credit) (final *outcome.Error, again bool) {
-	x.handOvers++
+func (x *exchange) handOver(ctx context.Context, granted *credited) (final *outcome.Error, again bool) {
 	x.stage = outcome.StageConnect
 	endpoint := granted.endpoint
 	receiver := &answerReceiver{x: x, granted: granted, sent: time.Now()}
@@ -271,13 +209,14 @@
 	}
 	x.reportEnd(granted, receiver, err)
 	if err == nil {
+		x.answerStatus = receiver.status
 		x.logAnswered(endpoint.Name, receiver)
 		return nil, false
 	}
 	return x.judge(ctx, endpoint.Name, receiver, err)
 }
 
-func (x *exchange) engineRequest(endpoint *config.Endpoint, granted *credit) engine.Request {
+func (x *exchange) engineRequest(endpoint *config.Endpoint, granted *credited) engine.Request {
 	header := make(http.Header)
 	header.Set("X-Request-Id", granted.ask.RequestID)
 	header.Set("Content-Type", "application/json")
@@ -309,7 +248,7 @@
 	}
 }
 
-func (x *exchange) reportEnd(granted *credit, receiver *answerReceiver, err error) {
+func (x *exchange) reportEnd(granted *credited, receiver *answerReceiver, err error) {
 	state := peer.ReportDone
 	var failure *engine.Error
 	switch {
@@ -390,6 +329,7 @@
 
 func (x *exchange) logAnswered(endpoint string, receiver *answerReceiver) {
 	if x.service.Kind == config.KindModel && !x.firstToken.IsZero() {
+		x.gateway.router.notePrefix(x.req.PrefixHash, endpoint, x.req.PromptTokens)
 		x.gateway.stats.recordFirstToken(x.class, x.firstToken.Sub(x.started))
 	}
 	x.log.Info().Str("outcome", "answered").Str("endpoint", endpoint).Int("status", receiver.status).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/route"
 	"github.com/acacialift/acacialift/internal/settings"
 )
 
@@ -30,6 +31,7 @@
 	engines     *engine.Client
 	views       *views
 	held        *heldCredits
+	router      *router
 	stats       *stats
 	incarnation int64
 	sequence    atomic.Uint64
@@ -57,10 +59,11 @@
 		log:         log,
 		node:        node,
 		engines:     engine.NewClient(),
+		router:      &router{policy: route.NewLeastWait(newRand(incarnation)), prefixes: route.NewPrefixes()},
 		stats:       newStats(),
 		incarnation: incarnation,
 		drained:     make(chan struct{}),
-		rand:        rand.New(rand.NewPCG(uint64(incarnation), uint64(incarnation)>>32)),
+		rand:        newRand(incarnation),
 	}
 	g.views = newViews(node, s.Addresses.Controller, incarnation, g.stats, log)
 	g.views.onDraining = func() { g.StartDrain("instance_leaving") }
@@ -122,3 +125,8 @@
 	defer g.randMu.Unlock()
 	return d/2 + time.Duration(g.rand.Int64N(int64(d/2)+1))
 }
+
+// newRand returns a source whose seed differs between gateways, so that they spread over endpoints.
+func newRand(incarnation int64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(incarnation), uint64(time.Now().UnixNano())))
+}
--- /dev/null
+++ b/internal/gateway/keys.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/acacialift/acacialift/internal/idem"
+	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+const (
+	keyClaimTimeout = time.Second
+	keyClaimRetry   = 100 * time.Millisecond
+	// keyEndAttempts and keyEndRetry bound the reports of a request's end to the key's home. A report that never arrives
+	// leaves duplicates with the answer that the first request is running or unknown.
+	keyEndAttempts = 10
+	keyEndRetry    = time.Second
+	duplicateRetry = time.Second
+)
+
+// errNoHome means that the view names no home for a key.
+var errNoHome = errors.New("the key's home is not known")
+
+// serveKeyed serves a non-idempotent request with an idempotency key: the key's home must grant the claim before the
+// request is handed to an endpoint.
+func (x *exchange) serveKeyed(ctx context.Context) *outcome.Error {
+	key, err := idem.ParseKey(x.req.Key)
+	if err != nil {
+		return badRequest("invalid_key", err.Error())
+	}
+	reply, home, err := x.claimKey(ctx, key)
+	if err != nil {
+		return x.unclaimed(err)
+	}
+	if reply.Verdict != peer.KeyGranted {
+		return keyRefusal(reply)
+	}
+	x.gateway.held.openKey(home)
+	defer x.gateway.held.closeKey(home)
+	final := x.serve(ctx)
+	x.endKey(home, key, reply.Token, final)
+	return final
+}
+
+// claimKey asks the key's home until it answers. The same arrival may repeat its claim, because the home grants it the
+// same token.
+func (x *exchange) claimKey(ctx context.Context, key idem.Key) (*peer.KeyReply, string, error) {
+	claim := peer.KeyClaim{
+		Service:   x.service.Name,
+		Key:       key.Text,
+		LabelMS:   key.LabelMS,
+		Digest:    x.digest(),
+		RequestID: x.id.String(),
+	}
+	for {
+		reply, home, err := x.tryClaim(ctx, key, &claim)
+		retry := err != nil || (reply.Verdict == peer.KeyRefused && reply.Reason == idem.ReasonNotHome)
+		if !retry {
+			x.log.Info().Str("key", key.Text).Str("home", home).Str("verdict", string(reply.Verdict)).
+				Str("reason", reply.Reason).Msg("key_claim")
+			return reply, home, nil
+		}
+		select {
+		case <-ctx.Done():
+			if err == nil {
+				return reply, home, nil
+			}
+			return nil, home, err
+		case <-time.After(x.gateway.jitter(keyClaimRetry)):
+		}
+	}
+}
+
+func (x *exchange) tryClaim(ctx context.Context, key idem.Key, claim *peer.KeyClaim) (*peer.KeyReply, string, error) {
+	home, ok := x.gateway.views.current.Load().owners[key.Resource(claim.Service)]
+	if !ok {
+		return nil, "", errNoHome
+	}
+	ctx, cancel := context.WithTimeout(ctx, keyClaimTimeout)
+	defer cancel()
+	var reply peer.KeyReply
+	if err := x.gateway.node.Call(ctx, home.Address, peer.KindKeyClaim, claim, &reply); err != nil {
+		return nil, home.Address, err
+	}
+	return &reply, home.Address, nil
+}
+
+// digest identifies the request behind a key, so that a key reused for another request is refused.
+func (x *exchange) digest() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{x.req.Method, x.req.ServicePath} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(x.req.Body)
+	return digest.Sum64()
+}
+
+// unclaimed answers a request whose key's home could not be reached. This arrival was not handed to an endpoint, but
+// the answer covers this attempt only: an earlier one with the same key may have run.
+func (x *exchange) unclaimed(err error) *outcome.Error {
+	x.log.Warn().Err(err).Msg("key_home_unreachable")
+	return &outcome.Error{
+		Outcome: outcome.NotRun, Stage: outcome.StageAdmission, Code: "key_home_unreachable",
+		Status: http.StatusServiceUnavailable, RepeatSafe: true, RetryAfter: duplicateRetry,
+		Message: "this attempt was not run because the key's state is not available; repeat it with the same key",
+	}
+}
+
+// keyRefusal answers an arrival that the key's home did not grant.
+func keyRefusal(reply *peer.KeyReply) *outcome.Error {
+	final := &outcome.Error{Stage: outcome.StageAdmission, Status: http.StatusConflict, RepeatSafe: true}
+	switch reply.Verdict {
+	case peer.KeyRunning:
+		final.Outcome, final.Code, final.RetryAfter = outcome.Unknown, "duplicate_running", duplicateRetry
+		final.Message = "a request with this key is running; this attempt was not run"
+	case peer.KeyEnded:
+		final.Outcome, final.Code = outcome.Failed, "duplicate_ended"
+		final.Message = "a request with this key has ended; this attempt was not run"
+		if reply.Outcome == string(outcome.Unknown) {
+			final.Outcome, final.Code, final.RepeatSafe = outcome.Unknown, "duplicate_unknown", false
+			final.Message = "a request with this key may have run; its result is not known"
+		}
+	case peer.KeyMismatch:
+		final.Outcome, final.Code, final.Status = outcome.NotRun, "key_mismatch", http.StatusUnprocessableEntity
+		final.Message = "the key was used for another request; this request was not run"
+		final.RepeatSafe = false
+	case peer.KeyRefused:
+		final.Outcome, final.Code, final.Status = outcome.NotRun, "key_"+reply.Reason, http.StatusServiceUnavailable
+		final.Message = "this attempt was not run; repeat it with the same key"
+		final.RetryAfter = reply.RetryAfter
+	default:
+		final.Outcome, final.Code, final.RepeatSafe = outcome.Unknown, "key_"+reply.Reason, false
+		final.Message = "an earlier request with this key may have run; this attempt was not run"
+	}
+	return final
+}
+
+// endKey reports the end of a claimed request until the home has taken it.
+func (x *exchange) endKey(home string, key idem.Key, token uint64, final *outcome.Error) {
+	end := peer.KeyEnd{Service: x.service.Name, Key: key.Text, Token: token, Status: x.answerStatus}
+	if final != nil {
+		end.NotRun = final.Outcome == outcome.NotRun
+		end.Outcome, end.Status = string(final.Outcome), final.Status
+	}
+	go func() {
+		for range keyEndAttempts {
+			ctx, cancel := context.WithTimeout(context.Background(), keyClaimTimeout)
+			var ack peer.Ack
+			err := x.gateway.node.Call(ctx, home, peer.KindKeyEnd, end, &ack)
+			cancel()
+			if err == nil {
+				return
+			}
+			time.Sleep(keyEndRetry)
+		}
+		x.log.Warn().Str("home", home).Msg("key_end_lost")
+	}()
+}
--- a/internal/gateway/receiver.go
+++ b/internal/gateway/receiver.go
@@ -24,7 +24,7 @@
 // answerReceiver passes an endpoint's answer to the caller.
 type answerReceiver struct {
 	x       *exchange
-	granted *credit
+	granted *credited
 	// sent is the time of the hand-over.
 	sent   time.Time
 	status int
--- a/internal/gateway/views.go
+++ b/internal/gateway/views.go
@@ -34,6 +34,8 @@
 type summary struct {
 	peer.EndpointSummary
 	received time.Time
+	// direct is true if the owner sent it with a reply; the controller's copy may be up to a second older.
+	direct bool
 }
 
 // fresh tells whether the controller confirmed the view recently.
@@ -122,7 +124,7 @@
 			next.owners[owner.Resource] = owner
 		}
 	}
-	next.summary = mergeSummaries(next.summary, reply.Summary, asked)
+	next.summary = mergeSummaries(next.summary, reply.Summary, asked, false)
 	v.current.Store(next)
 	if next.draining {
 		v.onDraining()
@@ -142,11 +144,16 @@
 		return
 	}
 	next := *current
-	next.summary = mergeSummaries(current.summary, []peer.EndpointSummary{s}, time.Now())
+	next.summary = mergeSummaries(current.summary, []peer.EndpointSummary{s}, time.Now(), true)
 	v.current.Store(&next)
 }
 
-func mergeSummaries(old map[string]summary, updates []peer.EndpointSummary, received time.Time) map[string]summary {
+// directPrecedence is the time for which an owner's reply is preferred to the controller's copy.
+const directPrecedence = time.Second
+
+func mergeSummaries(
+	old map[string]summary, updates []peer.EndpointSummary, received time.Time, direct bool,
+) map[string]summary {
 	if len(updates) == 0 {
 		return old
 	}
@@ -155,7 +162,11 @@
 		merged[name] = s
 	}
 	for _, s := range updates {
-		merged[s.Endpoint] = summary{EndpointSummary: s, received: received}
+		known := merged[s.Endpoint]
+		if !direct && known.direct && received.Sub(known.received) < directPrecedence {
+			continue
+		}
+		merged[s.Endpoint] = summary{EndpointSummary: s, received: received, direct: direct}
 	}
 	return merged
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -75,14 +75,15 @@
 
 // Control is the cost of the control process.
 type Control struct {
-	CPUSeconds      float64 `json:"cpu_seconds"`
-	ResidentBytes   int64   `json:"resident_bytes"`
-	PeerBytesIn     int64   `json:"peer_bytes_in"`
-	PeerBytesOut    int64   `json:"peer_bytes_out"`
-	PeerMessages    int64   `json:"peer_messages"`
-	PlatformReads   int64   `json:"platform_reads"`
-	UptimeMS        int64   `json:"uptime_ms"`
-	OpenGoroutines  int     `json:"goroutines"`
-	AccountsOwned   int     `json:"accounts_owned"`
-	RegistriesOwned int     `json:"registries_owned"`
+	CPUSeconds     float64 `json:"cpu_seconds"`
+	ResidentBytes  int64   `json:"resident_bytes"`
+	PeerBytesIn    int64   `json:"peer_bytes_in"`
+	PeerBytesOut   int64   `json:"peer_bytes_out"`
+	PeerMessages   int64   `json:"peer_messages"`
+	PlatformReads  int64   `json:"platform_reads"`
+	UptimeMS       int64   `json:"uptime_ms"`
+	OpenGoroutines int     `json:"goroutines"`
+	AccountsOwned  int     `json:"accounts_owned"`
+	KeySlotsHeld   int     `json:"key_slots_held"`
+	KeysRemembered int     `json:"keys_remembered"`
 }
