Test that a slow but steady reader keeps its connection

Cause: no test covered a write that takes longer than the write time-out while the peer goes on reading, which must not end the connection. The doc comment of WriteError now says that it also reports the end of the connection.

--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -63,8 +63,9 @@
 	return true
 }
 
-// WriteError returns the first error that a write to the connection of w met, or nil. It may be called from any
-// goroutine. Bytes that wait for a flush have met no error yet.
+// WriteError returns the first error that a write to the connection of w met, or that a write would meet since the
+// connection ended; otherwise nil. It may be called from any goroutine. Bytes that wait for a flush have met no error
+// yet.
 func WriteError(w http.ResponseWriter) error {
 	response := unwrap(w)
 	if response == nil {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -356,6 +356,23 @@
 		p.expectReset()
 	})
 
+	// Guards against a slow but steady reader that is cut off because one write takes longer than the write time-out.
+	It("last as long as the peer goes on reading", func() {
+		const steps = 64
+		server := serve(httpserver.Options{WriteTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(bytes.Repeat([]byte("0123456789abcdef"), beyondBuffers/16))
+		})})
+		answer, err := http.ReadResponse(dial(server).send(get).reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		part := make([]byte, beyondBuffers/steps)
+		for range steps {
+			time.Sleep(25 * time.Millisecond)
+			Expect(io.ReadFull(answer.Body, part)).To(Equal(len(part)))
+			Expect(bytes.Count(part, []byte("0123456789abcdef"))).To(Equal(len(part) / 16))
+		}
+		Expect(answer.Body.Read(part)).Error().To(Equal(io.EOF))
+	})
+
 	// Guards against one faulty handler that takes other callers down, and against a cut answer that looks whole.
 	DescribeTable("are reset alone", func(fault func(http.ResponseWriter)) {
 		panics := make(chan any, 1)
