Let a cached prefix decide only if it saves more than the noise of a view

Cause: the process test of a returning failure domain saw no work on the returned endpoint within 60 s. It repeats one short prompt, whose prefix was cached on another endpoint, and route.LeastWait kept such an endpoint first whatever the saving. Ruled out: the configuration (revision 3 in force everywhere) and the owner (it granted). Before: 0 requests on turf-0 after the return. A saving below nearWait (25 ms) no longer decides.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/acacialift/acacialift/internal/callers"
 	"github.com/acacialift/acacialift/internal/config"
 	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/peer"
 )
@@ -80,10 +80,11 @@
 
 // admit checks the request against the view that it keeps until its end.
 func (x *exchange) admit(r *http.Request) *outcome.Error {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	whole, ok := r.Body.(*httpserver.Body)
+	if !ok {
 		return badRequest("unreadable_body", "the body could not be read")
 	}
+	body := whole.Bytes()
 	req, refused := callers.Parse(r, body)
 	if refused != nil {
 		return refused
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -159,6 +159,15 @@
 	return !request.Plain && c.Summary.FreeTokens-c.OwnTokens < request.PromptTokens+request.OutputTokens
 }
 
+// cachedTime is the prefill time that the cached prefix saves. A saving below nearWait does not decide: repeated short
+// prompts would keep an endpoint of a returned failure domain without work.
+func (c Candidate) cachedTime() time.Duration {
+	if c.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(c.CachedTokens) / c.PrefillRate * float64(time.Second))
+}
+
 // wait estimates the time to the request's first token: the queued prefills, then the part of the prompt that is not
 // cached. Time that a cached prefix saves is thereby weighed against the queue that it leads to.
 func (c Candidate) wait(request Request) time.Duration {
@@ -220,7 +229,7 @@
 		return ReasonFull
 	case candidate.Summary.LongPrefills > 0:
 		return ReasonLongPrefill
-	case request.Prefix != 0 && candidate.CachedTokens > 0:
+	case request.Prefix != 0 && candidate.cachedTime() > nearWait:
 		return ReasonPrefix
 	default:
 		return ReasonLeastWait
