--- a/internal/lease/constants.go
+++ b/internal/lease/constants.go
@@ -57,6 +57,10 @@
 	// batchWindow is how much earlier than due a claim is sent with others that are due.
 	batchWindow = 100 * time.Millisecond
 
+	// sequenceBits leaves room below the incarnation in the sequence numbers of claims, so that a late answer to an
+	// earlier run of the instance matches no claim of the present one.
+	sequenceBits = 20
+
 	// backoffUnit and backoffSteps bound the delay before a holder claims again after a split vote.
 	backoffUnit  = 125 * time.Millisecond
 	backoffSteps = 8
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -98,6 +98,7 @@
 	return &Holder{
 		name:        name,
 		incarnation: incarnation,
+		sequence:    uint64(incarnation) << sequenceBits,
 		tenures:     make(map[string]*tenure),
 		pending:     make(map[uint64]*pendingClaim),
 		releases:    make(map[string][]string),
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -36,10 +36,9 @@
 
 // node is one instance with its own clocks and views.
 type node struct {
-	in          config.Instance
-	rate        float64
-	wallOffMS   int64
-	incarnation int64
+	in        config.Instance
+	rate      float64
+	wallOffMS int64
 	// self is the name and incarnation.
 	self     string
 	voter    *lease.Voter
@@ -51,11 +50,10 @@
 }
 
 type message struct {
-	due         time.Duration
-	from, to    *node
-	incarnation int64
-	claim       *peer.Claim
-	promise     *peer.Promise
+	due      time.Duration
+	from, to *node
+	claim    *peer.Claim
+	promise  *peer.Promise
 }
 
 // usage records what one incarnation did with a resource.
@@ -93,7 +91,7 @@
 		rng:      rand.New(rand.NewSource(rapid.Int64().Draw(rt, "noise"))),
 		oneSwap:  rapid.Bool().Draw(rt, "oneSwap"),
 		accepted: map[string]string{},
-		used:     map[string]map[string]*usage{}, takeovers: map[string]int{}, last: map[string]string{},
+		used:     map[string]map[string]*usage{endpointResource: {}, slotResource: {}}, takeovers: map[string]int{}, last: map[string]string{},
 	}
 	// The list change of a region with one instance is protected by the lag bound alone.
 	smallest := 1
@@ -146,11 +144,10 @@
 // boot starts the instance's process with an empty memory and the newest documents.
 func (w *world) boot(n *node) {
 	w.boots++
-	n.incarnation = w.boots
-	n.self = fmt.Sprintf("%s/%d", n.in.Name, n.incarnation)
+	n.self = fmt.Sprintf("%s/%d", n.in.Name, w.boots)
 	n.paused = false
 	n.voter = lease.NewVoter(n.in.Name)
-	n.holder = lease.NewHolder(n.in.Name, n.incarnation)
+	n.holder = lease.NewHolder(n.in.Name, w.boots)
 	n.registry = idem.NewRegistry(idem.Options{MaxKeys: 1000})
 	n.list, n.revision = len(w.lists)-1, len(w.indexes)-1
 	w.applyView(n)
@@ -199,13 +196,10 @@
 	now, wall := w.mono(m.to), w.wall(m.to)
 	if m.claim != nil {
 		answer := m.to.voter.Answer(now, wall, m.claim)
-		w.send(message{from: m.to, to: m.from, incarnation: m.incarnation, promise: answer})
+		w.send(message{from: m.to, to: m.from, promise: answer})
 		return
 	}
-	// Answers come back on the connection of the claim, which ends with the process.
-	if m.incarnation == m.to.incarnation {
-		m.to.holder.HandlePromise(now, wall, m.from.in.Name, m.promise)
-	}
+	m.to.holder.HandlePromise(now, wall, m.from.in.Name, m.promise)
 }
 
 // advance runs the fleet and checks the properties at each tick.
@@ -215,12 +209,9 @@
 		w.spread()
 		w.check()
 		w.deliver()
-		for _, n := range w.nodes {
-			if n.paused {
-				continue
-			}
+		for _, n := range w.running() {
 			for _, out := range n.holder.Claims(w.mono(n), w.wall(n)) {
-				w.send(message{from: n, to: w.byName(out.Voter), incarnation: n.incarnation, claim: out.Claim})
+				w.send(message{from: n, to: w.byName(out.Voter), claim: out.Claim})
 			}
 		}
 		w.check()
@@ -235,10 +226,7 @@
 		w.keys = append(w.keys, &peer.KeyClaim{Service: "desk", Key: keyText(label), LabelMS: label})
 	}
 	key := w.keys[max(0, len(w.keys)-1-w.rng.Intn(60))]
-	for _, n := range w.nodes {
-		if n.paused {
-			continue
-		}
+	for _, n := range w.running() {
 		held, holds := n.holder.Holds(w.mono(n), slotResource)
 		bounds := idem.Interval{Start: held.LabelStart, End: held.LabelEnd}
 		reply := n.registry.Claim(w.mono(n), w.wall(n), idem.Gateway{Name: "g"}, key, bounds, holds)
@@ -260,26 +248,23 @@
 	return id.String()
 }
 
+func (w *world) running() []*node {
+	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n.paused })
+}
+
 func (w *world) byName(name string) *node {
 	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.in.Name == name })]
 }
 
 // spread makes running instances adopt each list within the lag bound and each revision at some time.
 func (w *world) spread() {
-	for _, n := range w.nodes {
-		if !n.paused && n.revision < len(w.indexes)-1 && w.rng.Intn(40) == 0 {
+	for _, n := range w.running() {
+		if n.revision < len(w.indexes)-1 && w.rng.Intn(40) == 0 {
 			n.revision++
-			w.applyView(n)
 		}
-	}
-	if w.oneSwap {
-		return
-	}
-	for _, n := range w.nodes {
-		if n.paused || n.list == len(w.lists)-1 || w.t-w.since[n.list+1] < lease.ListLagBound-tick {
-			continue
+		if !w.oneSwap && n.list < len(w.lists)-1 && w.t-w.since[n.list+1] >= lease.ListLagBound-tick {
+			n.list = len(w.lists) - 1
 		}
-		n.list = len(w.lists) - 1
 		w.applyView(n)
 	}
 }
@@ -288,20 +273,16 @@
 func (w *world) check() {
 	for _, resource := range resources {
 		owner := ""
-		for _, n := range w.nodes {
-			if n.paused {
-				continue
-			}
+		for _, n := range w.running() {
 			held, ok := n.holder.Holds(w.mono(n), resource)
 			if !ok {
 				continue
 			}
-			self := n.self
 			if owner != "" {
-				w.rt.Fatalf("%v: %s and %s hold %s", w.t, owner, self, resource)
+				w.rt.Fatalf("%v: %s and %s hold %s", w.t, owner, n.self, resource)
 			}
-			owner = self
-			w.checkUse(resource, self, n, held)
+			owner = n.self
+			w.checkUse(resource, n, held)
 		}
 		if owner != "" && owner != w.last[resource] {
 			w.takeovers[resource]++
@@ -310,14 +291,11 @@
 	}
 }
 
-func (w *world) checkUse(resource, self string, n *node, held lease.Lease) {
-	if w.used[resource] == nil {
-		w.used[resource] = map[string]*usage{}
-	}
-	mine := w.used[resource][self]
+func (w *world) checkUse(resource string, n *node, held lease.Lease) {
+	mine := w.used[resource][n.self]
 	if mine == nil {
 		mine = &usage{lastGrant: -time.Hour, labels: map[time.Time][2]int64{}}
-		w.used[resource][self] = mine
+		w.used[resource][n.self] = mine
 	}
 	mayGrant := held.MayGrant(w.mono(n))
 	if mayGrant {
@@ -329,15 +307,15 @@
 	credit := float64(lease.CreditLength)
 	creditOnSlowestClock := time.Duration(credit / slowest)
 	for other, theirs := range w.used[resource] {
-		if other == self {
+		if other == n.self {
 			continue
 		}
 		if mayGrant && w.t-theirs.lastGrant < creditOnSlowestClock {
-			w.rt.Fatalf("%v: %s grants %v after %s", w.t, self, w.t-theirs.lastGrant, other)
+			w.rt.Fatalf("%v: %s grants %v after %s", w.t, n.self, w.t-theirs.lastGrant, other)
 		}
 		for _, a := range theirs.labels {
 			if held.LabelStart < held.LabelEnd && held.LabelStart < a[1] && a[0] < held.LabelEnd {
-				w.rt.Fatalf("%v: %s has labels [%d, %d), %s had %v", w.t, self, held.LabelStart, held.LabelEnd, other, a)
+				w.rt.Fatalf("%v: %s has labels [%d, %d), %s had %v", w.t, n.self, held.LabelStart, held.LabelEnd, other, a)
 			}
 		}
 	}
@@ -373,16 +351,6 @@
 	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.rt, label)]
 }
 
-func (w *world) paused() int {
-	count := 0
-	for _, n := range w.nodes {
-		if n.paused {
-			count++
-		}
-	}
-	return count
-}
-
 func (w *world) actions() map[string]func(*rapid.T) {
 	run := func(rt *rapid.T) {
 		w.advance(time.Duration(rapid.IntRange(1, 40).Draw(rt, "ticks")) * tick)
@@ -391,12 +359,11 @@
 	return map[string]func(*rapid.T){
 		"run": run, "run again": run, "run on": run, "run more": run, "run and run": run,
 		"run long": long, "run longer": long, "run for long": long,
-		"good network": func(*rapid.T) { w.bad = false },
-		"fair network": func(*rapid.T) { w.bad = false },
-		"bad network":  func(*rapid.T) { w.bad = true },
-		"restart":      func(*rapid.T) { w.boot(w.pick("node")) },
+		"good network": func(*rapid.T) { w.bad = false }, "fair network": func(*rapid.T) { w.bad = false },
+		"bad network": func(*rapid.T) { w.bad = true },
+		"restart":     func(*rapid.T) { w.boot(w.pick("node")) },
 		"pause": func(*rapid.T) {
-			if w.paused() < 2 {
+			if len(w.nodes)-len(w.running()) < 2 {
 				w.pick("node").paused = true
 			}
 		},
