--- a/internal/loadgen/run_test.go
+++ b/internal/loadgen/run_test.go
@@ -75,10 +75,7 @@
 }
 
 func reset(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err == nil {
-		_ = conn.Close()
-	}
+	httpserver.Abort(w)
 }
 
 const requests = 4
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -369,8 +369,5 @@
 
 // dropConnection closes the connection without an answer or in the middle of one.
 func dropConnection(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err == nil {
-		_ = conn.Close()
-	}
+	httpserver.Abort(w)
 }
