Serve prompts larger than one engine's memory by groups

A group reserves its members in name order and releases all if one owner refuses; segments and the leader's request leave within the credits' validity, and the leader waits for the segments. Ruled out: sending the leader's request after the segments are exported, because its credit would have expired by then and a second ask would hold memory while it waits.

Before: a prompt of 60 k tokens on engines of 40 k was never granted. After: TestProcess 'by a group' gets it answered byte for byte from each of three gateways, all engines' memory is free afterwards, and a profile without group refuses it as not_run (413).

--- a/internal/credit/limits.go
+++ b/internal/credit/limits.go
@@ -87,6 +87,9 @@
 	return limit.Streams >= needed.Streams && (l.Plain || limit.Tokens >= needed.Tokens)
 }
 
+// MaxTokens returns the most tokens that one reservation of the class can get on a warm endpoint.
+func (l Limits) MaxTokens(class peer.LengthClass) int64 { return l.forClass(l.Warm, class).Tokens }
+
 // forClass returns the part of limit that prompts of the class may use together with all longer ones. A limit of a single
 // stream has no share for short prompts, because no other prompt could ever run.
 func (l Limits) forClass(limit config.Limit, class peer.LengthClass) config.Limit {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -160,6 +160,14 @@
 
 // serve reserves capacity and hands the request over until an answer is complete or the outcome is decided.
 func (x *exchange) serve(ctx context.Context) *outcome.Error {
+	switch size := x.groupSize(); size {
+	case 0:
+		return promptTooLarge()
+	case 1:
+	default:
+		x.stage = outcome.StageCreditWait
+		return x.serveGroup(ctx, size)
+	}
 	x.stage = outcome.StageCreditWait
 	for {
 		granted, refused := x.reserve(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,14 +24,16 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	settings    *settings.Gateway
-	log         zerolog.Logger
-	node        *peer.Node
-	server      *httpserver.Server
-	engines     *engine.Client
-	views       *views
-	held        *heldCredits
-	router      *router
+	settings *settings.Gateway
+	log      zerolog.Logger
+	node     *peer.Node
+	server   *httpserver.Server
+	engines  *engine.Client
+	views    *views
+	held     *heldCredits
+	router   *router
+	// groups bounds the group prompts served at once.
+	groups      chan struct{}
 	stats       *stats
 	incarnation int64
 	sequence    atomic.Uint64
@@ -60,6 +62,7 @@
 		node:        node,
 		engines:     engine.NewClient(),
 		router:      &router{policy: route.NewLeastWait(newRand(incarnation)), prefixes: route.NewPrefixes()},
+		groups:      make(chan struct{}, maxGroups),
 		stats:       newStats(),
 		incarnation: incarnation,
 		drained:     make(chan struct{}),
--- a/internal/standin/segment.go
+++ b/internal/standin/segment.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -104,7 +105,7 @@
 	if e.waitWhileSilent(r.Context()) != nil {
 		return
 	}
-	s := e.takeSegment(r.PathValue("id"))
+	s := e.awaitSegment(r.Context(), r.PathValue("id"))
 	if s == nil {
 		writeError(w, http.StatusNotFound, "unknown_segment", "no exported segment has this id")
 		return
@@ -112,6 +113,48 @@
 	writeJSON(w, http.StatusOK, segmentAnswer{ID: s.id, Tokens: s.tokens, segmentContent: *s.segment})
 }
 
+// The leader of a group is asked at the same time as the members, so that an import may come before its segment.
+const (
+	importPoll = 5 * time.Millisecond
+	// importGrace is how long an import waits for a segment that the engine does not know.
+	importGrace = 5 * time.Second
+)
+
+// awaitSegment waits until the segment is exported. It returns nil if the leader gives up, or if the segment is unknown
+// for importGrace.
+func (e *Engine) awaitSegment(ctx context.Context, id string) *stream {
+	ticker := time.NewTicker(importPoll)
+	defer ticker.Stop()
+	lastKnown := time.Now()
+	for {
+		if s := e.takeSegment(id); s != nil {
+			return s
+		}
+		if e.knowsStream(id) {
+			lastKnown = time.Now()
+		}
+		if time.Since(lastKnown) > importGrace {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Engine) knowsStream(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.streams {
+		if s.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Engine) takeSegment(id string) *stream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -1,6 +1,7 @@
 package process_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -45,6 +46,15 @@
 	return text, whole
 }
 
+// smallEngines makes prompts of 60 k tokens larger than one engine's memory.
+func smallEngines(d *config.Document) {
+	d.Services[0].Warm = config.Limit{Streams: 16, Tokens: 40_000}
+	d.Services[0].Cold = config.Limit{Streams: 4, Tokens: 30_000}
+	grouped := d.Profiles[0]
+	grouped.Name, grouped.Group = "grouped", 4
+	d.Profiles = append(d.Profiles, grouped)
+}
+
 var _ = Describe("A fleet of processes", func() {
 	// Guards against a path that only works inside one process.
 	It("serves streamed and whole completions and bookings end to end", func() {
@@ -126,6 +136,28 @@
 		}, startLimit, "50ms").Should(BeNumerically(">", before))
 	})
 
+	// Guards against a prompt larger than one engine's memory that is refused although a group could take it, that is
+	// answered wrongly, or that leaves memory behind; and against one that is accepted without a group.
+	It("serves a prompt larger than one engine's memory by a group", func() {
+		flags := append([]string{"--memory-tokens", "40000"}, "--prefill-rate", "200000", "--token-interval", "5ms")
+		f := startFleet(fleetOptions{instances: 3, engines: 4, desks: 1, engineFlags: flags, edit: smallEngines})
+		prompt := strings.Repeat("district history é ", 12_000)
+		body, err := json.Marshal(map[string]any{"prompt": prompt, "max_tokens": 8, "stream": true})
+		Expect(err).NotTo(HaveOccurred())
+		refused := f.send(0, http.MethodPost, "/v1/completions", "current", "", string(body))
+		Expect(refused.status).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(refused.outcome).To(Equal("not_run"))
+		for i := range 3 {
+			grouped := f.send(i, http.MethodPost, "/v1/completions", "grouped", "", string(body))
+			text, whole := streamedText(grouped.body)
+			Expect(whole).To(BeTrue(), grouped.body)
+			Expect(text).To(Equal(expectedText(prompt, 8)))
+		}
+		for i := range 4 {
+			Eventually(func() int64 { return f.engineStats(fmt.Sprintf("turf-%d", i)).UsedTokens }, startLimit).Should(BeZero())
+		}
+	})
+
 	// Guards against a configuration outage that stops service, and against a revision that reaches only watchers.
 	It("goes on without the platform and spreads a revision when it is back", func() {
 		f := startFleet(fleetOptions{instances: 3, engines: 1, desks: 1, engineFlags: coldEngine})
