--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -120,8 +121,8 @@
 		return
 	}
 	h.revision = h.index.Revision()
-	for _, t := range h.tenures {
-		h.place(now, t)
+	for _, resource := range h.Wanted() {
+		h.place(now, h.tenures[resource])
 	}
 }
 
@@ -177,68 +178,54 @@
 
 // Wanted returns the wanted resources in name order.
 func (h *Holder) Wanted() []string {
-	names := make([]string, 0, len(h.tenures))
-	for name := range h.tenures {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(h.tenures))
 }
 
 // Claims returns the claims and releases to send now, one message per voter in name order. The leases that they renew
 // are counted from now, so the caller sends them without waiting for anything.
 func (h *Holder) Claims(now time.Time, wallMS int64) []Outgoing {
 	h.expirePending(now)
-	out := make(map[string]*pendingClaim)
 	claims := make(map[string]*peer.Claim)
-	open := func(voter string) (*peer.Claim, *pendingClaim) {
-		if claims[voter] == nil {
-			h.sequence++
-			claims[voter] = &peer.Claim{
-				Holder: h.name, Incarnation: h.incarnation, Sequence: h.sequence, Revision: h.revision,
-			}
-			out[voter] = &pendingClaim{voter: voter, sentAt: now, items: make(map[string]pendingItem)}
-		}
-		return claims[voter], out[voter]
-	}
-	for voter, resources := range h.releases {
-		claim, _ := open(voter)
-		for _, resource := range resources {
+	for _, voter := range slices.Sorted(maps.Keys(h.releases)) {
+		claim := h.claimTo(claims, now, voter)
+		for _, resource := range h.releases[voter] {
 			claim.Items = append(claim.Items, peer.ClaimItem{Resource: resource, Release: true})
 		}
 	}
 	clear(h.releases)
 	for _, t := range h.due(now) {
-		item := t.claimItem(wallMS)
-		for _, voter := range t.set {
-			claim, sent := open(voter)
-			claim.Items = append(claim.Items, item)
-			sent.items[t.resource] = pendingItem{attempt: t.attempt, hash: t.hash, labelEnd: item.LabelEnd}
-		}
-		clear(t.held)
-		t.nextAt = now.Add(RenewEvery)
+		h.claimTenure(claims, now, wallMS, t)
 	}
 	result := make([]Outgoing, 0, len(claims))
-	for voter, claim := range claims {
-		h.pending[claim.Sequence] = out[voter]
-		result = append(result, Outgoing{Voter: voter, Claim: claim})
+	for _, voter := range slices.Sorted(maps.Keys(claims)) {
+		result = append(result, Outgoing{Voter: voter, Claim: claims[voter]})
 	}
-	slices.SortFunc(result, func(a, b Outgoing) int { return cmp.Compare(a.Voter, b.Voter) })
 	return result
 }
 
-// NextClaim returns the time at which Claims has something to send, or false if nothing is wanted.
-func (h *Holder) NextClaim(now time.Time) (time.Time, bool) {
-	if len(h.releases) > 0 {
-		return now, true
-	}
-	next, found := time.Time{}, false
-	for _, t := range h.tenures {
-		if t.claimable() && (!found || t.nextAt.Before(next)) {
-			next, found = t.nextAt, true
-		}
+// claimTo returns the claim to a voter, which it adds to claims and to the pending ones if there is none yet.
+func (h *Holder) claimTo(claims map[string]*peer.Claim, now time.Time, voter string) *peer.Claim {
+	if claim := claims[voter]; claim != nil {
+		return claim
+	}
+	h.sequence++
+	claim := &peer.Claim{Holder: h.name, Incarnation: h.incarnation, Sequence: h.sequence, Revision: h.revision}
+	claims[voter] = claim
+	h.pending[h.sequence] = &pendingClaim{voter: voter, sentAt: now, items: make(map[string]pendingItem)}
+	return claim
+}
+
+// claimTenure adds a resource to the claims to its voters.
+func (h *Holder) claimTenure(claims map[string]*peer.Claim, now time.Time, wallMS int64, t *tenure) {
+	item := t.claimItem(wallMS)
+	for _, voter := range t.set {
+		claim := h.claimTo(claims, now, voter)
+		claim.Items = append(claim.Items, item)
+		sent := pendingItem{attempt: t.attempt, hash: t.hash, labelEnd: item.LabelEnd}
+		h.pending[claim.Sequence].items[t.resource] = sent
 	}
-	return next, found
+	clear(t.held)
+	t.nextAt = now.Add(RenewEvery)
 }
 
 // due returns the tenures to claim, in name order; if any is due, those due within batchWindow go along.
@@ -380,8 +367,7 @@
 // evaluate acquires or extends the lease if a quorum of votes is valid.
 func (t *tenure) evaluate(now time.Time, wallMS int64) {
 	var sent []time.Time
-	var reported []int64
-	var promised []int64
+	var reported, promised []int64
 	for _, v := range t.votes {
 		promised = append(promised, v.labelEnd)
 		if now.Before(v.sentAt.Add(LeaseLength)) {
