--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -61,6 +61,8 @@
 	desks     int
 	// engineFlags are passed to the engine stand-ins.
 	engineFlags []string
+	// deskFlags are passed to the plain services' stand-ins.
+	deskFlags []string
 	// edit changes the first configuration before it is published.
 	edit func(*config.Document)
 }
@@ -100,7 +102,7 @@
 		if endpoint.Service == "turf-assist" {
 			f.start(endpoint.Name, "standin-engine", append([]string{"--listen", endpoint.Address}, options.engineFlags...)...)
 		} else {
-			f.start(endpoint.Name, "standin-service", "--listen", endpoint.Address)
+			f.start(endpoint.Name, "standin-service", append([]string{"--listen", endpoint.Address}, options.deskFlags...)...)
 		}
 	}
 	for i := range f.list.Instances {
@@ -231,6 +233,15 @@
 	}
 }
 
+// waitForExit waits until a process has ended by itself without an error.
+func (f *fleet) waitForExit(name string) {
+	GinkgoHelper()
+	ended := make(chan error, 1)
+	go func() { ended <- f.processes[name].Wait() }()
+	Eventually(ended, startLimit).Should(Receive(BeNil()), name)
+	delete(f.processes, name)
+}
+
 func (f *fleet) stop() {
 	if CurrentSpecReport().Failed() && os.Getenv("KEEP_LOGS") != "" {
 		_ = os.CopyFS(os.Getenv("KEEP_LOGS"), os.DirFS(f.dir))
