Measure the control cost per daemon

A joint fit with a term for endpoints per daemon is reported beside the two slopes: the slope by endpoints of a small fleet mixes what each daemon does for all endpoints with what an owner does for its own, and the latter shrinks in a larger fleet. Gateways report their peers' bytes with the view ask, because they have no operators' API.

--- a/internal/gateway/views.go
+++ b/internal/gateway/views.go
@@ -87,6 +87,9 @@
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	ask := peer.ViewAsk{Incarnation: v.incarnation, Stats: v.stats.snapshot()}
+	ask.Stats.PeerBytesIn = v.node.BytesReceived.Load()
+	ask.Stats.PeerBytesOut = v.node.BytesSent.Load()
+	ask.Stats.PeerMessages = v.node.Messages.Load()
 	if current := v.current.Load(); current != nil {
 		ask.Version = current.version
 		if current.index != nil {
--- /dev/null
+++ b/internal/lab/controlfit_test.go
@@ -0,0 +1,50 @@
+package lab
+
+import (
+	"math"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var _ = Describe("Fit of the control cost", func() {
+	// Guards against an estimate at the target size that comes from wrong arithmetic and not from the samples.
+	It("recovers the coefficients of samples that follow the model", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			coefficient := rapid.Float64Range(-10, 10)
+			want := ControlModel{
+				Constant: coefficient.Draw(t, "constant"), PerDaemon: coefficient.Draw(t, "per daemon"),
+				PerEndpoint: coefficient.Draw(t, "per endpoint"), PerOwned: coefficient.Draw(t, "per owned"),
+			}
+			var samples []ControlSample
+			for _, size := range [][2]int{{4, 20}, {16, 20}, {64, 20}, {16, 100}, {16, 600}, {64, 600}} {
+				s := ControlSample{ControlSize: ControlSize{Daemons: size[0], Endpoints: size[1]}, Phase: PhaseIdle}
+				s.Controller.CPUPercent = want.At(float64(size[0]), float64(size[1]))
+				samples = append(samples, s)
+			}
+			fit := NewControlReport(samples, 16).Fits[0]
+			if fit.Model == nil || math.Abs(fit.Model.At(340, 600)-want.At(340, 600)) > 1e-3 {
+				t.Fatalf("model %+v, want %+v", fit.Model, want)
+			}
+			if slope := want.PerEndpoint + want.PerOwned/16; math.Abs(fit.ByEndpoints.Slope-slope) > 1e-6 {
+				t.Fatalf("slope by endpoints %v, want %v", fit.ByEndpoints.Slope, slope)
+			}
+		})
+	})
+
+	// Guards against a slope that is made up from too few different sizes.
+	It("gives no line through samples of one size", func() {
+		_, err := FitLine([]float64{16, 16}, []float64{1, 2})
+		Expect(err).To(MatchError(errSingular))
+	})
+
+	// Guards against fields that shift when a process's name contains spaces or parentheses.
+	It("reads processor time and memory of a process with any name", func() {
+		line := "12 (a) b (c)) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20 0 9 0 77 1000 25 0\n"
+		Expect(parseStat(line, 4096)).To(Equal(usage{cpu: 200 * tick, resident: 25 * 4096}))
+		_, err := parseStat(strings.Repeat("1 ", 30), 4096)
+		Expect(err).To(MatchError(errStat))
+	})
+})
--- /dev/null
+++ b/internal/lab/controltable.go
@@ -0,0 +1,176 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+)
+
+// ControlFigure is one figure of a sample that is fitted over fleet sizes.
+type ControlFigure struct {
+	Name string
+	of   func(*ControlSample) float64
+}
+
+// ControlFigures lists the fitted figures. Bytes and messages are per second and daemon.
+var ControlFigures = []ControlFigure{
+	{"controller_cpu_percent", func(s *ControlSample) float64 { return s.Controller.CPUPercent }},
+	{"controller_resident_mb", func(s *ControlSample) float64 { return s.Controller.ResidentMB }},
+	{"controller_in_kb_per_s", func(s *ControlSample) float64 { return s.Controller.InKBps }},
+	{"controller_out_kb_per_s", func(s *ControlSample) float64 { return s.Controller.OutKBps }},
+	{"controller_messages_per_s", func(s *ControlSample) float64 { return s.Controller.Messages }},
+	{"gateway_cpu_percent", func(s *ControlSample) float64 { return s.Gateway.CPUPercent }},
+	{"gateway_resident_mb", func(s *ControlSample) float64 { return s.Gateway.ResidentMB }},
+	{"gateway_in_kb_per_s", func(s *ControlSample) float64 { return s.Gateway.InKBps }},
+	{"gateway_out_kb_per_s", func(s *ControlSample) float64 { return s.Gateway.OutKBps }},
+	{"platform_reads_per_s", func(s *ControlSample) float64 { return s.PlatformReads }},
+}
+
+// ControlFit describes how one figure of one phase depends on the fleet's size.
+type ControlFit struct {
+	Figure string `json:"figure"`
+	Phase  string `json:"phase"`
+	// ByDaemons is fitted over the samples with the fewest endpoints, ByEndpoints over those with BaseDaemons daemons;
+	// nil if these samples do not determine a line.
+	ByDaemons   *Line `json:"by_daemons,omitempty"`
+	ByEndpoints *Line `json:"by_endpoints,omitempty"`
+	// Model is fitted over all samples; nil if they do not determine it.
+	Model *ControlModel `json:"model,omitempty"`
+}
+
+// ControlModel is Constant + PerDaemon * daemons + PerEndpoint * endpoints + PerOwned * endpoints / daemons. The last
+// term separates what an owner does for its endpoints from what each daemon does for all endpoints.
+type ControlModel struct {
+	Constant    float64 `json:"constant"`
+	PerDaemon   float64 `json:"per_daemon"`
+	PerEndpoint float64 `json:"per_endpoint"`
+	PerOwned    float64 `json:"per_owned_endpoint"`
+	// LargestError is the largest difference between a sample and the model.
+	LargestError float64 `json:"largest_error"`
+}
+
+// At returns the model's value for a fleet.
+func (m *ControlModel) At(daemons, endpoints float64) float64 {
+	return m.Constant + m.PerDaemon*daemons + m.PerEndpoint*endpoints + m.PerOwned*endpoints/daemons
+}
+
+// ControlReport is the stored result of a measurement.
+type ControlReport struct {
+	Samples []ControlSample `json:"samples"`
+	Fits    []ControlFit    `json:"fits"`
+}
+
+// NewControlReport fits the samples. baseDaemons selects those of the line by endpoints.
+func NewControlReport(samples []ControlSample, baseDaemons int) ControlReport {
+	report := ControlReport{Samples: samples}
+	for _, phase := range []string{PhaseIdle, PhaseLoad} {
+		var chosen []ControlSample
+		for _, s := range samples {
+			if s.Phase == phase {
+				chosen = append(chosen, s)
+			}
+		}
+		for _, figure := range ControlFigures {
+			report.Fits = append(report.Fits, fitFigure(chosen, figure, phase, baseDaemons))
+		}
+	}
+	return report
+}
+
+func fitFigure(samples []ControlSample, figure ControlFigure, phase string, baseDaemons int) ControlFit {
+	fewest := 0
+	for i, s := range samples {
+		if i == 0 || s.Endpoints < fewest {
+			fewest = s.Endpoints
+		}
+	}
+	var daemons, endpoints points
+	var rows [][]float64
+	var values []float64
+	for i := range samples {
+		s := &samples[i]
+		value := figure.of(s)
+		n, e := float64(s.Daemons), float64(s.Endpoints)
+		if s.Endpoints == fewest {
+			daemons.add(n, value)
+		}
+		if s.Daemons == baseDaemons {
+			endpoints.add(e, value)
+		}
+		rows = append(rows, []float64{1, n, e, e / n})
+		values = append(values, value)
+	}
+	fit := ControlFit{Figure: figure.Name, Phase: phase, ByDaemons: daemons.line(), ByEndpoints: endpoints.line()}
+	if c, err := leastSquares(rows, values); err == nil {
+		fit.Model = &ControlModel{Constant: c[0], PerDaemon: c[1], PerEndpoint: c[2], PerOwned: c[3]}
+		for i := range samples {
+			predicted := fit.Model.At(float64(samples[i].Daemons), float64(samples[i].Endpoints))
+			fit.Model.LargestError = max(fit.Model.LargestError, predicted-values[i], values[i]-predicted)
+		}
+	}
+	return fit
+}
+
+type points struct{ x, y []float64 }
+
+func (p *points) add(x, y float64) {
+	p.x = append(p.x, x)
+	p.y = append(p.y, y)
+}
+
+func (p *points) line() *Line {
+	line, err := FitLine(p.x, p.y)
+	if err != nil {
+		return nil
+	}
+	return &line
+}
+
+// WriteTable prints the samples and the fits, with the model's value at the given size.
+func (r *ControlReport) WriteTable(w io.Writer, target ControlSize) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "daemons\tendpoints\tteams\tphase\treq/s\tfailed\tchanges\tctl CPU%\tmax\tctl MB\tmax\t"+
+		"ctl in KB/s\tout\tmsg/s\tgw CPU%\tgw MB\tgw in KB/s\tout\tmsg/s\treads/s\t")
+	for i := range r.Samples {
+		s := &r.Samples[i]
+		c, g := s.Controller, s.Gateway
+		fmt.Fprintf(table, "%d\t%d\t%d\t%s\t%.1f\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.1f\t%.2f\t%.1f\t%.2f\t%.2f\t%.1f\t%.2f\t\n",
+			s.Daemons, s.Endpoints, s.Teams, s.Phase, float64(s.Requests)/s.Seconds, s.Failed, s.Changes, c.CPUPercent,
+			s.MaxControllerCPUPercent, c.ResidentMB, s.MaxControllerMB, c.InKBps, c.OutKBps, c.Messages, g.CPUPercent,
+			g.ResidentMB, g.InKBps, g.OutKBps, g.Messages, s.PlatformReads)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintf(table, "figure\tphase\tper daemon\tper endpoint\tmodel: constant\tper daemon\tper endpoint\t"+
+		"per owned\tlargest error\tat %d/%d\t\n", target.Daemons, target.Endpoints)
+	for _, fit := range r.Fits {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t", fit.Figure, fit.Phase, slope(fit.ByDaemons), slope(fit.ByEndpoints))
+		if m := fit.Model; m != nil {
+			fmt.Fprintf(table, "%.3f\t%.5f\t%.5f\t%.4f\t%.3f\t%.2f\t\n", m.Constant, m.PerDaemon, m.PerEndpoint, m.PerOwned,
+				m.LargestError, m.At(float64(target.Daemons), float64(target.Endpoints)))
+		} else {
+			fmt.Fprintln(table, "-\t-\t-\t-\t-\t-\t")
+		}
+	}
+	return table.Flush()
+}
+
+func slope(line *Line) string {
+	if line == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.5f", line.Slope)
+}
+
+// WriteFile stores the report as JSON.
+func (r *ControlReport) WriteFile(path string) error {
+	data, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/lab/doc.go
@@ -0,0 +1,2 @@
+// Package lab starts fleets of real processes on loopback and measures them.
+package lab
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -177,6 +177,10 @@
 	Answers []AnswerCount
 	// FirstToken is the time to first token by length class.
 	FirstToken []ClassLatency
+	// PeerBytesIn, PeerBytesOut and PeerMessages count the gateway's traffic with controllers.
+	PeerBytesIn  int64
+	PeerBytesOut int64
+	PeerMessages int64
 }
 
 // AnswerCount counts final answers of one kind.
