Choose voters without sorting the whole region

It sorted all instances of the region twice for each resource and built a string for each pair. The instances are now grouped by failure domain once, and only the six best of each domain are kept.

Caching the sets over a configuration change was ruled out: it does not help when the list changes.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -47,6 +47,7 @@
 	revision    uint64
 	index       *config.Index
 	list        *config.InstanceList
+	electorates *electorates
 	resources   map[string]Info
 	tenures     map[string]*tenure
 	sequence    uint64
@@ -98,6 +99,7 @@
 	return &Holder{
 		name:        name,
 		incarnation: incarnation,
+		electorates: newElectorates(nil),
 		sequence:    uint64(incarnation) << sequenceBits,
 		tenures:     make(map[string]*tenure),
 		pending:     make(map[uint64]*pendingClaim),
@@ -115,6 +117,7 @@
 	}
 	if h.list == nil || list.Revision > h.list.Revision {
 		h.list, changed = list, true
+		h.electorates = newElectorates(list.Instances)
 	}
 	if !changed {
 		return
@@ -136,11 +139,7 @@
 		h.giveUp(t)
 	}
 	t.info = info
-	var instances []config.Instance
-	if h.list != nil {
-		instances = h.list.Instances
-	}
-	set := VoterSet(t.resource, info.Region, instances)
+	set := h.electorates.voterSet(t.resource, info.Region)
 	hash := HashVoterSet(set)
 	if hash == t.hash && t.set != nil {
 		return
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -91,6 +91,7 @@
 			delete(v.seats, resource)
 		}
 	}
+	electorates := newElectorates(v.list.Instances)
 	for resource, info := range resources {
 		s := v.seats[resource]
 		if s == nil {
@@ -98,7 +99,7 @@
 			v.seats[resource] = s
 		}
 		s.info = info
-		s.replaceSet(v.name, VoterSet(resource, info.Region, v.list.Instances), now, wallMS)
+		s.replaceSet(v.name, electorates.voterSet(resource, info.Region), now, wallMS)
 	}
 }
 
--- a/internal/lease/voterset.go
+++ b/internal/lease/voterset.go
@@ -27,7 +27,66 @@
 // Adding an instance, removing one, or replacing one by another of the same domain changes at most one member of a
 // set of given size. Leaving instances vote while they are listed, so that announcing a stop changes no set.
 func VoterSet(resource, region string, instances []config.Instance) []string {
-	candidates := candidatesOf(resource, region, instances)
+	return newElectorate(region, instances).voterSet(resource)
+}
+
+// electorate holds the distinct instances of a region by failure domain. It is prepared once for all resources, because
+// an instance list changes the voter sets of hundreds of resources at a time.
+type electorate struct {
+	domains []string
+	names   [][]string
+}
+
+// newElectorate takes a name that is listed twice only once.
+func newElectorate(region string, instances []config.Instance) *electorate {
+	e := &electorate{}
+	seen := make(map[string]bool, len(instances))
+	position := make(map[string]int)
+	for i := range instances {
+		in := &instances[i]
+		if in.Region != region || seen[in.Name] {
+			continue
+		}
+		seen[in.Name] = true
+		at, known := position[in.Domain]
+		if !known {
+			at = len(e.domains)
+			position[in.Domain] = at
+			e.domains = append(e.domains, in.Domain)
+			e.names = append(e.names, nil)
+		}
+		e.names[at] = append(e.names[at], in.Name)
+	}
+	return e
+}
+
+// electorates prepares the electorates of all regions.
+type electorates struct {
+	instances []config.Instance
+	byRegion  map[string]*electorate
+}
+
+func newElectorates(instances []config.Instance) *electorates {
+	return &electorates{instances: instances, byRegion: make(map[string]*electorate)}
+}
+
+func (e *electorates) voterSet(resource, region string) []string {
+	if e.byRegion[region] == nil {
+		e.byRegion[region] = newElectorate(region, e.instances)
+	}
+	return e.byRegion[region].voterSet(resource)
+}
+
+func (e *electorate) voterSet(resource string) []string {
+	prefix := []byte(scorePrefix(resource, "instance"))
+	var candidates []candidate
+	for i, domain := range e.domains {
+		domainScore := score(resource, "domain", domain)
+		for rank, c := range bestOf(prefix, e.names[i]) {
+			c.domain, c.domainScore, c.pair = domain, domainScore, rank/votersPerDomain
+			candidates = append(candidates, c)
+		}
+	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.pair, b.pair),
@@ -45,33 +104,29 @@
 	return names
 }
 
-// candidatesOf returns the region's instances with their pair numbers. A name listed twice counts once.
-func candidatesOf(resource, region string, instances []config.Instance) []candidate {
-	candidates := make([]candidate, 0, len(instances))
-	seen := make(map[string]bool, len(instances))
-	for i := range instances {
-		in := &instances[i]
-		if in.Region != region || seen[in.Name] {
+// bestOf returns the MaxVoters best instances of a domain, best first; no voter set takes more from one domain.
+func bestOf(prefix []byte, names []string) []candidate {
+	best := make([]candidate, 0, MaxVoters+1)
+	key := slices.Clone(prefix)
+	for _, name := range names {
+		key = append(key[:len(prefix)], name...)
+		c := candidate{name: name, score: xxhash.Sum64(key)}
+		if len(best) == MaxVoters && !better(&c, &best[MaxVoters-1]) {
 			continue
 		}
-		seen[in.Name] = true
-		candidates = append(candidates, candidate{
-			name:        in.Name,
-			domainScore: score(resource, "domain", in.Domain),
-			domain:      in.Domain,
-			score:       score(resource, "instance", in.Name),
-		})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	taken := make(map[string]int)
-	for i := range candidates {
-		c := &candidates[i]
-		c.pair = taken[c.domain] / votersPerDomain
-		taken[c.domain]++
+		at := len(best)
+		for at > 0 && better(&c, &best[at-1]) {
+			at--
+		}
+		best = slices.Insert(best, at, c)
+		best = best[:min(len(best), MaxVoters)]
 	}
-	return candidates
+	return best
+}
+
+// better orders the instances of one domain by their rank.
+func better(a, b *candidate) bool {
+	return a.score > b.score || (a.score == b.score && a.name < b.name)
 }
 
 func voterCount(candidates int) int {
@@ -133,5 +188,7 @@
 }
 
 func score(resource, purpose, name string) uint64 {
-	return xxhash.Sum64String(resource + "\x00" + purpose + "\x00" + name)
+	return xxhash.Sum64String(scorePrefix(resource, purpose) + name)
 }
+
+func scorePrefix(resource, purpose string) string { return resource + "\x00" + purpose + "\x00" }
