Tell controllers and gateways only what changed

Every controller sent all it owns to every other one once a second, and every change of the board's version sent the owners of all endpoints and key slots to the gateway, up to five times a second: the ages in the summaries alone changed the version each second. Both grow with the fleet and the endpoints.

Summaries now carry what changed by a quarter or in state, or was not told for 15 s (30 s to other regions, which get no load changes), and what is held no longer. A controller that started or was out of reach is told everything. The board hides owners that are dead or silent. A gateway gets the owners and loads that changed since its version, and all of them after an instance list change or a controller restart. It prefers an owner's reply for 1.5 s and then returns to the board's figures, because a reply that caught a short peak is not followed by a repeat any more.

Summaries within the region only were ruled out, because a gateway may serve a service of another region.

Neighbours that announce a revision are no longer all asked for it at once, a summary is encoded once for all receivers, accounts share one map of team weights, and preferred holders are worked out again only if the membership changed.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -1,131 +1,165 @@
 package controller
 
 import (
-	"context"
-	"strings"
 	"time"
 
+	"github.com/acacialift/acacialift/internal/config"
 	"github.com/acacialift/acacialift/internal/lease"
 	"github.com/acacialift/acacialift/internal/peer"
 )
 
 const (
-	summaryInterval = time.Second
-	summaryTimeout  = time.Second
-	// ownerExpiry is the time after which an owner that sent no summary is not named to the gateway any more.
-	ownerExpiry = 3 * time.Second
+	// ownerExpiry is the time after which an owner that sent no summary is not named to the gateway any more. It allows
+	// for two lost refreshes by an owner of another region.
+	ownerExpiry = 3 * farRefresh
+	// versionBits leaves room below the incarnation in the versions of a board, so that a gateway never takes a version
+	// of an earlier run for one of the present run.
+	versionBits = 20
 )
 
 // board holds what owners said last. It only tells the gateway whom to ask; an owner checks its lease itself.
 type board struct {
-	version   uint64
+	version uint64
+	// base is the lowest version from which a gateway can continue with changes only.
+	base      uint64
 	endpoints map[string]boardEntry
 	owners    map[string]boardOwner
+	// live names the instances that are listed and not dead; nil until it is known.
+	live map[string]bool
 }
 
 type boardEntry struct {
 	summary peer.EndpointSummary
 	at      time.Time
+	// shown is the summary that the gateway gets, of the given version.
+	shown   peer.EndpointSummary
 	version uint64
 }
 
 type boardOwner struct {
 	instance string
 	at       time.Time
+	// gone is true once the owner said that it holds the resource no longer.
+	gone bool
+	// hidden is true while the gateway is told that no owner is known.
+	hidden  bool
+	version uint64
 }
 
-func newBoard() *board {
-	return &board{version: 1, endpoints: make(map[string]boardEntry), owners: make(map[string]boardOwner)}
+func newBoard(incarnation int64) *board {
+	version := uint64(incarnation) << versionBits
+	return &board{
+		version: version, base: version, endpoints: make(map[string]boardEntry), owners: make(map[string]boardOwner),
+	}
 }
 
 // touch makes the next view differ from the ones before.
-func (b *board) touch() { b.version++ }
+func (b *board) touch() uint64 {
+	b.version++
+	return b.version
+}
+
+// restart makes the next view a full one.
+func (b *board) restart() { b.base = b.touch() }
 
 // put takes over an owner's summary.
 func (b *board) put(now time.Time, s *peer.Summary) {
 	for _, endpoint := range s.Endpoints {
+		endpoint.Owner = s.Owner
 		b.setOwner(now, lease.EndpointResource(endpoint.Endpoint), s.Owner)
-		old, known := b.endpoints[endpoint.Endpoint]
-		entry := boardEntry{summary: endpoint, at: now, version: old.version}
-		if !known || old.summary != endpoint {
-			b.touch()
-			entry.version = b.version
+		entry, known := b.endpoints[endpoint.Endpoint]
+		entry.summary, entry.at = endpoint, now
+		if !known || loadChanged(&entry.shown, &endpoint) {
+			entry.shown, entry.version = endpoint, b.touch()
 		}
 		b.endpoints[endpoint.Endpoint] = entry
 	}
 	for _, resource := range s.KeySlots {
 		b.setOwner(now, resource, s.Owner)
 	}
+	for _, resource := range s.Gone {
+		if owner, known := b.owners[resource]; known && owner.instance == s.Owner {
+			owner.gone = true
+			b.owners[resource] = b.judge(now, owner)
+		}
+	}
 }
 
-func (b *board) setOwner(now time.Time, resource, owner string) {
-	if b.owners[resource].instance != owner {
-		b.touch()
+func (b *board) setOwner(now time.Time, resource, instance string) {
+	owner := b.owners[resource]
+	if owner.instance != instance {
+		owner = boardOwner{instance: instance, version: b.touch()}
 	}
-	b.owners[resource] = boardOwner{instance: owner, at: now}
+	owner.at, owner.gone = now, false
+	b.owners[resource] = b.judge(now, owner)
 }
 
-// expire forgets owners that have been silent.
-func (b *board) expire(now time.Time) {
+// judge decides whether the gateway is told of an owner.
+func (b *board) judge(now time.Time, owner boardOwner) boardOwner {
+	dead := b.live != nil && !b.live[owner.instance]
+	hidden := dead || owner.gone || now.Sub(owner.at) > ownerExpiry
+	if hidden != owner.hidden {
+		owner.hidden, owner.version = hidden, b.touch()
+	}
+	return owner
+}
+
+// expire hides owners that are dead or have been silent, and shows those that returned.
+func (b *board) expire(now time.Time, live map[string]bool) {
+	b.live = live
 	for resource, owner := range b.owners {
-		if now.Sub(owner.at) > ownerExpiry {
-			delete(b.owners, resource)
-			b.touch()
+		if judged := b.judge(now, owner); judged != owner {
+			b.owners[resource] = judged
 		}
 	}
 }
 
-func (c *Controller) serveSummaries(ctx context.Context) error {
-	return every(ctx, summaryInterval, c.sendSummaries)
+// prune forgets the resources that a configuration does not have.
+func (b *board) prune(index *config.Index) {
+	resources := lease.Describe(index)
+	for resource := range b.owners {
+		if _, ok := resources[resource]; !ok {
+			delete(b.owners, resource)
+		}
+	}
+	for name := range b.endpoints {
+		if index.Endpoint(name) == nil {
+			delete(b.endpoints, name)
+		}
+	}
 }
 
-// sendSummaries tells the other controllers what this instance owns.
-func (c *Controller) sendSummaries(ctx context.Context) {
-	now := time.Now()
-	c.mu.Lock()
-	summary := c.ownSummary(now)
-	c.board.put(now, summary)
-	c.board.expire(now)
-	members := c.table.Members()
-	c.mu.Unlock()
-	if len(summary.Endpoints) == 0 && len(summary.KeySlots) == 0 {
+// changes adds to a view what changed since the version that the gateway has. An owner without an address is shown as
+// none.
+func (b *board) changes(asked uint64, view *peer.View, address func(instance string) string) {
+	view.Version = b.version
+	if asked == b.version {
 		return
 	}
-	for _, m := range members {
-		if m.Instance.Name == c.settings.Instance || m.State == peer.MemberDead {
+	view.Full = asked < b.base || asked > b.version
+	for resource, owner := range b.owners {
+		if !view.Full && owner.version <= asked {
 			continue
 		}
-		go c.sendSummary(ctx, m.Instance.PeerAddress, summary)
-	}
-}
-
-func (c *Controller) sendSummary(ctx context.Context, address string, summary *peer.Summary) {
-	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
-	defer cancel()
-	// A lost summary is replaced by the next one.
-	_ = c.node.Send(ctx, address, peer.KindSummary, summary)
-}
-
-// ownSummary lists the accounts and key slots of this instance; the caller holds the lock.
-func (c *Controller) ownSummary(now time.Time) *peer.Summary {
-	summary := &peer.Summary{Owner: c.settings.Instance}
-	for _, resource := range c.holder.Wanted() {
-		if _, held := c.holder.Holds(now, resource); !held {
+		entry := peer.OwnerView{Resource: resource}
+		if !owner.hidden {
+			entry.Instance, entry.Address = owner.instance, address(owner.instance)
+		}
+		if view.Full && entry.Address == "" {
 			continue
 		}
-		name, isEndpoint := strings.CutPrefix(resource, lease.EndpointResource(""))
-		if !isEndpoint {
-			summary.KeySlots = append(summary.KeySlots, resource)
-		} else if owned := c.accounts[name]; owned != nil {
-			summary.Endpoints = append(summary.Endpoints, owned.account.Summary(now))
+		view.Owners = append(view.Owners, entry)
+	}
+	for _, entry := range b.endpoints {
+		if view.Full || entry.version > asked {
+			view.Summary = append(view.Summary, entry.shown)
 		}
 	}
-	return summary
 }
 
 // view answers the instance's gateway; the caller holds the lock.
-func (c *Controller) view(now time.Time, ask *peer.ViewAsk) peer.View {
-	view := peer.View{Version: c.board.version, Draining: c.table.Leaving()}
+func (c *Controller) view(ask *peer.ViewAsk) peer.View {
+	view := peer.View{Version: ask.Version, Draining: c.table.Leaving()}
 	if c.index == nil {
 		return view
 	}
@@ -133,20 +167,6 @@
 	if ask.Revision != view.Revision {
 		view.Document = c.documents.bytes(peer.SubjectConfig)
 	}
-	if ask.Version == view.Version {
-		return view
-	}
-	for resource, owner := range c.board.owners {
-		if address := c.peerAddress(owner.instance); address != "" {
-			view.Owners = append(view.Owners, peer.OwnerView{
-				Resource: resource, Instance: owner.instance, Address: address,
-			})
-		}
-	}
-	for _, entry := range c.board.endpoints {
-		if entry.version > ask.Version && now.Sub(entry.at) <= ownerExpiry {
-			view.Summary = append(view.Summary, entry.summary)
-		}
-	}
+	c.board.changes(ask.Version, &view, c.peerAddress)
 	return view
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/credit"
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/idem"
@@ -42,6 +43,7 @@
 	// mu guards the fields below, which are pure state.
 	mu        sync.Mutex
 	index     *config.Index
+	weights   map[string]int
 	list      *config.InstanceList
 	table     *member.Table
 	voter     *lease.Voter
@@ -50,6 +52,8 @@
 	accounts  map[string]*ownedAccount
 	keys      *idem.Registry
 	board     *board
+	summaries *summaries
+	fetches   map[peer.Subject]fetch
 	gateway   gatewayContact
 }
 
@@ -78,7 +82,9 @@
 		holder:       lease.NewHolder(s.Instance, incarnation),
 		accounts:     make(map[string]*ownedAccount),
 		keys:         idem.NewRegistry(idem.Options{MaxKeys: maxKeys}),
-		board:        newBoard(),
+		board:        newBoard(incarnation),
+		summaries:    newSummaries(),
+		fetches:      make(map[peer.Subject]fetch),
 	}
 	c.documents = newDocuments(c)
 	var err error
@@ -161,12 +167,15 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if index != nil {
+	if index != nil && index != c.index {
 		c.index = index
-		c.board.touch()
+		c.weights = credit.WeightsOf(index.Document.Teams)
+		c.board.prune(index)
 	}
-	if list != nil {
+	if list != nil && list != c.list {
 		c.list = list
+		// The owners' addresses may have changed.
+		c.board.restart()
 		c.table.SetInstances(now, list.Instances)
 	}
 	if c.index == nil || c.list == nil {
--- a/internal/controller/handle.go
+++ b/internal/controller/handle.go
@@ -71,7 +71,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.gateway = gatewayContact{at: now, incarnation: ask.Incarnation, stats: ask.Stats}
-	return c.view(now, ask)
+	return c.view(ask)
 }
 
 // handleCreditAsk grants only while the lease on the endpoint stands on this process's clock.
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -12,6 +12,8 @@
 const (
 	heartbeatTimeout = time.Second
 	documentTimeout  = 3 * time.Second
+	// fetchPatience is the time after which another peer is asked for a value that the first one has not delivered.
+	fetchPatience = 900 * time.Millisecond
 )
 
 func (c *Controller) serveHeartbeats(ctx context.Context) error {
@@ -81,19 +83,36 @@
 	changes := c.table.Receive(time.Now(), heartbeat)
 	revision, listRevision := c.revisions()
 	address := c.peerAddress(heartbeat.Name)
+	known := address != ""
+	fetchConfig := known && heartbeat.Revision > revision && c.mayFetch(peer.SubjectConfig, heartbeat.Revision)
+	fetchList := known && heartbeat.ListRevision > listRevision && c.mayFetch(peer.SubjectInstances, heartbeat.ListRevision)
 	c.mu.Unlock()
 	c.logChanges(changes)
-	if address == "" {
-		return
-	}
-	if heartbeat.Revision > revision {
+	if fetchConfig {
 		go c.fetchFromPeer(address, peer.SubjectConfig, heartbeat.Revision)
 	}
-	if heartbeat.ListRevision > listRevision {
+	if fetchList {
 		go c.fetchFromPeer(address, peer.SubjectInstances, heartbeat.ListRevision)
 	}
 }
 
+// fetch is the last fetch of a published value from a peer.
+type fetch struct {
+	revision uint64
+	at       time.Time
+}
+
+// mayFetch keeps the neighbours, which all announce a new revision within a second, from being asked all at once for
+// the same value of up to 1 MB. The caller holds the lock.
+func (c *Controller) mayFetch(subject peer.Subject, revision uint64) bool {
+	now := time.Now()
+	if last := c.fetches[subject]; last.revision >= revision && now.Sub(last.at) < fetchPatience {
+		return false
+	}
+	c.fetches[subject] = fetch{revision: revision, at: now}
+	return true
+}
+
 // peerAddress returns the peers' address of an instance, or ""; the caller holds the lock.
 func (c *Controller) peerAddress(name string) string {
 	if c.list == nil {
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -22,11 +22,11 @@
 
 // ownership caches which resources this instance should hold.
 type ownership struct {
-	revision     uint64
-	listRevision uint64
-	liveKey      string
-	resources    map[string]lease.Info
-	wanted       map[string]bool
+	revision      uint64
+	listRevision  uint64
+	memberVersion uint64
+	resources     map[string]lease.Info
+	wanted        map[string]bool
 	// unwantedSince maps a held resource to the time since which another instance is preferred.
 	unwantedSince map[string]time.Time
 }
@@ -107,15 +107,14 @@
 // configuration, the instance list or the set of live instances changed; the caller holds the lock.
 func (c *Controller) chooseResources(now time.Time) {
 	o := &c.ownership
-	live := c.table.Live()
-	key := liveKey(live)
+	members := c.table.Version()
 	revision, listRevision := c.revisions()
 	if o.resources == nil || o.revision != revision {
 		o.resources = lease.Describe(c.index)
 	}
-	if o.wanted == nil || o.revision != revision || o.listRevision != listRevision || o.liveKey != key {
-		o.wanted = c.preferredResources(live)
-		o.revision, o.listRevision, o.liveKey = revision, listRevision, key
+	if o.wanted == nil || o.revision != revision || o.listRevision != listRevision || o.memberVersion != members {
+		o.wanted = c.preferredResources(c.table.Live())
+		o.revision, o.listRevision, o.memberVersion = revision, listRevision, members
 	}
 	if o.unwantedSince == nil {
 		o.unwantedSince = make(map[string]time.Time)
@@ -131,14 +130,6 @@
 	}
 }
 
-func liveKey(live []config.Instance) string {
-	names := make([]string, 0, len(live))
-	for i := range live {
-		names = append(names, live[i].Name)
-	}
-	return strings.Join(names, " ")
-}
-
 func (c *Controller) preferredResources(live []config.Instance) map[string]bool {
 	wanted := make(map[string]bool)
 	for resource, info := range c.ownership.resources {
@@ -196,7 +187,7 @@
 			Endpoint:   name,
 			Owner:      c.settings.Instance,
 			Fence:      held.AcquiredWallMS,
-			Limits:     credit.LimitsOf(service, c.index.Document.Teams),
+			Limits:     c.limits(service),
 			AcquiredAt: held.AcquiredAt,
 		}),
 		endpoint:  endpoint,
@@ -207,6 +198,14 @@
 		Msg("owner_acquired")
 }
 
+// limits returns a service's limits with the team weights that all accounts share: with thousands of teams a map of its
+// own for each account would be the largest part of the process's memory. The caller holds the lock.
+func (c *Controller) limits(service *config.Service) credit.Limits {
+	limits := credit.LimitsOf(service, nil)
+	limits.Weights = c.weights
+	return limits
+}
+
 func (c *Controller) closeAccounts(now time.Time) {
 	for name := range c.accounts {
 		if _, ok := c.holder.Holds(now, lease.EndpointResource(name)); !ok {
@@ -228,6 +227,6 @@
 		domain := c.index.Domain(endpoint.Domain)
 		owned.account.SetOutOfService(domain == nil || domain.OutOfService)
 		owned.account.SetLeaving(endpoint.Leaving)
-		owned.account.SetLimits(credit.LimitsOf(c.index.Service(endpoint.Service), c.index.Document.Teams))
+		owned.account.SetLimits(c.limits(c.index.Service(endpoint.Service)))
 	}
 }
--- a/internal/credit/limits.go
+++ b/internal/credit/limits.go
@@ -42,7 +42,7 @@
 		LongPrefills: service.LongPrefills,
 		ShortShare:   defaultShortShare,
 		PrefillRate:  service.PrefillRate,
-		Weights:      make(map[string]int, len(teams)),
+		Weights:      WeightsOf(teams),
 	}
 	if limits.LongPrefills <= 0 {
 		limits.LongPrefills = defaultLongPrefills
@@ -50,10 +50,16 @@
 	if service.ShortShare != nil {
 		limits.ShortShare = math.Min(math.Max(*service.ShortShare, 0), 1)
 	}
+	return limits
+}
+
+// WeightsOf returns the weights by team. Accounts only read them, so all accounts of a process can share one map.
+func WeightsOf(teams []config.Team) map[string]int {
+	weights := make(map[string]int, len(teams))
 	for _, team := range teams {
-		limits.Weights[team.Name] = team.Weight
+		weights[team.Name] = team.Weight
 	}
-	return limits
+	return weights
 }
 
 func (l Limits) weight(team string) float64 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,18 +58,18 @@
 	now := time.Now()
 	var candidates []route.Candidate
 	for _, endpoint := range latest.index.EndpointsOf(x.service.Name) {
-		known := latest.summary[endpoint.Name]
+		summary, age, known := x.gateway.views.latest(now, latest, endpoint.Name)
 		_, owned := latest.owners[endpointPrefix+endpoint.Name]
 		candidate := route.Candidate{
 			Endpoint:     endpoint.Name,
 			Owned:        owned,
 			AcceptsWork:  latest.index.AcceptsWork(endpoint),
-			Summary:      known.EndpointSummary,
-			Age:          now.Sub(known.received),
+			Summary:      summary,
+			Age:          age,
 			PrefillRate:  x.service.PrefillRate,
 			LongPrefills: x.service.LongPrefills,
 		}
-		if known.Endpoint == "" {
+		if !known {
 			candidate.Summary = peer.EndpointSummary{Endpoint: endpoint.Name, State: peer.EndpointUnknown}
 			candidate.Age = 0
 		}
--- a/internal/gateway/views.go
+++ b/internal/gateway/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,17 +26,15 @@
 	version  uint64
 	index    *config.Index
 	owners   map[string]peer.OwnerView
-	summary  map[string]summary
+	summary  map[string]peer.EndpointSummary
 	draining bool
 	received time.Time
 }
 
-// summary is an endpoint's load with the time at which it arrived.
-type summary struct {
+// direct is an endpoint's load that its owner sent with a reply.
+type direct struct {
 	peer.EndpointSummary
 	received time.Time
-	// direct is true if the owner sent it with a reply; the controller's copy may be up to a second older.
-	direct bool
 }
 
 // fresh tells whether the controller confirmed the view recently.
@@ -51,11 +50,16 @@
 	// onDraining is called when the controller says that the instance leaves.
 	onDraining func()
 	current    atomic.Pointer[view]
-	mu         sync.Mutex
+
+	// mu guards direct, which holds the latest reply of each endpoint's owner.
+	mu     sync.Mutex
+	direct map[string]direct
 }
 
 func newViews(node *peer.Node, controller string, incarnation int64, s *stats, log zerolog.Logger) *views {
-	return &views{node: node, controller: controller, incarnation: incarnation, stats: s, log: log}
+	return &views{
+		node: node, controller: controller, incarnation: incarnation, stats: s, log: log, direct: make(map[string]direct),
+	}
 }
 
 // String implements fmt.Stringer.
@@ -104,10 +108,8 @@
 	return v.merge(asked, reply)
 }
 
-// merge takes over a reply. The age of a view counts from the moment it was asked for.
+// merge takes over a reply. The age of a view counts from the moment it was asked for. Only Serve calls it.
 func (v *views) merge(asked time.Time, reply peer.View) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	next := &view{version: reply.Version, draining: reply.Draining, received: asked}
 	previous := v.current.Load()
 	if previous != nil {
@@ -121,13 +123,8 @@
 		next.index = index
 		v.log.Info().Uint64("revision", index.Revision()).Msg("revision_in_force")
 	}
-	if len(reply.Owners) > 0 || previous == nil || previous.version != reply.Version {
-		next.owners = make(map[string]peer.OwnerView, len(reply.Owners))
-		for _, owner := range reply.Owners {
-			next.owners[owner.Resource] = owner
-		}
-	}
-	next.summary = mergeSummaries(next.summary, reply.Summary, asked, false)
+	next.owners = mergeOwners(next.owners, reply.Owners, reply.Full)
+	next.summary = mergeSummaries(next.summary, reply.Summary)
 	v.current.Store(next)
 	if next.draining {
 		v.onDraining()
@@ -135,6 +132,37 @@
 	return nil
 }
 
+// mergeOwners returns a new map unless nothing changed, because earlier views are still in use.
+func mergeOwners(old map[string]peer.OwnerView, updates []peer.OwnerView, full bool) map[string]peer.OwnerView {
+	if len(updates) == 0 && !full {
+		return old
+	}
+	merged := make(map[string]peer.OwnerView, len(old)+len(updates))
+	if !full {
+		maps.Copy(merged, old)
+	}
+	for _, owner := range updates {
+		if owner.Address == "" {
+			delete(merged, owner.Resource)
+			continue
+		}
+		merged[owner.Resource] = owner
+	}
+	return merged
+}
+
+func mergeSummaries(old map[string]peer.EndpointSummary, updates []peer.EndpointSummary) map[string]peer.EndpointSummary {
+	if len(updates) == 0 {
+		return old
+	}
+	merged := make(map[string]peer.EndpointSummary, len(old)+len(updates))
+	maps.Copy(merged, old)
+	for _, s := range updates {
+		merged[s.Endpoint] = s
+	}
+	return merged
+}
+
 // learn takes over a summary that came with an owner's reply.
 func (v *views) learn(s peer.EndpointSummary) {
 	if s.Endpoint == "" {
@@ -142,34 +170,23 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	current := v.current.Load()
-	if current == nil {
-		return
-	}
-	next := *current
-	next.summary = mergeSummaries(current.summary, []peer.EndpointSummary{s}, time.Now(), true)
-	v.current.Store(&next)
+	v.direct[s.Endpoint] = direct{EndpointSummary: s, received: time.Now()}
 }
 
-// directPrecedence is the time for which an owner's reply is preferred to the controller's copy.
-const directPrecedence = time.Second
+// directPrecedence is the time for which an owner's reply is preferred to the controller's copy, which is up to 1.2 s
+// older. Afterwards the copy counts again: it is updated only when the load changes much, so a reply that caught a short
+// peak would otherwise stand for long.
+const directPrecedence = 1500 * time.Millisecond
 
-func mergeSummaries(
-	old map[string]summary, updates []peer.EndpointSummary, received time.Time, direct bool,
-) map[string]summary {
-	if len(updates) == 0 {
-		return old
-	}
-	merged := make(map[string]summary, len(old)+len(updates))
-	for name, s := range old {
-		merged[name] = s
-	}
-	for _, s := range updates {
-		known := merged[s.Endpoint]
-		if !direct && known.direct && received.Sub(known.received) < directPrecedence {
-			continue
-		}
-		merged[s.Endpoint] = summary{EndpointSummary: s, received: received, direct: direct}
+// latest returns what is known of an endpoint's load and the time since it was confirmed. The controller tells when an
+// endpoint has no live owner any more, so its copy is as fresh as the view.
+func (v *views) latest(now time.Time, current *view, endpoint string) (s peer.EndpointSummary, age time.Duration, known bool) {
+	v.mu.Lock()
+	reply, replied := v.direct[endpoint]
+	v.mu.Unlock()
+	copied, known := current.summary[endpoint]
+	if replied && (!known || now.Sub(reply.received) < directPrecedence) {
+		return reply.EndpointSummary, now.Sub(reply.received), true
 	}
-	return merged
+	return copied, now.Sub(current.received), known
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -60,6 +60,8 @@
 	members     map[string]*Member
 	ring        []string
 	turn        int
+	// version changes with the set of live instances.
+	version uint64
 }
 
 // New returns a table for the instance named self, whose process started at incarnation (wall-clock milliseconds).
@@ -87,12 +89,14 @@
 		}
 	}
 	sort.Strings(t.ring)
+	t.version++
 }
 
 // SetLeaving announces a planned stop of this instance.
 func (t *Table) SetLeaving() {
 	t.leaving = true
 	t.sequence++
+	t.version++
 }
 
 // Neighbours returns the instances to send a heartbeat to now: the ring neighbours and, in large fleets, one other
@@ -227,6 +231,7 @@
 	}
 	if m.State != update.State || m.Incarnation != update.Incarnation {
 		changes = append(changes, Change{Name: update.Name, From: m.State, To: update.State, Reason: reason})
+		t.version++
 		m.passOn = t.passOnCount()
 	}
 	// A raised sequence number refutes a suspicion that members further away may still believe.
@@ -286,6 +291,9 @@
 	return changes
 }
 
+// Version changes whenever Live may return another result, so that callers need not compare results.
+func (t *Table) Version() uint64 { return t.version }
+
 // Live returns the instances that are alive and not leaving, this one included, in name order.
 func (t *Table) Live() []config.Instance {
 	var live []config.Instance
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -246,6 +246,9 @@
 	Summary  []EndpointSummary
 	// Draining is true when the instance is leaving.
 	Draining bool
+	// Full is true if Owners replaces all that the gateway knows. Otherwise it holds the owners that changed since the
+	// version asked for; an empty address means that no owner is known any more.
+	Full bool
 }
 
 // LengthClass groups prompts by their number of tokens.
@@ -375,10 +378,13 @@
 	Status  int
 }
 
-// Summary carries what an owner holds to the other controllers, once a second.
+// Summary carries what an owner holds to the other controllers: what changed, and each resource again from time to time.
 type Summary struct {
-	Owner     string
+	Owner string
+	// Endpoints leaves out the owner's name in each entry.
 	Endpoints []EndpointSummary
-	// KeySlots names the key slots that the owner holds.
+	// KeySlots names key slots that the owner holds.
 	KeySlots []string
+	// Gone names resources that the owner holds no longer.
+	Gone []string
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -187,8 +187,12 @@
 	if err != nil {
 		return err
 	}
+	return n.writeFrame(c, frame)
+}
+
+func (n *Node) writeFrame(c net.Conn, frame []byte) error {
 	n.BytesSent.Add(int64(len(frame)))
-	_, err = c.Write(frame)
+	_, err := c.Write(frame)
 	return err
 }
 
@@ -231,11 +235,20 @@
 
 // Send sends a message without waiting for a reply; it may be lost.
 func (n *Node) Send(ctx context.Context, address string, kind Kind, body any) error {
+	frame, err := EncodeFrame(kind, 0, false, body)
+	if err != nil {
+		return err
+	}
+	return n.SendFrame(ctx, address, frame)
+}
+
+// SendFrame sends an encoded message without waiting for a reply, so that a message to many is encoded once.
+func (n *Node) SendFrame(ctx context.Context, address string, frame []byte) error {
 	client, err := n.client(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Code: "dial", Err: err}
 	}
-	if err := n.write(client.conn, kind, 0, false, body); err != nil {
+	if err := n.writeFrame(client.conn, frame); err != nil {
 		return &CallError{Address: address, Code: "closed", Err: err}
 	}
 	return nil
