Add acacia-lab: start a whole deployment and show it

The README needs one command that starts everything, and the measurements need a fleet that can be stopped, signalled and given new configurations. internal/lab starts the built binaries from an example or from a generated deployment, waits until each endpoint has an owner, and stops its own children by id.

--- a/Makefile
+++ b/Makefile
@@ -22,4 +22,4 @@
 	scripts/test.sh
 
 demo: build
-	scripts/demo.sh
+	$(BIN)/acacia-lab demo
--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,213 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/loadgen"
+	"github.com/acacialift/acacialift/internal/operators"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+// Demo shows a deployment under a short mixed load.
+type Demo struct {
+	Options Options
+	// Requests and Rate are those of the load.
+	Requests int
+	Rate     float64
+	Seed     uint64
+	// Keep leaves the deployment up until the context ends.
+	Keep bool
+	// ShowCommands names the folder of the binaries in printed commands.
+	ShowCommands string
+}
+
+const (
+	// demoLongShare is above the usual share, so that a short load has prompts of all lengths.
+	demoLongShare = 0.05
+	// demoBudget bounds the time of the whole demonstration. The tool repeats no refused request for the same reason.
+	demoBudget = 25 * time.Second
+)
+
+// Run starts the deployment, sends the load, prints what callers experienced and what operators see, and stops.
+func (o *Demo) Run(ctx context.Context, d *Deployment, w io.Writer) error {
+	if o.Options.EngineFlags == nil {
+		o.Options.EngineFlags = EngineFlags(d.Service(config.KindModel))
+	}
+	fmt.Fprintf(w, "starting the platform, %d endpoints and %d instances\n", len(d.Document.Endpoints), len(d.List.Instances))
+	begin := time.Now()
+	f, err := Start(ctx, d, o.Options)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	fmt.Fprintf(w, "all endpoints have owners after %.1f s; short requests end their cold start\n", time.Since(begin).Seconds())
+	if err := f.WarmUp(ctx, o.Seed); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "sending %d requests at %g/s: prompts of 1 k to 1 M tokens, bookings and reads\n\n", o.Requests, o.Rate)
+	result, err := loadgen.Run(ctx, o.load(f))
+	if err != nil {
+		return err
+	}
+	if err := result.WriteTable(w); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := operators.WriteTables(w, f.Status(ctx)); err != nil {
+		return err
+	}
+	if err := o.showExplain(ctx, f, w); err != nil {
+		return err
+	}
+	if o.Keep {
+		o.wait(ctx, f, w)
+	}
+	return result.Err()
+}
+
+func (o *Demo) load(f *Fleet) loadgen.Options {
+	load := f.Load(loadgen.DefaultClasses(demoLongShare))
+	load.Requests, load.Rate, load.Seed, load.Budget = o.Requests, o.Rate, o.Seed, demoBudget
+	load.MaxRepeats = -1
+	load.ChatShare, load.WholeShare = 0.2, 0.1
+	if service := f.Service(config.KindPlain); service != nil {
+		load.Service = service.Name
+		load.ServiceProfile = f.Profiles(service.Name, false)[0]
+		load.ServiceBudget = f.serviceBudget(load.ServiceProfile)
+		for _, endpoint := range f.Endpoints(service.Name) {
+			load.Stats = append(load.Stats, endpoint.Address)
+		}
+	}
+	return load
+}
+
+// serviceBudget returns the default budget of a profile.
+func (f *Fleet) serviceBudget(name string) time.Duration {
+	for _, profile := range f.Document.Profiles {
+		if profile.Name == name {
+			return profile.DefaultBudget.Std()
+		}
+	}
+	return 0
+}
+
+// showExplain sends one more request and prints the command that shows what the logs say about it.
+func (o *Demo) showExplain(ctx context.Context, f *Fleet, w io.Writer) error {
+	url := "http://" + f.Gateways()[0] + "/v1/completions"
+	body := strings.NewReader(`{"prompt":"Which lawn is next?","max_tokens":8}`)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("X-Acacia-Team", f.Teams()[0])
+	request.Header.Set("X-Acacia-Profile", f.Profiles(f.Service(config.KindModel).Name, false)[0])
+	response, err := f.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	fmt.Fprintf(w, "\nwhy a request went where it did:\n  %s/acaciactl explain %s %s\n", o.ShowCommands,
+		response.Header.Get("X-Request-Id"), f.Logs())
+	return nil
+}
+
+func (o *Demo) wait(ctx context.Context, f *Fleet, w io.Writer) {
+	fmt.Fprintf(w, "what operators see:\n  %s/acaciactl status --instances %s --key %s\n", o.ShowCommands,
+		f.Path("instances.yaml"), f.OperatorsKey)
+	fmt.Fprintf(w, "gateways: %s\nthe deployment stays up until it is interrupted (Ctrl-C)\n", strings.Join(f.Gateways(), " "))
+	<-ctx.Done()
+}
+
+// The warm-up sends short requests until every endpoint has passed all steps of its ramp. A step needs as many completed
+// requests as its limit has streams, so that all steps together need about twice the warm limit.
+const (
+	warmUpTokens   = 500
+	warmUpRate     = 150
+	warmUpFactor   = 4
+	warmUpRounds   = 3
+	warmUpSeedStep = 1000
+)
+
+// WarmUp sends short requests until all model endpoints are warm, or for a few rounds.
+func (f *Fleet) WarmUp(ctx context.Context, seed uint64) error {
+	service := f.Service(config.KindModel)
+	for round := range warmUpRounds {
+		load := f.Load([]loadgen.Class{{Name: "warm-up", Tokens: warmUpTokens, Share: 1}})
+		load.Requests = warmUpFactor * service.Warm.Streams * len(f.Endpoints(service.Name))
+		load.Rate, load.Seed = warmUpRate, seed+uint64(round+1)*warmUpSeedStep
+		load.MinOutputTokens, load.MaxOutputTokens = 1, 2
+		if round > 0 {
+			load.Requests /= 2
+		}
+		result, err := loadgen.Run(ctx, load)
+		if err != nil {
+			return err
+		}
+		if err := result.Err(); err != nil {
+			return fmt.Errorf("warm-up: %w", err)
+		}
+		if f.coldEndpoints(ctx, service.Name) == 0 {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+// coldEndpoints counts the endpoints of a service that no instance's freshest figures show as warm.
+func (f *Fleet) coldEndpoints(ctx context.Context, service string) int {
+	warm := make(map[string]bool)
+	for _, answer := range f.Status(ctx) {
+		if answer.Err != nil {
+			continue
+		}
+		for _, endpoint := range answer.Report.Endpoints {
+			if endpoint.Owner == answer.Instance.Name && endpoint.State == peer.EndpointWarm {
+				warm[endpoint.Name] = true
+			}
+		}
+	}
+	cold := 0
+	for _, endpoint := range f.Endpoints(service) {
+		if !warm[endpoint.Name] {
+			cold++
+		}
+	}
+	return cold
+}
+
+// Load returns a load on all gateways with prompts of the given classes. Prompts that exceed one engine's memory go to
+// a profile with a group.
+func (f *Fleet) Load(classes []loadgen.Class) loadgen.Options {
+	service := f.Service(config.KindModel)
+	grouped := f.Profiles(service.Name, true)
+	for i := range classes {
+		if int64(classes[i].Tokens) >= service.Warm.Tokens && len(grouped) > 0 {
+			classes[i].Profile = grouped[0]
+		}
+	}
+	return loadgen.Options{
+		Gateways: f.Gateways(),
+		Classes:  classes,
+		Teams:    loadgen.WeightedTeams(f.Teams()),
+		Profiles: f.Profiles(service.Name, false),
+	}
+}
+
+// EngineFlags returns flags for engine stand-ins that match a service: they bear as much as its limits say, and in cold
+// start they fall over if they get more.
+func EngineFlags(service *config.Service) []string {
+	return []string{
+		"--prefill-rate", fmt.Sprint(service.PrefillRate),
+		"--memory-tokens", fmt.Sprint(service.Warm.Tokens),
+		"--cold-streams", fmt.Sprint(service.Cold.Streams),
+		"--cold-tokens", fmt.Sprint(service.Cold.Tokens),
+		"--warmup-requests", fmt.Sprint(service.Cold.Streams),
+		"--fencing", string(config.FencingEnforced),
+	}
+}
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -86,8 +86,8 @@
 	if a.job.profile != "" {
 		request.Header.Set("X-Acacia-Profile", a.job.profile)
 	}
-	if c.options.Budget > 0 {
-		request.Header.Set("X-Acacia-Budget-Ms", strconv.FormatInt(c.options.Budget.Milliseconds(), 10))
+	if budget := c.options.budget(a.job); budget > 0 {
+		request.Header.Set("X-Acacia-Budget-Ms", strconv.FormatInt(budget.Milliseconds(), 10))
 	}
 	if a.key != "" {
 		request.Header.Set("Idempotency-Key", a.key)
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -16,6 +16,8 @@
 	Tokens int
 	// Share is its part of the model requests, 0 to 1.
 	Share float64
+	// Profile is used instead of Options.Profiles unless it is empty.
+	Profile string
 }
 
 // longClassTokens is the length above which a class counts as long.
@@ -101,6 +103,8 @@
 	// ServiceShare is the part of the requests that go to the plain service, if one is named; the default is 0.2. Half
 	// of them are reads.
 	ServiceShare float64
+	// ServiceBudget is the time budget of requests to the plain service; 0 stands for Budget.
+	ServiceBudget time.Duration
 	// DuplicateShare is the part of the bookings that are sent again with the same key at another gateway; the default
 	// is 0.2.
 	DuplicateShare float64
@@ -151,6 +155,7 @@
 	setDefault(&o.MaxRetryAfter, defaultMaxRetryAfter)
 	setDefault(&o.MaxInFlight, defaultMaxInFlight)
 	setDefault(&o.MaxLongInFlight, defaultMaxLongInFlight)
+	setDefault(&o.ServiceBudget, o.Budget)
 	setDefault(&o.TeamHeader, defaultTeamHeader)
 	if len(o.Classes) == 0 {
 		o.Classes = DefaultClasses(defaultLongShare)
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -62,6 +62,9 @@
 	j.class = o.Classes[draw(random, len(o.Classes), func(i int) float64 { return o.Classes[i].Share })]
 	j.team = o.Teams[draw(random, len(o.Teams), func(i int) float64 { return o.Teams[i].Weight })].Name
 	j.profile = o.Profiles[random.IntN(len(o.Profiles))]
+	if j.class.Profile != "" {
+		j.profile = j.class.Profile
+	}
 	j.tokens = o.MinOutputTokens + random.IntN(o.MaxOutputTokens-o.MinOutputTokens+1)
 	j.chat = random.Float64() < o.ChatShare
 	j.streaming = random.Float64() >= o.WholeShare
@@ -77,6 +80,14 @@
 	return j
 }
 
+// budget returns the time budget that a job asks for.
+func (o *Options) budget(j job) time.Duration {
+	if j.kind == kindModel {
+		return o.Budget
+	}
+	return o.ServiceBudget
+}
+
 // draw returns an index with a chance in proportion to its weight.
 func draw(random *rand.Rand, n int, weight func(int) float64) int {
 	total := 0.0
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -106,7 +106,7 @@
 	if ctx.Err() != nil && v.outcome != OutcomeViolation {
 		return
 	}
-	r.recorder.finished(j.class.Name, v, arrival, time.Now(), r.options.Budget)
+	r.recorder.finished(j.class.Name, v, arrival, time.Now(), r.options.budget(j))
 }
 
 // attemptAll repeats an attempt at the next gateway, but only after a refusal that says that a repeat is safe and when.
