Select the gateway's routing policy in its settings

The measurements compare the system with least requests and random of two, which no gateway could use so far. The setting 'policy' selects one; 'uncontrolled' hands requests over by a baseline without credits and length classes, with the gateway's own counts. Leaving out the reports to owners as well was ruled out: an owner cancels streams that no gateway holds, so the baseline would lose requests for another reason.

--- a/internal/gateway/credits.go
+++ b/internal/gateway/credits.go
@@ -147,6 +147,19 @@
 	return &credited{endpoint: endpoint, ask: ask, reply: reply, expires: sent.Add(reply.ValidFor)}, "", 0
 }
 
+// streams returns the number of requests that this gateway holds at an endpoint.
+func (h *heldCredits) streams(endpoint string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, item := range h.held {
+		if item.Endpoint == endpoint {
+			n++
+		}
+	}
+	return n
+}
+
 func reportItem(ask peer.CreditAsk, state peer.ReportState, firstToken time.Duration) peer.CreditReportItem {
 	return peer.CreditReportItem{
 		RequestID: ask.RequestID, Endpoint: ask.Endpoint, State: state, Class: ask.Class, Team: ask.Team,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -161,6 +161,9 @@
 // serve reserves capacity and hands the request over until an answer is complete or the outcome is decided.
 func (x *exchange) serve(ctx context.Context) *outcome.Error {
 	x.stage = outcome.StageCreditWait
+	if x.gateway.settings.Uncontrolled && x.service.Kind == config.KindModel {
+		return x.serveUncontrolled(ctx)
+	}
 	for {
 		granted, refused := x.reserve(ctx)
 		if refused != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,6 @@
 		log:         log,
 		node:        node,
 		engines:     engine.NewClient(),
-		router:      &router{policy: route.NewLeastWait(newRand(incarnation)), prefixes: route.NewPrefixes()},
 		stats:       newStats(),
 		incarnation: incarnation,
 		drained:     make(chan struct{}),
@@ -68,6 +67,8 @@
 	g.views = newViews(node, s.Addresses.Controller, incarnation, g.stats, log)
 	g.views.onDraining = func() { g.StartDrain("instance_leaving") }
 	g.held = newHeldCredits(node, g.views, s.Instance, incarnation)
+	policy := newPolicy(s.Policy, newRand(incarnation), g.held.streams)
+	g.router = &router{policy: policy, prefixes: route.NewPrefixes()}
 	g.server, err = httpserver.New(httpserver.Options{
 		Address:          s.Addresses.Callers,
 		Handler:          http.HandlerFunc(g.serveHTTP),
--- a/internal/loadgen/plan_test.go
+++ b/internal/loadgen/plan_test.go
@@ -27,6 +27,15 @@
 		})
 	})
 
+	// Guards against prompts that exceed one engine's memory and are sent with a profile that has no group.
+	It("uses the profile of a class", func() {
+		o := planOptions(1, 100)
+		o.Classes = []Class{{Name: "long", Tokens: 1000, Share: 1, Profile: "grouped"}}
+		for _, j := range plan(o) {
+			Expect(j.profile).To(Equal("grouped"))
+		}
+	})
+
 	// Guards against a mix that lacks the long prompts or large teams whose effect is to be measured.
 	It("has one long prompt in fifty and a few large teams", func() {
 		long := 0
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -23,6 +23,7 @@
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,62})$`)
+	policies    = []Policy{PolicyLeastWait, PolicyLeastRequests, PolicyRandomTwo}
 	logLevels   = []string{"trace", "debug", "info", "warn", "error"}
 )
 
@@ -47,7 +48,7 @@
 
 // ParseGateway is LoadGateway for a file that was read already; key files are relative to the folder of path.
 func ParseGateway(path string, data []byte) (*Gateway, error) {
-	g := &Gateway{Common: defaultCommon(), Limits: Limits{
+	g := &Gateway{Common: defaultCommon(), Policy: PolicyLeastWait, Limits: Limits{
 		MaxBodyBytes:     DefaultMaxBodyBytes,
 		MaxBufferedBytes: DefaultMaxBufferedBytes,
 		MaxHeaderBytes:   DefaultMaxHeaderBytes,
@@ -58,6 +59,7 @@
 	c.address("addresses.controller", g.Addresses.Controller)
 	c.key("keys.peers", &g.Keys.Peers, g.Keys.PeersFile)
 	c.limits(g.Limits)
+	c.policy(g)
 	if err := c.report.Err(); err != nil {
 		return nil, err
 	}
@@ -110,6 +112,15 @@
 	c.lag("balancer_lag", s.BalancerLag)
 }
 
+func (c *checker) policy(g *Gateway) {
+	if !slices.Contains(policies, g.Policy) {
+		c.report.Add("policy", "must be one of %s, %s, %s", PolicyLeastWait, PolicyLeastRequests, PolicyRandomTwo)
+	}
+	if g.Uncontrolled && g.Policy == PolicyLeastWait {
+		c.report.Add("uncontrolled", "needs a baseline policy: %s goes by what owners report", PolicyLeastWait)
+	}
+}
+
 func (c *checker) name(path, value string) {
 	switch {
 	case !c.report.Has(path):
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,8 +39,23 @@
 	Addresses GatewayAddresses `yaml:"addresses"`
 	Keys      GatewayKeys      `yaml:"keys"`
 	Limits    Limits           `yaml:"limits"`
+	// Policy orders the endpoints of a request; the default is PolicyLeastWait.
+	Policy Policy `yaml:"policy"`
+	// Uncontrolled hands requests over without credits and length classes. It is for measurements against a baseline
+	// policy only: nothing keeps an endpoint from getting more work than it can handle.
+	Uncontrolled bool `yaml:"uncontrolled"`
 }
 
+// Policy names a routing policy.
+type Policy string
+
+// The routing policies. All but the first are baselines for measurements.
+const (
+	PolicyLeastWait     Policy = "least_wait"
+	PolicyLeastRequests Policy = "least_requests"
+	PolicyRandomTwo     Policy = "random_two"
+)
+
 // GatewayAddresses holds the addresses of a gateway; each is IP:port.
 type GatewayAddresses struct {
 	// Callers is the listening address for callers.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,6 +85,20 @@
 		Expect(fmt.Sprintf("%v %+v %#v", *s, *s, *s)).NotTo(ContainSubstring("0123456789abcdef"))
 	})
 
+	// Guards against a gateway that runs without control by a slip in its settings.
+	DescribeTable("accepts no policy but the known ones", func(lines string, finding string) {
+		_, err := settings.ParseGateway("", []byte(strings.Replace(gateway, "peers_file: peers.key", "peers: 0123456789abcdef", 1)+lines))
+		if finding == "" {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(findings(err)).To(ConsistOf(ContainSubstring(finding)))
+	},
+		Entry("baseline", "policy: least_requests\n", ""),
+		Entry("baseline without control", "policy: random_two\nuncontrolled: true\n", ""),
+		Entry("unknown", "policy: fastest\n", "policy: must be one of"),
+		Entry("system without control", "uncontrolled: true\n", "uncontrolled: needs a baseline policy"))
+
 	// Guards against faults that are reported one at a time or at the wrong place.
 	It("reports all findings with line and column", func() {
 		_, err := settings.ParseGateway("gateway.yaml", []byte(`instance: Nadi 1
