--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -169,6 +169,9 @@
 		return x.serveGroup(ctx, size)
 	}
 	x.stage = outcome.StageCreditWait
+	if x.gateway.settings.Uncontrolled && x.service.Kind == config.KindModel {
+		return x.serveUncontrolled(ctx)
+	}
 	for {
 		granted, refused := x.reserve(ctx)
 		if refused != nil {
