--- a/internal/credit/model_test.go
+++ b/internal/credit/model_test.go
@@ -363,7 +363,7 @@
 
 // warmUp does the work of a whole ramp unless a fault is drawn on the way.
 func (m *model) warmUp() {
-	for range 30 {
+	for range 40 {
 		m.request(500)
 		m.serve()
 		m.observe()
--- a/internal/credit/ramp.go
+++ b/internal/credit/ramp.go
@@ -79,9 +79,10 @@
 
 // firstToken checks a reported time to the first token against the service's prefill rate and learns from it.
 func (a *Account) firstToken(now time.Time, h *hold, took time.Duration) {
-	if took <= 0 || h.expected <= 0 {
+	if h.timed || took <= 0 || h.expected <= 0 {
 		return
 	}
+	h.timed = true
 	if took > slowFactor*h.expected+slowSlack {
 		a.ramp.drop(dropLatency)
 	}
--- a/internal/credit/reservation.go
+++ b/internal/credit/reservation.go
@@ -35,6 +35,8 @@
 	reported  bool
 	started   bool
 	prefilled bool
+	// timed is true once the gateway has reported the time to the first token.
+	timed bool
 	// closed is true once the gateway has ended the stream while the engine may still hold its memory.
 	closed bool
 	// listed is true if the engine's latest report shows the stream; everListed if any report did.
@@ -264,7 +266,7 @@
 	}
 	h.reported = true
 	h.started = h.started || item.State == peer.ReportStarted || item.State == peer.ReportPrefill
-	if item.State == peer.ReportPrefill && !h.prefilled {
+	if item.State == peer.ReportPrefill {
 		h.prefilled = true
 		a.firstToken(now, h, item.FirstToken)
 	}
@@ -299,9 +301,7 @@
 		a.release(now, item.RequestID)
 		return
 	}
-	if !h.prefilled {
-		a.firstToken(now, h, item.FirstToken)
-	}
+	a.firstToken(now, h, item.FirstToken)
 	a.completed(now, h)
 	if h.group {
 		// A member's segment stays in memory until it is imported or released.
