Queue teams for long prefills apart from other capacity

Cause: a team that asks for a long prefill whenever the place is free could keep another team from it for ever; fair shares covered streams and memory only.

Ruled out: counting a wait for the place as contention for all capacity. It would refuse short asks of a team over its share while memory is idle.

Before: the place went to whoever asked first. After: to the waiting team with the least long prefills per weight. The property for the short share now also covers work that the engine has not listed yet.

--- a/internal/credit/account.go
+++ b/internal/credit/account.go
@@ -77,6 +77,8 @@
 	ramp   ramp
 	rate   prefillRate
 	fair   fairness
+	// fairLong orders the teams that wait for a long prefill.
+	fairLong fairness
 	// incarnations holds the highest incarnation seen of each gateway.
 	incarnations map[string]int64
 	prunedAt     time.Time
@@ -90,6 +92,7 @@
 		holds:        make(map[string]*hold),
 		ended:        make(map[string]time.Time),
 		fair:         fairness{teams: make(map[string]*teamDemand)},
+		fairLong:     fairness{teams: make(map[string]*teamDemand)},
 		incarnations: make(map[string]int64),
 		prunedAt:     options.AcquiredAt,
 	}
@@ -137,6 +140,9 @@
 	h.gateway, h.incarnation = gateway, incarnation
 	a.holds[ask.RequestID] = h
 	a.fair.granted(ask.Team, a.fairCost(h.tokens)/a.limits.weight(ask.Team))
+	if h.class == peer.ClassLong {
+		a.fairLong.granted(ask.Team, 1/a.limits.weight(ask.Team))
+	}
 	return peer.CreditReply{
 		Granted:  true,
 		ValidFor: CreditLife,
@@ -237,6 +243,7 @@
 		}
 	}
 	a.fair.prune(now)
+	a.fairLong.prune(now)
 }
 
 // stale tells whether the endpoint's state is unknown for lack of a recent report.
--- a/internal/credit/account_test.go
+++ b/internal/credit/account_test.go
@@ -295,6 +295,18 @@
 		Expect(f.ask("a", 1_000, 0).Granted).To(BeTrue())
 	})
 
+	// Guards against a team that takes each place for a long prefill as soon as it is free.
+	It("lets waiting teams take turns with long prefills", func() {
+		f := warmFixture()
+		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
+		first := f.id()
+		Expect(f.ask("b", 101_000, 0).Reason).To(Equal(credit.ReasonLongPrefills))
+		f.report(first, peer.ReportDone, 0)
+		Expect(f.ask("a", 101_000, 0).Reason).To(Equal(credit.ReasonTeamShare))
+		Expect(f.ask("a", 100, 0).Granted).To(BeTrue())
+		Expect(f.ask("b", 101_000, 0).Granted).To(BeTrue())
+	})
+
 	// Guards against an idle endpoint that a single team may not fill.
 	It("lets one team fill an idle endpoint", func() {
 		f := warmFixture()
@@ -317,6 +329,26 @@
 	})
 })
 
+// Guards against long and medium prompts that take the share of short ones, at any step and before the engine lists them.
+func TestLongPromptsLeaveTheShortShare(t *testing.T) {
+	testkit.FixRapidSeed()
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture(modelLimits)
+		f.complete(uniform(t, "completed", 40))
+		for range 20 {
+			prompt := prompts[5+uniform(t, "prompt", len(prompts)-6)]
+			if uniform(t, "listed", 1) == 1 {
+				f.run("a", prompt, 0)
+			} else {
+				f.ask("a", prompt, 0)
+			}
+		}
+		if reply := f.ask("b", 8_000, 2_000); !reply.Granted {
+			t.Fatalf("short prompt refused: %s", reply.Reason)
+		}
+	})
+}
+
 // Guards against a team that others keep from its share: they ask all the time, and always first. It must get a stream
 // within two request lifetimes and its retry interval, as only its share of the streams needs to drain.
 func TestTeamIsNotStarved(t *testing.T) {
--- a/internal/credit/fair.go
+++ b/internal/credit/fair.go
@@ -86,6 +86,16 @@
 	return t.waitingSince.Before(asking.waitingSince)
 }
 
+// behind tells whether a waiting team goes before the asking one.
+func (f *fairness) behind(now time.Time, name string, asking *teamDemand) bool {
+	for other, t := range f.teams {
+		if other != name && t.before(now, asking) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fairness) prune(now time.Time) {
 	for name, t := range f.teams {
 		if now.Sub(t.active) > idleTeamMemory {
@@ -96,22 +106,14 @@
 
 // overShare tells whether a grant would take the team beyond its share while another team has a better claim.
 func (a *Account) overShare(now time.Time, team string, tokens int64, use usage) bool {
-	asking := a.fair.teams[team]
+	if !a.fair.behind(now, team, a.fair.teams[team]) {
+		return false
+	}
 	weights := a.limits.weight(team)
-	contended := false
-	behind := false
 	for name, t := range a.fair.teams {
-		if name == team {
-			continue
-		}
-		if t.waiting(now) || use.teams[name].Streams > 0 {
+		if name != team && (t.waiting(now) || use.teams[name].Streams > 0) {
 			weights += a.limits.weight(name)
 		}
-		contended = contended || t.waiting(now)
-		behind = behind || t.before(now, asking)
-	}
-	if !contended || !behind {
-		return false
 	}
 	share := a.limits.weight(team) / weights
 	limit := a.limit()
--- a/internal/credit/reservation.go
+++ b/internal/credit/reservation.go
@@ -133,8 +133,10 @@
 // capacityRefusal compares an ask with what is in use. Its refusals are demand that fair shares take into account.
 func (a *Account) capacityRefusal(now time.Time, ask peer.CreditAsk, tokens int64, use usage) string {
 	class := peer.ClassOf(ask.PromptTokens)
-	if !a.limits.Plain && class == peer.ClassLong && use.longPrefills >= a.limits.LongPrefills {
-		return ReasonLongPrefills
+	if !a.limits.Plain && class == peer.ClassLong {
+		if reason := a.longRefusal(now, ask.Team, use); reason != "" {
+			return reason
+		}
 	}
 	a.fair.team(now, ask.Team, use.teams[ask.Team].Streams == 0)
 	reason := a.limitRefusal(class, tokens, use)
@@ -148,6 +150,23 @@
 	return reason
 }
 
+// longRefusal guards the places for long prefills, for which teams queue apart from the other capacity: a team that
+// waits for a place must not keep others from memory that it could not use yet.
+func (a *Account) longRefusal(now time.Time, team string, use usage) string {
+	asking := a.fairLong.team(now, team, true)
+	reason := ""
+	switch {
+	case use.longPrefills >= a.limits.LongPrefills:
+		reason = ReasonLongPrefills
+	case a.fairLong.behind(now, team, asking):
+		reason = ReasonTeamShare
+	}
+	if reason != "" {
+		a.fairLong.refused(now, team)
+	}
+	return reason
+}
+
 func (a *Account) limitRefusal(class peer.LengthClass, tokens int64, use usage) string {
 	limit := a.limit()
 	if reason := a.excess(limit, use.total, tokens); reason != "" {
@@ -215,9 +234,9 @@
 		return clamp(a.options.AcquiredAt.Add(usableFor).Sub(now), leastRetry, mostRetry)
 	case ReasonUnknown:
 		return unknownRetry
-	case ReasonBudget, ReasonLongPrefills:
+	case ReasonBudget:
 		return clamp(queue, leastRetry, mostRetry)
-	case ReasonColdLimit, ReasonUnconfirmed, ReasonMemory, ReasonStreams, ReasonTeamShare:
+	case ReasonColdLimit, ReasonUnconfirmed, ReasonMemory, ReasonStreams, ReasonLongPrefills, ReasonTeamShare:
 		return clamp(queue, leastRetry, mostCapacityRetry)
 	default:
 		return 0
