Test orphans of live gateways, slow engines and the odd stream between two teams

Ruled out: adding them to the model test, whose bounds cannot see needless refusals and cancellations.

Conclusion: the code is unchanged.

--- a/internal/credit/account_test.go
+++ b/internal/credit/account_test.go
@@ -59,8 +59,12 @@
 func (f *fixture) id() string { return fmt.Sprint("r", f.next) }
 
 func (f *fixture) report(id string, state peer.ReportState, firstToken time.Duration) {
+	f.reportFrom(1, id, state, firstToken)
+}
+
+func (f *fixture) reportFrom(incarnation int64, id string, state peer.ReportState, firstToken time.Duration) {
 	item := peer.CreditReportItem{RequestID: id, Endpoint: "e", State: state, PromptTokens: 1_000, FirstToken: firstToken}
-	f.account.Report(f.now, peer.CreditReport{Gateway: "g", Incarnation: 1, Items: []peer.CreditReportItem{item}})
+	f.account.Report(f.now, peer.CreditReport{Gateway: "g", Incarnation: incarnation, Items: []peer.CreditReportItem{item}})
 }
 
 // run asks for a stream and lets the engine list it.
@@ -236,6 +240,39 @@
 		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(3))
 	})
 
+	// Guards against the cancellation of a stream that a live gateway holds, and against holdings of a replaced gateway
+	// process that arrive late and keep its streams.
+	It("takes a stream for an orphan only if no live gateway holds it", func() {
+		f := newFixture(modelLimits)
+		f.run("a", 1_000, 0)
+		stream := f.id()
+		for range 8 {
+			f.pass(time.Second)
+			f.report(stream, peer.ReportHeld, 0)
+			Expect(f.account.Orphans(f.now)).To(BeEmpty())
+		}
+		f.reportFrom(2, "new", peer.ReportHeld, 0)
+		for range 5 {
+			f.pass(time.Second)
+			f.report(stream, peer.ReportHeld, 0)
+		}
+		Expect(f.account.Orphans(f.now)).To(Equal([]string{stream}))
+	})
+
+	// Guards against the loss of a reservation whose engine is slow to accept the request.
+	It("keeps a reservation that its gateway holds before the engine lists it", func() {
+		f := newFixture(modelLimits)
+		f.ask("a", 1_000, 0)
+		for range 4 {
+			f.report(f.id(), peer.ReportStarted, 0)
+			f.report(f.id(), peer.ReportUnused, 0)
+			f.pass(time.Second)
+			Expect(f.account.Summary(f.now).FreeStreams).To(Equal(2))
+		}
+		f.pass(credit.HolderSilence)
+		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(3))
+	})
+
 	// Guards against a group member's segment whose memory is granted again before it is imported.
 	It("keeps an exported segment after its end", func() {
 		f := newFixture(modelLimits)
@@ -295,6 +332,25 @@
 		Expect(f.ask("a", 1_000, 0).Granted).To(BeTrue())
 	})
 
+	// Guards against a stream that stays idle because both teams would exceed their shares with it.
+	It("gives the odd stream to the team with the least service", func() {
+		f := newFixture(modelLimits)
+		for range 3 {
+			Expect(f.ask("a", 100, 0).Granted).To(BeTrue())
+		}
+		Expect(f.ask("b", 100, 0).Reason).To(Equal(credit.ReasonColdLimit))
+		f.report("r1", peer.ReportUnused, 0)
+		f.report("r2", peer.ReportUnused, 0)
+		Expect(f.ask("a", 100, 0).Reason).To(Equal(credit.ReasonTeamShare))
+		Expect(f.ask("b", 100, 0).Granted).To(BeTrue())
+		Expect(f.ask("a", 100, 0).Granted).To(BeTrue())
+		f.report(f.id(), peer.ReportUnused, 0)
+		Expect(f.ask("a", 100, 0).Granted).To(BeTrue())
+		Expect(f.ask("a", 100, 0).Granted).To(BeFalse())
+		f.report("r3", peer.ReportUnused, 0)
+		Expect(f.ask("b", 100, 0).Granted).To(BeTrue())
+	})
+
 	// Guards against a team that takes each place for a long prefill as soon as it is free.
 	It("lets waiting teams take turns with long prefills", func() {
 		f := warmFixture()
