Count a cancelled long prefill until the engine has dropped it

A long request was cancelled during its prefill, the cancellation was lost, and the account granted another.

Ruled out: a fault of the model; the first stream was still in prefill on the engine.

Before: an ended hold no longer counted as a prefill. After: it counts until the engine's report shows it in decode or no longer lists it.

--- a/internal/credit/account_test.go
+++ b/internal/credit/account_test.go
@@ -273,6 +273,16 @@
 		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(3))
 	})
 
+	// Guards against a second long prefill beside one whose cancellation was lost.
+	It("counts a cancelled long prefill until the engine has dropped it", func() {
+		f := warmFixture()
+		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
+		f.report(f.id(), peer.ReportCancelled, 0)
+		Expect(f.ask("a", 101_000, 0).Reason).To(Equal(credit.ReasonLongPrefills))
+		f.pass(2 * time.Second)
+		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
+	})
+
 	// Guards against a group member's segment whose memory is granted again before it is imported.
 	It("keeps an exported segment after its end", func() {
 		f := newFixture(modelLimits)
--- a/internal/credit/reservation.go
+++ b/internal/credit/reservation.go
@@ -90,7 +90,7 @@
 			add(&use.unconfirmedLonger, charge)
 		}
 	}
-	if h.prefilled || h.closed {
+	if h.prefilled {
 		return
 	}
 	use.queuedTokens += h.prompt
@@ -324,6 +324,7 @@
 	a.completed(now, h)
 	if h.group {
 		// A member's segment stays in memory until it is imported or released.
+		h.prefilled = true
 		a.close(now, item.RequestID, h)
 		return
 	}
