Count cancelled streams and exported segments that a new owner does not know

A gateway cancelled a stream of the earlier owner, the cancellation was lost, and the new owner took the id for ended: it ignored the engine's listing for a second as lagging.

Ruled out: dropping the tolerance for lagging listings; each stream that ends would count twice for a second.

Before: any end of an unknown id was taken for the engine's end. After: only done and unused are; a cancelled or failed stream counts until the engine no longer lists it, and an exported segment is never taken for lag.

--- a/internal/credit/account_test.go
+++ b/internal/credit/account_test.go
@@ -283,6 +283,17 @@
 		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
 	})
 
+	// Guards against a new owner that forgets streams which their gateway has ended but the engine goes on with.
+	It("counts a cancelled stream of an earlier owner and an exported segment", func() {
+		f := newFixture(modelLimits)
+		f.report("cancelled", peer.ReportCancelled, 0)
+		f.report("segment", peer.ReportDone, 0)
+		f.streams["cancelled"] = engine.Stream{ID: "cancelled", Tokens: 1_000, Phase: engine.PhasePrefill}
+		f.streams["segment"] = engine.Stream{ID: "segment", Tokens: 1_000, Phase: engine.PhaseExported}
+		f.pass(100 * time.Millisecond)
+		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(1))
+	})
+
 	// Guards against a group member's segment whose memory is granted again before it is imported.
 	It("keeps an exported segment after its end", func() {
 		f := newFixture(modelLimits)
--- a/internal/credit/enginereport.go
+++ b/internal/credit/enginereport.go
@@ -95,7 +95,8 @@
 func (a *Account) applyStream(now time.Time, stream engine.Stream, sampledAt time.Time) {
 	h := a.holds[stream.ID]
 	if h == nil {
-		if endedAt, ended := a.ended[stream.ID]; ended && sampledAt.Before(endedAt.Add(endLag)) {
+		endedAt, ended := a.ended[stream.ID]
+		if ended && stream.Phase != engine.PhaseExported && sampledAt.Before(endedAt.Add(endLag)) {
 			return
 		}
 		h = &hold{
--- a/internal/credit/reservation.go
+++ b/internal/credit/reservation.go
@@ -266,13 +266,15 @@
 		return
 	}
 	h := a.holds[item.RequestID]
-	if end, isEnd := ends[item.State]; isEnd {
-		end(a, now, item, h)
-		return
-	}
-	if h == nil {
+	end, isEnd := ends[item.State]
+	if h == nil && (!isEnd || a.mayRunOn(item.State)) {
 		h = &hold{usableTill: now.Add(usableFor)}
 		a.holds[item.RequestID] = h
+		a.adopt(h, report, item)
+	}
+	if isEnd {
+		end(a, now, item, h)
+		return
 	}
 	if h.gateway == "" {
 		a.adopt(h, report, item)
@@ -291,6 +293,11 @@
 	}
 }
 
+// mayRunOn tells whether the engine may still hold a stream that its gateway has ended.
+func (a *Account) mayRunOn(state peer.ReportState) bool {
+	return !a.limits.Plain && (state == peer.ReportCancelled || state == peer.ReportFailed)
+}
+
 // adopt completes a hold that this account did not grant with what its gateway knows.
 func (a *Account) adopt(h *hold, report peer.CreditReport, item peer.CreditReportItem) {
 	h.gateway, h.incarnation = report.Gateway, report.Incarnation
@@ -323,7 +330,8 @@
 	a.firstToken(now, h, item.FirstToken)
 	a.completed(now, h)
 	if h.group {
-		// A member's segment stays in memory until it is imported or released.
+		// A member's segment stays in memory until it is imported or released. The gateway reports it as held until then
+		// and as done afterwards; a segment that is listed HolderSilence later is an orphan.
 		h.prefilled = true
 		a.close(now, item.RequestID, h)
 		return
@@ -337,7 +345,7 @@
 }
 
 func (a *Account) reportCancelled(now time.Time, item peer.CreditReportItem, h *hold) {
-	if h == nil || a.limits.Plain {
+	if !a.mayRunOn(item.State) {
 		a.release(now, item.RequestID)
 		return
 	}
