Return the ramp to its first step on any other start id, even in a report that is not newer

Ruled out: ordering runs by their start ids; nothing says that they increase.

Before: a report that is not newer changed nothing. After: a different start id in it is doubt. A report of an earlier run that arrives late costs a ramp, which is rare, because reports are read one after another.

--- a/internal/credit/enginereport.go
+++ b/internal/credit/enginereport.go
@@ -27,19 +27,20 @@
 }
 
 // EngineReport applies a load report. sampledAt is a time on the owner's clock that is not later than the sample
-// (engine.LoadReport.SampleTime). A report that is not newer than the latest one changes nothing.
+// (engine.LoadReport.SampleTime). A report that is not newer than the latest one has no effect on the holds.
 func (a *Account) EngineReport(now time.Time, report engine.LoadReport, sampledAt time.Time) {
+	newRun := a.engine.known && report.StartID != a.engine.startID
+	if newRun {
+		// This also applies to a report that is not newer: after a step of the engine's clock it may be of a later run.
+		a.ramp.drop(dropNewStart)
+	}
 	if a.engine.known && !sampledAt.After(a.engine.sampledAt) {
 		return
 	}
-	if a.engine.known && report.StartID == a.engine.startID && report.AtMS <= a.engine.atMS {
+	if a.engine.known && !newRun && report.AtMS <= a.engine.atMS {
 		// A step of a wall clock made an older sample look newer, or the engine repeats its last sample.
 		return
 	}
-	newRun := a.engine.known && report.StartID != a.engine.startID
-	if newRun {
-		a.ramp.drop(dropNewStart)
-	}
 	a.checkWarmth(report, newRun)
 	a.engine.known = true
 	a.engine.startID = report.StartID
