Try larger groups when endpoints refuse the segments of a smaller one

Cause: after a member of a group had failed, all endpoints were cold again and a group prompt was refused for its whole budget (cold_limit, 319 asks in 60 s). The gateway chose the smallest group by the warm limits: two segments of 29,752 tokens, of which a cold endpoint takes none, although three of 19,800 would fit. Ruled out: memory that was not freed (all engines reported 0 used tokens). The gateway now tries each size up to the profile's group in a round, with refusals of one size forgotten for the next.

--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -86,21 +86,15 @@
 }
 
 // reserveGroup asks the members' owners in the order of the endpoints' names. It holds nothing while it waits, so that
-// two groups cannot block each other.
-func (x *exchange) reserveGroup(ctx context.Context, size int) ([]*groupMember, *outcome.Error) {
+// two groups cannot block each other. Larger groups are tried after smaller ones, because endpoints in cold start take
+// smaller segments.
+func (x *exchange) reserveGroup(ctx context.Context, smallest int) ([]*groupMember, *outcome.Error) {
 	for {
-		x.refused.prune(time.Now())
-		latest := x.gateway.views.current.Load()
-		chosen, err := route.ChooseGroup(x.routeRequest(), size, x.candidates(latest), x.refused.reasons)
-		if err == nil {
-			if members := x.tryGroup(ctx, latest.index, chosen); members != nil {
+		for size := smallest; size <= x.profile.Group; size++ {
+			x.refused.clear()
+			if members := x.tryGroup(ctx, size); members != nil {
 				return members, nil
 			}
-		} else {
-			x.log.Info().Int("size", size).Str("reason", err.Error()).Msg("group_wait")
-			if len(x.refused.reasons) == 0 {
-				x.refused.last = "group_members"
-			}
 		}
 		if final := x.waitForCredit(ctx, x.gateway.jitter(maxCreditWait)); final != nil {
 			return nil, final
@@ -108,8 +102,20 @@
 	}
 }
 
-// tryGroup returns nil after releasing every credit if one owner refuses.
-func (x *exchange) tryGroup(ctx context.Context, index *config.Index, chosen []route.Member) []*groupMember {
+// tryGroup selects a group of the given size and asks for it.
+func (x *exchange) tryGroup(ctx context.Context, size int) []*groupMember {
+	latest := x.gateway.views.current.Load()
+	chosen, err := route.ChooseGroup(x.routeRequest(), size, x.candidates(latest), x.refused.reasons)
+	if err != nil {
+		x.log.Info().Int("size", size).Str("reason", err.Error()).Msg("group_wait")
+		x.refused.last = "group_members"
+		return nil
+	}
+	return x.askGroup(ctx, latest.index, chosen)
+}
+
+// askGroup returns nil after releasing every credit if one owner refuses.
+func (x *exchange) askGroup(ctx context.Context, index *config.Index, chosen []route.Member) []*groupMember {
 	x.asks++
 	members := make([]*groupMember, 0, len(chosen))
 	for i, member := range chosen {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -41,6 +41,12 @@
 	r.last = reason
 }
 
+// clear forgets the refusals but not the last reason.
+func (r *refusals) clear() {
+	clear(r.reasons)
+	clear(r.until)
+}
+
 func (r *refusals) prune(now time.Time) {
 	for endpoint, until := range r.until {
 		if !now.Before(until) {
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -326,6 +326,25 @@
 }
 
 func (f *fleet) send(instance int, method, path, profile, key, body string) answer {
+	return f.sendWith(instance, method, path, profile, key, body, nil)
+}
+
+// controlEngine replaces the faults of an engine stand-in.
+func (f *fleet) controlEngine(name, faults string) {
+	GinkgoHelper()
+	for _, e := range f.document.Endpoints {
+		if e.Name == name {
+			response, err := http.Post("http://"+e.Address+"/standin/control", "application/json", strings.NewReader(faults))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(BeNumerically("<", 300))
+		}
+	}
+}
+
+func (f *fleet) sendWith(
+	instance int, method, path, profile, key, body string, header map[string]string,
+) answer {
 	url := "http://" + f.list.Instances[instance].GatewayAddress + path
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -336,6 +355,9 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
 	client := http.Client{Timeout: 90 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -158,6 +158,39 @@
 		}
 	})
 
+	// Guards against segments of a group prompt that stay in the engines' memory when another member fails, whose KV cache
+	// nobody imports any more.
+	It("frees all members of a group when one fails", func() {
+		flags := append([]string{"--memory-tokens", "40000"}, "--prefill-rate", "200000", "--token-interval", "5ms")
+		f := startFleet(fleetOptions{instances: 3, engines: 4, desks: 1, engineFlags: flags, edit: smallEngines})
+		body, err := json.Marshal(map[string]any{
+			"prompt": strings.Repeat("district history ", 14_000), "max_tokens": 8, "stream": true,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		for i := range 4 {
+			f.controlEngine(fmt.Sprintf("turf-%d", i), `{"die_in":"decode"}`)
+		}
+		failed := f.send(0, http.MethodPost, "/v1/completions", "grouped", "", string(body))
+		_, whole := streamedText(failed.body)
+		Expect(whole).To(BeFalse())
+		for i := range 4 {
+			f.controlEngine(fmt.Sprintf("turf-%d", i), `{"drop_in":"prefill"}`)
+		}
+		short := map[string]string{"X-Acacia-Budget-Ms": "3000"}
+		failed = f.sendWith(1, http.MethodPost, "/v1/completions", "grouped", "", string(body), short)
+		_, whole = streamedText(failed.body)
+		Expect(whole).To(BeFalse())
+		for i := range 4 {
+			name := fmt.Sprintf("turf-%d", i)
+			f.controlEngine(name, `{}`)
+			Eventually(func() int64 { return f.engineStats(name).UsedTokens }, startLimit, "200ms").Should(BeZero(), name)
+		}
+		Eventually(func() bool {
+			_, whole := streamedText(f.send(2, http.MethodPost, "/v1/completions", "grouped", "", string(body)).body)
+			return whole
+		}, startLimit, "200ms").Should(BeTrue())
+	})
+
 	// Guards against a configuration outage that stops service, and against a revision that reaches only watchers.
 	It("goes on without the platform and spreads a revision when it is back", func() {
 		f := startFleet(fleetOptions{instances: 3, engines: 1, desks: 1, engineFlags: coldEngine})
