Send credit reports without holding up the request

Cause: a report dialled the owner's address in the caller's path, for up to 1 s. The report "started" was sent between the check of the credit's expiry and the hand-over, so a request could be handed over with an expired credit, and the final report delayed the answer beyond the time budget. Ruled out: checking the expiry after the report. Before: a request with a budget of 900 ms whose owner's address does not answer ended without its answer. After: it is answered. The test follows with the gateway's test rig ("is not spent on reports to an owner that cannot be reached"; it failed on the earlier code). Conclusion: reports leave in order from one sender per owner. A cancelled reservation is no longer repeated as held.

--- a/internal/gateway/credits.go
+++ b/internal/gateway/credits.go
@@ -40,12 +40,15 @@
 	held map[string]peer.CreditReportItem
 	// homes counts the open key claims by the address of the key's home.
 	homes map[string]int
+	// outbox holds the reports that wait for a sender, by owner address; an entry exists while a sender runs.
+	outbox map[string][]peer.CreditReportItem
 }
 
 func newHeldCredits(node *peer.Node, v *views, instance string, incarnation int64) *heldCredits {
 	return &heldCredits{
 		node: node, views: v, instance: instance, incarnation: incarnation,
 		held: make(map[string]peer.CreditReportItem), homes: make(map[string]int),
+		outbox: make(map[string][]peer.CreditReportItem),
 	}
 }
 
@@ -156,8 +159,8 @@
 
 // progress reports a change of a reservation to the endpoint's current owner.
 func (h *heldCredits) progress(c *credited, state peer.ReportState, firstToken time.Duration) {
-	ended := state == peer.ReportUnused || state == peer.ReportDone || state == peer.ReportFailed
-	if ended {
+	switch state {
+	case peer.ReportUnused, peer.ReportDone, peer.ReportFailed, peer.ReportCancelled:
 		h.mu.Lock()
 		delete(h.held, c.ask.RequestID)
 		h.mu.Unlock()
@@ -167,7 +170,29 @@
 	}
 }
 
+// report sends a report in the order of the calls without waiting for the connection: a request must not use a credit
+// that expired while the owner's address did not answer, and its answer must not wait for a report.
 func (h *heldCredits) report(address string, ask peer.CreditAsk, state peer.ReportState, firstToken time.Duration) {
-	items := []peer.CreditReportItem{reportItem(ask, state, firstToken)}
-	h.send(context.Background(), address, items)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	items, running := h.outbox[address]
+	h.outbox[address] = append(items, reportItem(ask, state, firstToken))
+	if !running {
+		go h.sendReports(address)
+	}
+}
+
+func (h *heldCredits) sendReports(address string) {
+	for {
+		h.mu.Lock()
+		items := h.outbox[address]
+		if len(items) == 0 {
+			delete(h.outbox, address)
+			h.mu.Unlock()
+			return
+		}
+		h.outbox[address] = nil
+		h.mu.Unlock()
+		h.send(context.Background(), address, items)
+	}
 }
