--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +25,14 @@
 	noViewRetry = 2 * time.Second
 	// leavingRetry is the advised delay while the instance is leaving; the balancer selects another one.
 	leavingRetry = time.Second
+	// finalAnswerLimit bounds the time in which a caller must take the gateway's own final answer.
+	finalAnswerLimit = time.Second
+)
+
+// The codes of final answers that more than one place gives.
+const (
+	codeCallerLeft   = "caller_left"
+	codeEndpointLost = "endpoint_lost"
 )
 
 // exchange is one caller's request from admission to its final answer.
@@ -48,10 +58,14 @@
 	firstToken time.Time
 	// headSent is true once a byte of the answer went to the caller.
 	headSent bool
+	// sentEnd is the end of what went to the caller of a stream.
+	sentEnd []byte
 	// stage is the last stage reached.
 	stage outcome.Stage
 	// bytesSent is true once a byte was handed to an endpoint in an attempt whose result is not known to be "not run".
 	bytesSent bool
+	// endUnknown is true once such an attempt ended without the endpoint's own end or error: it may still run.
+	endUnknown bool
 }
 
 func (g *Gateway) serveHTTP(w http.ResponseWriter, r *http.Request) {
@@ -174,7 +188,10 @@
 }
 
 // giveUp ends a request for which no credit was granted. A hand-over that came before decides the outcome.
-func (x *exchange) giveUp(reason string) *outcome.Error {
+func (x *exchange) giveUp(ctx context.Context, reason string) *outcome.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = codeCallerLeft
+	}
 	if x.bytesSent {
 		return x.unknown("retry_without_capacity", "an earlier attempt may have run and no endpoint could take another one")
 	}
@@ -194,7 +211,7 @@
 func (x *exchange) handOver(ctx context.Context, granted *credited) (final *outcome.Error, again bool) {
 	x.stage = outcome.StageConnect
 	endpoint := granted.endpoint
-	receiver := &answerReceiver{x: x, granted: granted, sent: time.Now()}
+	receiver := &answerReceiver{ctx: ctx, x: x, granted: granted, sent: time.Now()}
 	beforeWrite := func() error {
 		if !granted.usable(time.Now()) {
 			return errCreditExpired
@@ -208,10 +225,11 @@
 	if err == nil {
 		err = receiver.complete()
 	}
-	x.reportEnd(granted, receiver, err)
-	if err == nil {
+	x.reportEnd(ctx, granted, receiver, err)
+	if receiver.whole {
+		// A caller that left before it had the whole answer does not change that the request ended at the endpoint.
 		x.answerStatus = receiver.status
-		x.logAnswered(endpoint.Name, receiver)
+		x.logAnswered(endpoint.Name, receiver, err)
 		return nil, false
 	}
 	return x.judge(ctx, endpoint.Name, receiver, err)
@@ -233,6 +251,9 @@
 			req.Target = "/v1/chat/completions"
 		}
 		header.Set("X-Priority", priority(x.class))
+		if granted.reply.Fence > 0 {
+			header.Set("X-Fence", strconv.FormatInt(granted.reply.Fence, 10))
+		}
 	}
 	return req
 }
@@ -249,13 +270,16 @@
 	}
 }
 
-func (x *exchange) reportEnd(granted *credited, receiver *answerReceiver, err error) {
+func (x *exchange) reportEnd(ctx context.Context, granted *credited, receiver *answerReceiver, err error) {
 	state := peer.ReportDone
 	var failure *engine.Error
 	switch {
-	case err == nil && receiver.status < http.StatusInternalServerError:
+	case receiver.whole && receiver.status < http.StatusInternalServerError:
 	case errors.As(err, &failure) && !failure.BytesSent:
 		state = peer.ReportUnused
+	case !receiver.whole && callerLeft(ctx, err):
+		// The endpoint must not turn cold for a caller that left.
+		state = peer.ReportCancelled
 	default:
 		state = peer.ReportFailed
 	}
@@ -271,31 +295,60 @@
 	notRun := !sent || errors.Is(err, errRefused)
 	if !notRun {
 		x.bytesSent = true
+		x.endUnknown = x.endUnknown || !receiver.endedByEndpoint
 	}
-	mayRepeat := !x.headSent && ctx.Err() == nil && (notRun || x.idempotent())
+	mayRepeat := !x.headSent && ctx.Err() == nil && !errors.Is(err, errAnswerTooLarge) && (notRun || x.idempotent())
 	x.log.Warn().Str("endpoint", endpoint).Str("stage", string(x.stage)).Bool("bytes_sent", sent).
 		Bool("not_run", notRun).Bool("retry", mayRepeat).Err(err).Msg("hand_over_failed")
 	if mayRepeat {
+		// Without a pause, an endpoint that fails at once would be asked for again until the deadline.
+		x.refused.add(time.Now(), endpoint, failureReason(err, sent), 0)
 		x.stage = outcome.StageCreditWait
 		return nil, true
 	}
-	return x.finalAnswer(ctx, receiver, notRun), false
+	return x.finalAnswer(ctx, receiver, notRun, err), false
+}
+
+func failureReason(err error, sent bool) string {
+	switch {
+	case errors.Is(err, errCreditExpired):
+		return "credit_expired"
+	case errors.Is(err, errRefused):
+		return "endpoint_refused"
+	case !sent:
+		return "connect_failed"
+	default:
+		return codeEndpointLost
+	}
+}
+
+// callerLeft tells whether the hand-over failed because of the caller.
+func callerLeft(ctx context.Context, err error) bool {
+	return errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerLeft)
 }
 
-func (x *exchange) finalAnswer(ctx context.Context, receiver *answerReceiver, notRun bool) *outcome.Error {
+func (x *exchange) finalAnswer(
+	ctx context.Context, receiver *answerReceiver, notRun bool, err error,
+) *outcome.Error {
 	switch {
+	case notRun && !x.bytesSent && callerLeft(ctx, err):
+		return outcome.Refusal(http.StatusServiceUnavailable, x.stage, codeCallerLeft, "the caller left", 0)
 	case notRun && !x.bytesSent:
 		return outcome.Refusal(http.StatusServiceUnavailable, x.stage, "endpoint_unavailable",
 			"no endpoint started the request", time.Second)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return x.unknown("deadline_exceeded", "the time budget ended before the answer was complete")
-	case receiver.endedByEndpoint:
+	case callerLeft(ctx, err):
+		return x.unknown(codeCallerLeft, "the caller left before the answer was complete")
+	case errors.Is(err, errAnswerTooLarge):
+		return x.unknown("answer_too_large", "the endpoint's answer is larger than the gateway buffers")
+	case receiver.endedByEndpoint && !x.endUnknown:
 		return &outcome.Error{
 			Outcome: outcome.Failed, Stage: x.stage, Code: "endpoint_failed", Status: http.StatusBadGateway,
 			Message: "the endpoint ended the request with an error", RepeatSafe: x.idempotent(),
 		}
 	default:
-		return x.unknown("endpoint_lost", "the connection to the endpoint broke before the answer was complete")
+		return x.unknown(codeEndpointLost, "the connection to the endpoint broke before the answer was complete")
 	}
 }
 
@@ -310,16 +363,34 @@
 func (x *exchange) answer(final *outcome.Error) {
 	final.RequestID = x.id.String()
 	x.gateway.stats.countAnswer(final)
-	if x.headSent {
-		x.endStream(final)
-	} else {
-		final.WriteTo(x.w)
-	}
+	x.send(final)
 	x.log.Info().Str("outcome", string(final.Outcome)).Str("stage", string(final.Stage)).Str("code", final.Code).
 		Bool("repeat_safe", final.RepeatSafe).Dur("retry_after_ms", final.RetryAfter).Int("status", final.Status).
 		Dur("elapsed_ms", time.Since(x.started)).Msg("answer")
 }
 
+// send writes the final answer. A caller that does not read gets a reset instead, so that the request ends in its time.
+func (x *exchange) send(final *outcome.Error) {
+	timer := time.AfterFunc(finalAnswerLimit, func() { httpserver.Abort(x.w) })
+	defer timer.Stop()
+	switch {
+	case x.headSent && !x.betweenEvents():
+		// An error event inside another event would be read as a part of it.
+		httpserver.Abort(x.w)
+		return
+	case x.headSent:
+		x.endStream(final)
+		return
+	}
+	final.WriteTo(x.w)
+	flush(x.w)
+}
+
+// betweenEvents tells whether what went to the caller ends with a whole event.
+func (x *exchange) betweenEvents() bool {
+	return bytes.HasSuffix(x.sentEnd, []byte("\n\n")) || bytes.HasSuffix(x.sentEnd, []byte("\r\n\r\n"))
+}
+
 // endStream ends a stream that was cut with an error event and without the terminal event.
 func (x *exchange) endStream(final *outcome.Error) {
 	_, _ = x.w.Write([]byte("event: error\ndata: "))
@@ -328,12 +399,18 @@
 	flush(x.w)
 }
 
-func (x *exchange) logAnswered(endpoint string, receiver *answerReceiver) {
+// logAnswered logs an answer of the endpoint itself. err is set if the caller left before it had the whole answer.
+func (x *exchange) logAnswered(endpoint string, receiver *answerReceiver, err error) {
+	code := "whole"
+	if err != nil {
+		code = codeCallerLeft
+	}
 	if x.service.Kind == config.KindModel && !x.firstToken.IsZero() {
 		x.gateway.router.notePrefix(x.req.PrefixHash, endpoint, x.req.PromptTokens)
 		x.gateway.stats.recordFirstToken(x.class, x.firstToken.Sub(x.started))
 	}
-	x.log.Info().Str("outcome", "answered").Str("endpoint", endpoint).Int("status", receiver.status).
+	x.log.Info().Str("outcome", "answered").Str("stage", string(x.stage)).Str("code", code).
+		Str("endpoint", endpoint).Int("status", receiver.status).
 		Int64("body_bytes", receiver.bodyBytes).Dur("first_token_ms", receiver.firstTokenAfter()).
 		Dur("elapsed_ms", time.Since(x.started)).Msg("answer")
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -35,7 +35,7 @@
 	}
 	reply, home, err := x.claimKey(ctx, key)
 	if err != nil {
-		return x.unclaimed(err)
+		return x.unclaimed(ctx, err)
 	}
 	if reply.Verdict != peer.KeyGranted {
 		return keyRefusal(reply)
@@ -57,8 +57,14 @@
 		Digest:    x.digest(),
 		RequestID: x.id.String(),
 	}
+	// lost holds the homes that may have granted the claim in a reply that did not arrive.
+	lost := make(map[string]bool)
+	defer func() { x.releaseLost(lost, claim) }()
 	for {
 		reply, home, err := x.tryClaim(ctx, key, &claim)
+		if home != "" {
+			lost[home] = err != nil
+		}
 		retry := err != nil || (reply.Verdict == peer.KeyRefused && reply.Reason == idem.ReasonNotHome)
 		if !retry {
 			x.log.Info().Str("key", key.Text).Str("home", home).Str("verdict", string(reply.Verdict)).
@@ -101,14 +107,47 @@
 	return digest.Sum64()
 }
 
+// releaseLost releases claims whose replies were lost. A home that recorded such a claim would otherwise answer each
+// repeat with the same key as a duplicate of a running request until the key expires. The home grants a repeated claim
+// of the same arrival the same token; if it never got the first one, this one is granted and released.
+func (x *exchange) releaseLost(lost map[string]bool, claim peer.KeyClaim) {
+	for home, isLost := range lost {
+		if isLost {
+			go x.releaseClaim(home, claim)
+		}
+	}
+}
+
+func (x *exchange) releaseClaim(home string, claim peer.KeyClaim) {
+	for range keyEndAttempts {
+		var reply peer.KeyReply
+		if x.callHome(home, peer.KindKeyClaim, claim, &reply) != nil {
+			time.Sleep(keyEndRetry)
+			continue
+		}
+		if reply.Verdict == peer.KeyGranted {
+			x.sendKeyEnd(home, peer.KeyEnd{
+				Service: claim.Service, Key: claim.Key, Token: reply.Token, NotRun: true, Outcome: string(outcome.NotRun),
+			})
+		}
+		return
+	}
+	x.log.Warn().Str("home", home).Msg("key_release_lost")
+}
+
 // unclaimed answers a request whose key's home could not be reached. This arrival was not handed to an endpoint, but
 // the answer covers this attempt only: an earlier one with the same key may have run.
-func (x *exchange) unclaimed(err error) *outcome.Error {
+func (x *exchange) unclaimed(ctx context.Context, err error) *outcome.Error {
+	code := "key_home_unreachable"
+	if errors.Is(ctx.Err(), context.Canceled) {
+		code = codeCallerLeft
+	}
 	x.log.Warn().Err(err).Msg("key_home_unreachable")
 	return &outcome.Error{
-		Outcome: outcome.NotRun, Stage: outcome.StageAdmission, Code: "key_home_unreachable",
+		Outcome: outcome.NotRun, Stage: outcome.StageAdmission, Code: code,
 		Status: http.StatusServiceUnavailable, RepeatSafe: true, RetryAfter: duplicateRetry,
-		Message: "this attempt was not run because the key's state is not available; repeat it with the same key",
+		Message: "this attempt was not run because the key's state is not available; whether an earlier attempt with the " +
+			"key ran is not known; repeat it with the same key",
 	}
 }
 
@@ -148,17 +187,23 @@
 		end.NotRun = final.Outcome == outcome.NotRun
 		end.Outcome, end.Status = string(final.Outcome), final.Status
 	}
-	go func() {
-		for range keyEndAttempts {
-			ctx, cancel := context.WithTimeout(context.Background(), keyClaimTimeout)
-			var ack peer.Ack
-			err := x.gateway.node.Call(ctx, home, peer.KindKeyEnd, end, &ack)
-			cancel()
-			if err == nil {
-				return
-			}
-			time.Sleep(keyEndRetry)
+	go x.sendKeyEnd(home, end)
+}
+
+func (x *exchange) sendKeyEnd(home string, end peer.KeyEnd) {
+	for range keyEndAttempts {
+		var ack peer.Ack
+		if x.callHome(home, peer.KindKeyEnd, end, &ack) == nil {
+			return
 		}
-		x.log.Warn().Str("home", home).Msg("key_end_lost")
-	}()
+		time.Sleep(keyEndRetry)
+	}
+	x.log.Warn().Str("home", home).Msg("key_end_lost")
+}
+
+// callHome calls a key's home apart from the request, which may have ended.
+func (x *exchange) callHome(home string, kind peer.Kind, body, reply any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), keyClaimTimeout)
+	defer cancel()
+	return x.gateway.node.Call(ctx, home, kind, body, reply)
 }
--- a/internal/gateway/receiver.go
+++ b/internal/gateway/receiver.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/peer"
 )
@@ -16,6 +20,8 @@
 	maxBufferedAnswer = 4 << 20
 	refusedHeader     = "X-Refused"
 	eventStreamType   = "text/event-stream"
+	// eventGapBytes is the length of the longest end of an event, CR LF CR LF.
+	eventGapBytes = 4
 )
 
 // terminalEvent ends a whole stream of server-sent events.
@@ -23,6 +29,7 @@
 
 // answerReceiver passes an endpoint's answer to the caller.
 type answerReceiver struct {
+	ctx     context.Context
 	x       *exchange
 	granted *credited
 	// sent is the time of the hand-over.
@@ -31,12 +38,15 @@
 	header http.Header
 	stream bool
 	first  time.Time
-	// tail holds the end of a stream, to find the terminal event.
-	tail      []byte
+	// held is the end of a stream that may be its terminal event. It goes to the caller when the HTTP answer is whole,
+	// so that a stream cut by the endpoint never shows the terminal event.
+	held      []byte
 	buffered  []byte
 	bodyBytes int64
 	// endedByEndpoint is true if the endpoint itself reported an error inside the stream or ended it early.
 	endedByEndpoint bool
+	// whole is true once the endpoint's answer is whole.
+	whole bool
 }
 
 // OnHead implements engine.Receiver.
@@ -70,42 +80,80 @@
 }
 
 func (r *answerReceiver) forward(data []byte) error {
+	if r.needsTerminal() {
+		data = append(r.held, data...)
+		at := terminalStart(data)
+		r.held = append([]byte(nil), data[at:]...)
+		data = data[:at]
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	return r.write(data)
+}
+
+// needsTerminal tells whether the answer is a stream whose end must be marked by the terminal event.
+func (r *answerReceiver) needsTerminal() bool {
+	return r.stream && r.x.service.Kind == config.KindModel
+}
+
+// terminalStart returns the position from which the data may be the terminal event, or its length.
+func terminalStart(data []byte) int {
+	text := bytes.TrimRight(data, "\r\n")
+	start := bytes.LastIndexByte(text, '\n') + 1
+	line := text[start:]
+	cutLine := len(text) == len(data) && bytes.HasPrefix(terminalEvent, line)
+	if cutLine || bytes.Equal(line, terminalEvent) {
+		return start
+	}
+	return len(data)
+}
+
+// write sends a part of the answer to the caller. A write that blocks until the time budget ends is reset: the budget
+// bounds the request, whatever its caller reads.
+func (r *answerReceiver) write(data []byte) error {
+	stop := context.AfterFunc(r.ctx, func() { httpserver.Abort(r.x.w) })
+	defer stop()
 	if !r.x.headSent {
 		r.x.headSent = true
 		copyHeader(r.x.w.Header(), r.header)
 		r.x.w.Header().Set("X-Request-Id", r.x.id.String())
+		if !r.stream {
+			r.x.w.Header().Set("Content-Length", r.contentLength())
+		}
 		r.x.w.WriteHeader(r.status)
 	}
-	if _, err := r.x.w.Write(data); err != nil {
+	if _, err := r.x.w.Write(data); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return errCallerLeft
 	}
 	flush(r.x.w)
-	r.tail = append(r.tail, data...)
-	if keep := 2 * len(terminalEvent); len(r.tail) > keep {
-		r.tail = append(r.tail[:0], r.tail[len(r.tail)-keep:]...)
+	end := append(r.x.sentEnd, data[max(0, len(data)-eventGapBytes):]...)
+	r.x.sentEnd = end[max(0, len(end)-eventGapBytes):]
+	if httpserver.WriteError(r.x.w) != nil {
+		return errCallerLeft
 	}
 	return nil
 }
 
-// complete is called when the endpoint's HTTP answer is whole. It sends a buffered answer and checks a stream's end.
+// contentLength returns the length of a buffered answer. An answer to HEAD declares a length without a body.
+func (r *answerReceiver) contentLength() string {
+	if declared := r.header.Get("Content-Length"); r.x.req.Method == http.MethodHead && declared != "" {
+		return declared
+	}
+	return strconv.Itoa(len(r.buffered))
+}
+
+// complete is called when the endpoint's HTTP answer is whole. It checks a stream's end and sends what is buffered.
 func (r *answerReceiver) complete() error {
-	if r.stream {
-		if !bytes.HasSuffix(bytes.TrimRight(r.tail, "\r\n"), terminalEvent) {
-			r.endedByEndpoint = true
-			return errIncompleteBody
-		}
-		return nil
+	if r.needsTerminal() && !bytes.HasPrefix(r.held, terminalEvent) {
+		r.endedByEndpoint = true
+		return errIncompleteBody
 	}
-	header := r.x.w.Header()
-	copyHeader(header, r.header)
-	header.Set("X-Request-Id", r.x.id.String())
-	header.Set("Content-Length", strconv.Itoa(len(r.buffered)))
-	r.x.headSent = true
-	r.x.w.WriteHeader(r.status)
-	if _, err := r.x.w.Write(r.buffered); err != nil {
-		return errCallerLeft
+	r.whole = true
+	if r.stream {
+		return r.write(r.held)
 	}
-	return nil
+	return r.write(r.buffered)
 }
 
 func (r *answerReceiver) firstTokenAfter() time.Duration {
@@ -119,6 +167,8 @@
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Trailer": true,
 	"Upgrade": true, "Te": true, "Proxy-Connection": true, "Date": true,
+	// Only the gateway states an outcome.
+	outcome.HeaderName: true,
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -72,6 +72,9 @@
 // reserve asks owners in the policy's order until one grants a credit.
 func (x *exchange) reserve(ctx context.Context) (*credited, *outcome.Error) {
 	for {
+		if ctx.Err() != nil {
+			return nil, x.giveUp(ctx, x.refused.last)
+		}
 		x.refused.prune(time.Now())
 		latest := x.gateway.views.current.Load()
 		decision := x.gateway.router.order(x.routeRequest(), x.candidates(latest), x.refused.reasons)
@@ -83,7 +86,7 @@
 			}
 		}
 		if asks == len(decision.Choices) && x.refused.onlyBudget() {
-			return nil, x.giveUp(credit.ReasonBudget)
+			return nil, x.giveUp(ctx, credit.ReasonBudget)
 		}
 		if asks < len(decision.Choices) {
 			continue
@@ -101,7 +104,7 @@
 func (x *exchange) waitForCredit(ctx context.Context, wait time.Duration) *outcome.Error {
 	deadline, _ := ctx.Deadline()
 	if time.Until(deadline) <= wait {
-		return x.giveUp(x.refused.last)
+		return x.giveUp(ctx, x.refused.last)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -109,7 +112,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return x.giveUp(x.refused.last)
+		return x.giveUp(ctx, x.refused.last)
 	}
 }
 
@@ -142,6 +145,10 @@
 	ctx context.Context, endpoint *config.Endpoint, ask peer.CreditAsk, choice route.Choice,
 ) *credited {
 	granted, reason, retry := x.gateway.held.ask(ctx, endpoint, ask)
+	if granted == nil && ctx.Err() != nil {
+		// The request ended first, which says nothing about the owner.
+		reason = x.refused.last
+	}
 	event := x.log.Info().Str("endpoint", endpoint.Name).Str("part", ask.RequestID).Str("team", ask.Team).
 		Str("profile", ask.Profile).Str("class", string(ask.Class)).Int64("prompt_tokens", ask.PromptTokens).
 		Int64("output_tokens", ask.OutputTokens).Uint64("revision", ask.Revision).Str("choice", choice.Reason).
