Log and count each answer that the HTTP server gives itself

Cause: requests that could not be received (malformed, too large, too slow) were refused without a log line, a count or a request id. New without a fault behind it: a key's home that refuses connections, and that becomes reachable while a request waits.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -33,6 +33,21 @@
 		Entry("a profile of another kind of service", func(c *call) { c.profile = "desk-any" }, "wrong_profile"),
 	)
 
+	// Guards against refusals that operators cannot see because the server gives them before the handler runs.
+	DescribeTable("answers and logs a request that cannot be received", func(text, code string) {
+		r := newRig(newEndpoint("e1", "turf", answering(wholeAnswer(200, "{}"))))
+		conn := r.dial()
+		r.sent++
+		_, err := io.WriteString(conn, text)
+		Expect(err).NotTo(HaveOccurred())
+		expectAnswer(readAnswer(bufio.NewReader(conn), "POST"), outcome.NotRun, outcome.StageAdmission, code)
+		Expect(r.log.lines("answer")).To(ConsistOf(HaveKeyWithValue("code", code)))
+	},
+		Entry("malformed", "POST /v1/completions\r\n\r\n", "malformed_request"),
+		Entry("with two lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "malformed_request"),
+		Entry("too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", "body_too_large"),
+	)
+
 	// Guards against a gateway that serves before it knows the configuration.
 	It("refuses without a view", func() {
 		r := &rig{controller: startController(), log: &logBuffer{}}
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -139,6 +139,14 @@
 		Entry("409 without a typed refusal", 409, peer.ReportDone),
 	)
 
+	// Guards against a declared length that is replaced by the length of the empty body.
+	It("to HEAD keeps its declared length", func() {
+		r := newRig(newEndpoint("d1", "desk", answering("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")))
+		a := r.do(call{method: "HEAD", path: "/services/desk/visit", profile: "desk-once", budget: longBudget})
+		Expect(a.status).To(Equal(200))
+		Expect(a.header.Get("Content-Length")).To(Equal("5"))
+	})
+
 	// Guards against an endpoint that speaks in the gateway's name.
 	It("cannot state an outcome", func() {
 		r := newRig(newEndpoint("d1", "desk", answering("HTTP/1.1 200 OK\r\nX-Acacia-Outcome: not_run\r\nContent-Length: 0\r\n\r\n")))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -364,9 +364,21 @@
 	final.RequestID = x.id.String()
 	x.gateway.stats.countAnswer(final)
 	x.send(final)
-	x.log.Info().Str("outcome", string(final.Outcome)).Str("stage", string(final.Stage)).Str("code", final.Code).
+	logFinal(x.log.Info(), final, time.Since(x.started))
+}
+
+// noteRefusal counts and logs the refusal of a request that could not be received.
+func (g *Gateway) noteRefusal(refusal *outcome.Error) {
+	refusal.RequestID = g.nextRequestID().String()
+	g.stats.requests.Add(1)
+	g.stats.countAnswer(refusal)
+	logFinal(g.log.Info().Str("request_id", refusal.RequestID), refusal, 0)
+}
+
+func logFinal(event *zerolog.Event, final *outcome.Error, elapsed time.Duration) {
+	event.Str("outcome", string(final.Outcome)).Str("stage", string(final.Stage)).Str("code", final.Code).
 		Bool("repeat_safe", final.RepeatSafe).Dur("retry_after_ms", final.RetryAfter).Int("status", final.Status).
-		Dur("elapsed_ms", time.Since(x.started)).Msg("answer")
+		Dur("elapsed_ms", elapsed).Msg("answer")
 }
 
 // send writes the final answer. A caller that does not read gets a reset instead, so that the request ends in its time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 		MaxHeaderBytes:   int(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes:     int(s.Limits.MaxBodyBytes),
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes,
+		OnRefusal:        g.noteRefusal,
 		OnPanic: func(value any, stack []byte) {
 			g.log.Error().Interface("value", value).Bytes("stack", stack).Msg("handler_panic")
 		},
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -160,7 +161,7 @@
 		final.Message = "a request with this key is running; this attempt was not run"
 	case peer.KeyEnded:
 		final.Outcome, final.Code = outcome.Failed, "duplicate_ended"
-		final.Message = "a request with this key has ended; this attempt was not run"
+		final.Message = fmt.Sprintf("a request with this key has ended with status %d; this attempt was not run", reply.Status)
 		if reply.Outcome == string(outcome.Unknown) {
 			final.Outcome, final.Code, final.RepeatSafe = outcome.Unknown, "duplicate_unknown", false
 			final.Message = "a request with this key may have run; its result is not known"
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,6 +36,9 @@
 		Expect(d.seen()).To(BeZero())
 		Expect(r.askCount()).To(BeZero())
 		Expect(r.keyEnds()).To(BeEmpty())
+		if reply.Status != 0 {
+			Expect(a.error.Message).To(ContainSubstring(strconv.Itoa(reply.Status)))
+		}
 	},
 		Entry("running", peer.KeyReply{Verdict: peer.KeyRunning}, 409, outcome.Unknown, "duplicate_running", true),
 		Entry("ended", peer.KeyReply{Verdict: peer.KeyEnded, Status: 201}, 409, outcome.Failed, "duplicate_ended", true),
@@ -149,6 +154,21 @@
 		Expect(d.seen()).To(BeZero())
 	})
 
+	// Guards against a request that is handed over although its home cannot be reached.
+	It("is not run while its key's home is unreachable, and runs once the home is reachable", func() {
+		d := newEndpoint("d1", "desk", answering(wholeAnswer(201, "{}")))
+		r := newRig(d)
+		reachable := r.address
+		r.locked(func() { r.moveKeys(freeAddress()) })
+		Eventually(func() string { return r.do(booking(newKey(), shortBudget)).error.Code }, eventLimit).
+			Should(Equal("key_home_unreachable"))
+		seen := d.seen()
+		conn := r.begin(booking(newKey(), longBudget))
+		r.locked(func() { r.moveKeys(reachable) })
+		Expect(readAnswer(bufio.NewReader(conn), "POST").status).To(Equal(201))
+		Expect(d.seen()).To(Equal(seen + 1))
+	})
+
 	// Guards against a request that is handed over although no home is known.
 	It("is not run while its key has no home", func() {
 		d := newEndpoint("d1", "desk", answering(wholeAnswer(201, "{}")))
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -191,6 +191,18 @@
 	c.document = fmt.Sprintf("revision: %d\n", c.revision) + strings.Replace(text, "%ENDPOINTS%", lines.String(), 1)
 }
 
+// moveKeys makes the views name another home of all keys.
+func (c *controller) moveKeys(address string) {
+	c.version++
+	owners := append([]peer.OwnerView(nil), c.owners...)
+	for i := range owners {
+		if strings.HasPrefix(owners[i].Resource, "keys/") {
+			owners[i].Address = address
+		}
+	}
+	c.owners = owners
+}
+
 // locked runs f while no message is handled.
 func (c *controller) locked(f func()) {
 	c.mu.Lock()
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -338,6 +338,9 @@
 	}
 	w := newResponse(c, x)
 	if x.refusal != nil {
+		if c.server.options.OnRefusal != nil {
+			c.server.options.OnRefusal(x.refusal)
+		}
 		x.refusal.WriteTo(w)
 	} else {
 		c.serve(w, x)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/acacialift/acacialift/internal/outcome"
 )
 
 const (
@@ -53,6 +55,8 @@
 	IdleTimeout time.Duration
 	// WriteTimeout ends a connection whose peer reads nothing for this long while a write waits; the default is 30 s.
 	WriteTimeout time.Duration
+	// OnRefusal, if set, is told each answer that the server gives itself, before it is sent.
+	OnRefusal func(refusal *outcome.Error)
 	// OnPanic, if set, is told the value and stack of a panic in the handler. The connection has been reset before.
 	OnPanic func(value any, stack []byte)
 }
