--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/callers"
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+var (
+	errCreditExpired  = errors.New("credit expired before the hand-over")
+	errRefused        = errors.New("endpoint refused the request")
+	errCallerLeft     = errors.New("caller left")
+	errIncompleteBody = errors.New("answer ended without its terminal event")
+	errAnswerTooLarge = errors.New("answer is larger than the gateway buffers")
+)
+
+// handOver sends the request to the granted endpoint. again is true if another endpoint may be tried.
+func (x *exchange) handOver(ctx context.Context, granted *credited) (final *outcome.Error, again bool) {
+	x.stage = outcome.StageConnect
+	endpoint := granted.endpoint
+	receiver := &answerReceiver{ctx: ctx, x: x, granted: granted, sent: time.Now()}
+	beforeWrite := func() error {
+		if !granted.usable(time.Now()) {
+			return errCreditExpired
+		}
+		x.stage = outcome.StagePrefill
+		receiver.sent = time.Now()
+		x.gateway.held.progress(granted, peer.ReportStarted, 0)
+		return nil
+	}
+	err := x.gateway.engines.Do(ctx, x.engineRequest(endpoint, granted), beforeWrite, receiver)
+	if err == nil {
+		err = receiver.complete()
+	}
+	x.reportEnd(ctx, granted, receiver, err)
+	if receiver.whole {
+		// A caller that left before it had the whole answer does not change that the request ended at the endpoint.
+		x.answerStatus = receiver.status
+		x.logAnswered(endpoint.Name, receiver, err)
+		return nil, false
+	}
+	return x.judge(ctx, endpoint.Name, receiver, err)
+}
+
+func (x *exchange) engineRequest(endpoint *config.Endpoint, granted *credited) engine.Request {
+	header := make(http.Header)
+	header.Set("X-Request-Id", granted.ask.RequestID)
+	header.Set("Content-Type", "application/json")
+	if x.req.Key != "" {
+		header.Set("Idempotency-Key", x.req.Key)
+	}
+	req := engine.Request{
+		Method: x.req.Method, Address: endpoint.Address, Header: header, Body: x.req.Body, Target: x.req.ServicePath,
+	}
+	if x.service.Kind == config.KindModel {
+		req.Target = "/v1/completions"
+		if x.req.Kind == callers.KindChat {
+			req.Target = "/v1/chat/completions"
+		}
+		header.Set("X-Priority", priority(x.class))
+		if granted.reply.Fence > 0 {
+			header.Set("X-Fence", strconv.FormatInt(granted.reply.Fence, 10))
+		}
+	}
+	return req
+}
+
+// priority puts short prompts first; the engine ages waiting ones.
+func priority(class peer.LengthClass) string {
+	switch class {
+	case peer.ClassShort:
+		return "2"
+	case peer.ClassMedium:
+		return "1"
+	default:
+		return "0"
+	}
+}
+
+func (x *exchange) reportEnd(ctx context.Context, granted *credited, receiver *answerReceiver, err error) {
+	state := peer.ReportDone
+	var failure *engine.Error
+	switch {
+	case receiver.whole && receiver.status < http.StatusInternalServerError:
+	case errors.As(err, &failure) && !failure.BytesSent:
+		state = peer.ReportUnused
+	case !receiver.whole && callerLeft(ctx, err):
+		// The endpoint must not turn cold for a caller that left.
+		state = peer.ReportCancelled
+	default:
+		state = peer.ReportFailed
+	}
+	x.gateway.held.progress(granted, state, receiver.firstTokenAfter())
+}
+
+// judge decides what a failed hand-over means for the request.
+func (x *exchange) judge(
+	ctx context.Context, endpoint string, receiver *answerReceiver, err error,
+) (final *outcome.Error, again bool) {
+	var failure *engine.Error
+	sent := !errors.As(err, &failure) || failure.BytesSent
+	notRun := !sent || errors.Is(err, errRefused)
+	if !notRun {
+		x.bytesSent = true
+		x.endUnknown = x.endUnknown || !receiver.endedByEndpoint
+	}
+	mayRepeat := !x.headSent && ctx.Err() == nil && !errors.Is(err, errAnswerTooLarge) && (notRun || x.idempotent())
+	x.log.Warn().Str("endpoint", endpoint).Str("stage", string(x.stage)).Bool("bytes_sent", sent).
+		Bool("not_run", notRun).Bool("retry", mayRepeat).Err(err).Msg("hand_over_failed")
+	if mayRepeat {
+		// Without a pause, an endpoint that fails at once would be asked for again until the deadline.
+		x.refused.add(time.Now(), endpoint, failureReason(err, sent), 0)
+		x.stage = outcome.StageCreditWait
+		return nil, true
+	}
+	return x.finalAnswer(ctx, receiver, notRun, err), false
+}
+
+func failureReason(err error, sent bool) string {
+	switch {
+	case errors.Is(err, errCreditExpired):
+		return "credit_expired"
+	case errors.Is(err, errRefused):
+		return "endpoint_refused"
+	case !sent:
+		return "connect_failed"
+	default:
+		return codeEndpointLost
+	}
+}
+
+// callerLeft tells whether the hand-over failed because of the caller.
+func callerLeft(ctx context.Context, err error) bool {
+	return errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerLeft)
+}
+
+func (x *exchange) finalAnswer(
+	ctx context.Context, receiver *answerReceiver, notRun bool, err error,
+) *outcome.Error {
+	switch {
+	case notRun && !x.bytesSent && callerLeft(ctx, err):
+		return outcome.Refusal(http.StatusServiceUnavailable, x.stage, codeCallerLeft, "the caller left", 0)
+	case notRun && !x.bytesSent:
+		return outcome.Refusal(http.StatusServiceUnavailable, x.stage, "endpoint_unavailable",
+			"no endpoint started the request", time.Second)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return x.unknown("deadline_exceeded", "the time budget ended before the answer was complete")
+	case callerLeft(ctx, err):
+		return x.unknown(codeCallerLeft, "the caller left before the answer was complete")
+	case errors.Is(err, errAnswerTooLarge):
+		return x.unknown("answer_too_large", "the endpoint's answer is larger than the gateway buffers")
+	case receiver.endedByEndpoint && !x.endUnknown:
+		return &outcome.Error{
+			Outcome: outcome.Failed, Stage: x.stage, Code: "endpoint_failed", Status: http.StatusBadGateway,
+			Message: "the endpoint ended the request with an error", RepeatSafe: x.idempotent(),
+		}
+	default:
+		return x.unknown(codeEndpointLost, "the connection to the endpoint broke before the answer was complete")
+	}
+}
