--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -71,7 +71,7 @@
 	case x.gateway.groups <- struct{}{}:
 		defer func() { <-x.gateway.groups }()
 	case <-ctx.Done():
-		return x.giveUp("gateway_groups")
+		return x.giveUp(ctx, "gateway_groups")
 	}
 	for {
 		members, refused := x.reserveGroup(ctx, size)
@@ -241,7 +241,7 @@
 	request.Header.Set("X-Import", strings.Join(imports, ", "))
 	own := (len(leader.text) + bytesPerToken - 1) / bytesPerToken
 	request.Header.Set("X-Own-Tokens", strconv.Itoa(own))
-	receiver := &answerReceiver{x: x, granted: leader.credited, sent: time.Now()}
+	receiver := &answerReceiver{ctx: ctx, x: x, granted: leader.credited, sent: time.Now()}
 	check := x.startCredit(leader.credited)
 	err := x.gateway.engines.Do(ctx, request, func() error {
 		x.stage = outcome.StagePrefill
@@ -258,13 +258,16 @@
 func (x *exchange) endGroup(
 	ctx context.Context, members []*groupMember, receiver *answerReceiver, err error, segmentErrors []error,
 ) (final *outcome.Error, again bool) {
-	x.reportEnd(members[0].credited, receiver, err)
+	x.reportEnd(ctx, members[0].credited, receiver, err)
 	segmentFailure := error(nil)
 	for i, member := range members[1:] {
 		state := peer.ReportDone
 		switch failure := segmentErrors[i+1]; {
 		case notSent(failure):
 			state = peer.ReportUnused
+		case receiver.whole:
+		case callerLeft(ctx, err):
+			state = peer.ReportCancelled
 		case failure != nil || err != nil:
 			// The owner cancels a segment that stays exported.
 			state = peer.ReportFailed
@@ -275,15 +278,16 @@
 		}
 		if !notSent(segmentErrors[i+1]) && !errors.Is(segmentErrors[i+1], errRefused) {
 			x.bytesSent = true
+			x.endUnknown = true
 		}
 	}
 	endpoints := make([]string, 0, len(members))
 	for _, member := range members {
 		endpoints = append(endpoints, member.Endpoint)
 	}
-	if err == nil {
+	if receiver.whole {
 		x.answerStatus = receiver.status
-		x.logAnswered(strings.Join(endpoints, "+"), receiver)
+		x.logAnswered(strings.Join(endpoints, "+"), receiver, err)
 		return nil, false
 	}
 	if segmentFailure != nil {
