Test whole answers that are not read and the balancer's lag

Its log line gives the deadline as the code instead of a caller that left. The key still ends with the endpoint's status.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -73,6 +73,15 @@
 		r.locked(func() { r.granted = nil })
 	})
 
+	// Guards against a planned stop that refuses requests while the load balancer still sends them here.
+	It("goes on until the balancer's lag has passed", func() {
+		r := newRigWithLag(time.Hour, newEndpoint("e1", "turf", answering(wholeAnswer(200, "{}"))))
+		r.gateway.StartDrain("test")
+		Expect(r.log.lines("drain_started")).To(HaveLen(1))
+		Expect(r.do(completion(false, longBudget)).status).To(Equal(200))
+		Expect(r.gateway.Drained()).NotTo(BeClosed())
+	})
+
 	// Guards against a planned stop that cuts off a request or takes new work after the balancer's lag.
 	It("ends with a planned stop after the balancer's lag, and running streams end whole", func() {
 		finish := make(chan struct{})
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -17,6 +19,7 @@
 
 // The codes of final answers that more than one place gives.
 const (
+	codeDeadline     = "deadline_exceeded"
 	codeCallerLeft   = "caller_left"
 	codeEndpointLost = "endpoint_lost"
 )
@@ -80,10 +83,13 @@
 	flush(x.w)
 }
 
-// logAnswered logs an answer of the endpoint itself. err is set if the caller left before it had the whole answer.
+// logAnswered logs an answer of the endpoint itself. err is set if the caller did not take the whole answer.
 func (x *exchange) logAnswered(endpoint string, receiver *answerReceiver, err error) {
 	code := "whole"
-	if err != nil {
+	switch {
+	case err != nil && errors.Is(receiver.ctx.Err(), context.DeadlineExceeded):
+		code = codeDeadline
+	case err != nil:
 		code = codeCallerLeft
 	}
 	if x.service.Kind == config.KindModel && !x.firstToken.IsZero() {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -152,7 +152,7 @@
 		return outcome.Refusal(http.StatusServiceUnavailable, x.stage, "endpoint_unavailable",
 			"no endpoint started the request", time.Second)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return x.unknown("deadline_exceeded", "the time budget ended before the answer was complete")
+		return x.unknown(codeDeadline, "the time budget ended before the answer was complete")
 	case callerLeft(ctx, err):
 		return x.unknown(codeCallerLeft, "the caller left before the answer was complete")
 	case errors.Is(err, errAnswerTooLarge):
