Report only the failed member of a group as failed

Before: every member of a group was reported failed when one failed, which returned healthy endpoints to the cold step. The others are cancelled now. The gateway rig marks its views as full, as the controller does since views carry only changes; without it the spec 'is not run while its key has no home' waited for an owner to disappear.

--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -258,25 +258,16 @@
 func (x *exchange) endGroup(
 	ctx context.Context, members []*groupMember, receiver *answerReceiver, err error, segmentErrors []error,
 ) (final *outcome.Error, again bool) {
-	x.reportEnd(ctx, members[0].credited, receiver, err)
-	segmentFailure := error(nil)
+	segmentFailure := firstFailure(segmentErrors)
+	if segmentFailure != nil && errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		x.gateway.held.progress(members[0].credited, peer.ReportCancelled, 0)
+	} else {
+		x.reportEnd(ctx, members[0].credited, receiver, err)
+	}
 	for i, member := range members[1:] {
-		state := peer.ReportDone
-		switch failure := segmentErrors[i+1]; {
-		case notSent(failure):
-			state = peer.ReportUnused
-		case receiver.whole:
-		case callerLeft(ctx, err):
-			state = peer.ReportCancelled
-		case failure != nil || err != nil:
-			// The owner cancels a segment that stays exported.
-			state = peer.ReportFailed
-		}
-		x.gateway.held.progress(member.credited, state, 0)
-		if segmentErrors[i+1] != nil && segmentFailure == nil {
-			segmentFailure = segmentErrors[i+1]
-		}
-		if !notSent(segmentErrors[i+1]) && !errors.Is(segmentErrors[i+1], errRefused) {
+		failure := segmentErrors[i+1]
+		x.gateway.held.progress(member.credited, segmentState(failure, receiver.whole), 0)
+		if !notSent(failure) && !errors.Is(failure, errRefused) {
 			x.bytesSent = true
 			x.endUnknown = true
 		}
@@ -296,6 +287,31 @@
 	return x.judge(ctx, strings.Join(endpoints, "+"), receiver, err)
 }
 
+// firstFailure returns the error of the member that failed by itself; the others were cancelled because of it.
+func firstFailure(segmentErrors []error) error {
+	for _, err := range segmentErrors {
+		if err != nil && !errors.Is(err, context.Canceled) {
+			return err
+		}
+	}
+	return nil
+}
+
+// segmentState is the final report of a member other than the leader. A member that did not fail by itself must not turn
+// cold. The owner cancels a segment that stays exported.
+func segmentState(failure error, whole bool) peer.ReportState {
+	switch {
+	case whole:
+		return peer.ReportDone
+	case notSent(failure):
+		return peer.ReportUnused
+	case failure == nil || errors.Is(failure, context.Canceled):
+		return peer.ReportCancelled
+	default:
+		return peer.ReportFailed
+	}
+}
+
 // notSent tells whether an exchange provably sent no byte.
 func notSent(err error) bool {
 	var failure *engine.Error
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -154,7 +154,7 @@
 
 func (c *controller) view(ask peer.ViewAsk) peer.View {
 	view := peer.View{
-		Version: c.version, Revision: c.revision, Owners: c.owners, Summary: c.states, Draining: c.draining,
+		Version: c.version, Revision: c.revision, Owners: c.owners, Full: true, Summary: c.states, Draining: c.draining,
 	}
 	if ask.Revision != c.revision {
 		view.Document = []byte(c.document)
