Keep the output of a request within its reservation

A request above its profile's max_output_tokens is refused (max_tokens_too_large); one that names no limit is handed over with the profile's. Before, the engine could generate more than was reserved. A deadline that passes within 5 s of the hand-over no longer returns the endpoint to the cold step: callers with tiny budgets could cool a fleet.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/acacialift/acacialift/internal/credit"
+	"github.com/acacialift/acacialift/internal/gateway"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/peer"
 )
@@ -30,9 +31,23 @@
 		Entry("an unknown profile", func(c *call) { c.profile = "turf-old" }, "unknown_profile"),
 		Entry("a team that is not in the configuration", func(c *call) { c.team = "others" }, "unknown_team"),
 		Entry("a budget above the profile's maximum", func(c *call) { c.budget = 61 * time.Second }, "budget_too_large"),
+		Entry("more output than the profile allows", func(c *call) {
+			c.body = strings.Replace(c.body, "{", `{"max_tokens":1000000,`, 1)
+		}, "max_tokens_too_large"),
 		Entry("a profile of another kind of service", func(c *call) { c.profile = "desk-any" }, "wrong_profile"),
 	)
 
+	// Guards against an engine that generates more than the memory reserved for the answer, because the request names no
+	// limit or more than its profile allows.
+	DescribeTable("bounds the output", func(body, handedOver string) {
+		Expect(string(gateway.WithMaxTokens([]byte(body), 64))).To(MatchJSON(handedOver))
+	},
+		Entry("no limit", `{"prompt":"a"}`, `{"prompt":"a","max_tokens":64}`),
+		Entry("leading space", ` { "prompt":"a{"}`, `{"prompt":"a{","max_tokens":64}`),
+		Entry("null", `{"prompt":"a","max_tokens":null}`, `{"prompt":"a","max_tokens":64}`),
+		Entry("the field's name inside the prompt", `{"prompt":"\"max_tokens\""}`, `{"prompt":"\"max_tokens\"","max_tokens":64}`),
+	)
+
 	// Guards against refusals that operators cannot see because the server gives them before the handler runs.
 	DescribeTable("answers and logs a request that cannot be received", func(text, code string) {
 		r := newRig(newEndpoint("e1", "turf", answering(wholeAnswer(200, "{}"))))
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/callers"
@@ -63,16 +67,49 @@
 	if x.req.Kind == callers.KindService && x.req.ServiceName != x.service.Name {
 		return badRequest("wrong_profile", "the serving profile is for another service")
 	}
-	if x.req.MaxTokens == 0 {
-		x.req.MaxTokens = x.profile.MaxOutputTokens
+	x.class = peer.ClassOf(x.req.PromptTokens)
+	if x.service.Kind == config.KindModel {
+		return x.boundOutput()
+	}
+	return nil
+}
+
+// boundOutput keeps the output within the memory that is reserved for it: a request may not ask for more than its profile
+// allows, and one that names no limit is handed over with the profile's.
+func (x *exchange) boundOutput() *outcome.Error {
+	limit := x.profile.MaxOutputTokens
+	if limit == 0 {
+		limit = defaultOutputTokens
+	}
+	if x.profile.MaxOutputTokens > 0 && x.req.MaxTokens > limit {
+		return badRequest("max_tokens_too_large", "max_tokens is above the serving profile's maximum")
 	}
 	if x.req.MaxTokens == 0 {
-		x.req.MaxTokens = defaultOutputTokens
+		x.req.MaxTokens = limit
+		x.req.Body = withMaxTokens(x.req.Body, limit)
 	}
-	x.class = peer.ClassOf(x.req.PromptTokens)
 	return nil
 }
 
+// withMaxTokens sets the field in a JSON object that has at least one field and names no limit, but may have a null one.
+func withMaxTokens(body []byte, limit int64) []byte {
+	if bytes.Contains(body, []byte(`"max_tokens"`)) {
+		var fields map[string]json.RawMessage
+		if json.Unmarshal(body, &fields) == nil {
+			fields["max_tokens"] = json.RawMessage(strconv.FormatInt(limit, 10))
+			if encoded, err := json.Marshal(fields); err == nil {
+				return encoded
+			}
+		}
+	}
+	opening := bytes.IndexByte(body, '{') + 1
+	field := fmt.Sprintf(`"max_tokens":%d,`, limit)
+	bounded := make([]byte, 0, len(body)+len(field))
+	bounded = append(bounded, body[:opening]...)
+	bounded = append(bounded, field...)
+	return append(bounded, body[opening:]...)
+}
+
 func (x *exchange) setBudget() *outcome.Error {
 	x.budget = x.req.Budget
 	if x.budget == 0 {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -23,3 +23,6 @@
 	owner := peer.OwnerView{Resource: endpointPrefix + endpoint, Instance: "other", Address: address}
 	return g.views.merge(time.Now(), peer.View{Version: g.views.current.Load().version + 1, Owners: []peer.OwnerView{owner}})
 }
+
+// WithMaxTokens is withMaxTokens.
+var WithMaxTokens = withMaxTokens
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -22,6 +22,9 @@
 	errAnswerTooLarge = errors.New("answer is larger than the gateway buffers")
 )
 
+// silentAfter is the time after the hand-over from which a passed deadline speaks against the endpoint.
+const silentAfter = 5 * time.Second
+
 // handOver sends the request to the granted endpoint. again is true if another endpoint may be tried.
 func (x *exchange) handOver(ctx context.Context, granted *credited) (final *outcome.Error, again bool) {
 	x.stage = outcome.StageConnect
@@ -95,6 +98,9 @@
 	case !receiver.whole && callerLeft(ctx, err):
 		// The endpoint must not turn cold for a caller that left.
 		state = peer.ReportCancelled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(receiver.sent) < silentAfter:
+		// A budget that is too short for the request says nothing about the endpoint.
+		state = peer.ReportCancelled
 	default:
 		state = peer.ReportFailed
 	}
