Measure the system against two baselines, and the gateway's own cost

'acacia-lab measure' runs the same seeded loads on the system and on two uncontrolled baselines: first token by prompt length, short prompts with and without long ones, and a failure domain that leaves and returns cold. 'acacia-lab overhead' compares one gateway with direct calls. Results are small JSON files that 'acacia-lab report' prints again.

The stand-in's counts can leave out the executions, because reading them ten times a second grew with every request.

--- a/cmd/acacia-lab/main.go
+++ b/cmd/acacia-lab/main.go
@@ -28,7 +28,7 @@
 	return &cli.Command{
 		Name:     "acacia-lab",
 		Usage:    "start a whole deployment on loopback, show it and measure it",
-		Commands: []*cli.Command{demoCommand()},
+		Commands: []*cli.Command{demoCommand(), measureCommand(), overheadCommand(), reportCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/acacia-lab/measure.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/acacialift/acacialift/internal/lab"
+)
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "measure the system and two baselines: first token by prompt length, short beside long prompts, a domain's return",
+		Flags: append(deploymentFlags(),
+			&cli.IntFlag{Name: "runs", Value: 3, Usage: "number of runs"},
+			&cli.StringFlag{Name: "out", Value: "out/measure", Usage: "`FOLDER` for results and logs"},
+			&cli.FloatFlag{Name: "load", Value: 0.6, Usage: "used share of the prefill capacity"},
+			&cli.FloatFlag{Name: "domain-load", Value: 0.4, Usage: "used share while a failure domain leaves and returns"},
+			&cli.DurationFlag{Name: "phase-time", Value: 20 * time.Second, Usage: "time of each mixed load"},
+			&cli.DurationFlag{Name: "domain-time", Value: 40 * time.Second, Usage: "time of the load while a domain leaves and returns"},
+			&cli.DurationFlag{Name: "budget", Value: 20 * time.Second, Usage: "time budget of each request"},
+			&cli.BoolFlag{Name: "parallel", Usage: "run the variants at once, on free ports"},
+			&cli.StringFlag{Name: "note", Usage: "label of the results, for example trial"},
+		),
+		Action: runMeasure,
+	}
+}
+
+func runMeasure(ctx context.Context, cmd *cli.Command) error {
+	m := lab.Measurement{
+		Deployment: cmd.String("deployment"),
+		Seed:       cmd.Uint64("seed"),
+		Runs:       cmd.Int("runs"),
+		Folder:     cmd.String("out"),
+		Load:       cmd.Float("load"),
+		DomainLoad: cmd.Float("domain-load"),
+		PhaseTime:  cmd.Duration("phase-time"),
+		DomainTime: cmd.Duration("domain-time"),
+		Budget:     cmd.Duration("budget"),
+		Parallel:   cmd.Bool("parallel"),
+		Note:       cmd.String("note"),
+	}
+	load := func() (*lab.Deployment, error) {
+		d, err := loadDeployment(cmd)
+		if err == nil && m.Parallel {
+			err = d.UseFreePorts()
+		}
+		return d, err
+	}
+	if err := m.Measure(ctx, load, cmd.Root().Writer); err != nil {
+		return err
+	}
+	return lab.WriteReport(m.Folder, cmd.Root().Writer)
+}
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "report",
+		Usage:     "print the tables of earlier results again",
+		ArgsUsage: "FOLDER",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return errors.New("one folder of results is needed")
+			}
+			folder, w := cmd.Args().First(), cmd.Root().Writer
+			if err := lab.WriteReport(folder, w); err != nil {
+				return err
+			}
+			return lab.WriteOverhead(folder, w)
+		},
+	}
+}
+
+func overheadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "overhead",
+		Usage: "measure what one gateway adds to direct calls of engines",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.IntFlag{Name: "runs", Value: 3, Usage: "number of runs"},
+			&cli.FloatFlag{Name: "rate", Value: 500, Usage: "requests per second through one gateway"},
+			&cli.DurationFlag{Name: "phase-time", Value: 10 * time.Second, Usage: "time of each load"},
+			&cli.StringFlag{Name: "out", Value: "out/overhead", Usage: "`FOLDER` for results and logs"},
+			&cli.StringFlag{Name: "note", Usage: "label of the results, for example trial"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			o := lab.Overhead{
+				Seed: cmd.Uint64("seed"), Runs: cmd.Int("runs"), Rate: cmd.Float("rate"),
+				PhaseTime: cmd.Duration("phase-time"), Folder: cmd.String("out"), Note: cmd.String("note"),
+			}
+			return o.Measure(ctx, cmd.Root().Writer)
+		},
+	}
+}
--- a/internal/gateway/uncontrolled.go
+++ b/internal/gateway/uncontrolled.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/config"
@@ -17,6 +18,10 @@
 // measure what they achieve. Reports to owners remain, because an owner cancels streams that no gateway holds.
 func (x *exchange) serveUncontrolled(ctx context.Context) *outcome.Error {
 	x.class = peer.ClassShort
+	if x.req.PromptTokens+x.req.MaxTokens > x.service.Warm.Tokens {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StageAdmission, "too_large",
+			"no endpoint can hold the prompt", 0)
+	}
 	for {
 		x.refused.prune(time.Now())
 		latest := x.gateway.views.current.Load()
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -152,15 +152,17 @@
 		if err := result.Err(); err != nil {
 			return fmt.Errorf("warm-up: %w", err)
 		}
-		if f.coldEndpoints(ctx, service.Name) == 0 {
-			return nil
+		cold, err := f.coldEndpoints(ctx, service.Name)
+		if err != nil || cold == 0 {
+			return err
 		}
 	}
 	return ctx.Err()
 }
 
-// coldEndpoints counts the endpoints of a service that no instance's freshest figures show as warm.
-func (f *Fleet) coldEndpoints(ctx context.Context, service string) int {
+// coldEndpoints counts the endpoints of a service that their owner does not take for warm. Without credits the owners
+// cannot tell, and the engines' own word counts.
+func (f *Fleet) coldEndpoints(ctx context.Context, service string) (int, error) {
 	warm := make(map[string]bool)
 	for _, answer := range f.Status(ctx) {
 		if answer.Err != nil {
@@ -174,11 +176,18 @@
 	}
 	cold := 0
 	for _, endpoint := range f.Endpoints(service) {
+		if f.options.GatewaySettings["uncontrolled"] == true {
+			stats, err := f.EngineCounts(ctx, endpoint)
+			if err != nil {
+				return 0, err
+			}
+			warm[endpoint.Name] = !stats.Cold
+		}
 		if !warm[endpoint.Name] {
 			cold++
 		}
 	}
-	return cold
+	return cold, nil
 }
 
 // Load returns a load on all gateways with prompts of the given classes. Prompts that exceed one engine's memory go to
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -46,6 +46,8 @@
 	// ownerTimeout covers the voters' silence and the wait of new owners on a busy machine.
 	ownerTimeout = time.Minute
 	httpTimeout  = 5 * time.Second
+	// replaceWait covers the start of a process and a few polls of its controller.
+	replaceWait = time.Second
 	// balancerLag is short because nothing stands before the gateways of a lab.
 	balancerLag = "1s"
 )
@@ -223,6 +225,20 @@
 	return fmt.Errorf("no instance has the process %s", name)
 }
 
+// Replace kills a gateway or controller, starts it again and waits until all endpoints have owners.
+func (f *Fleet) Replace(ctx context.Context, name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	if err := f.Restart(name); err != nil {
+		return err
+	}
+	if err := pause(ctx, replaceWait); err != nil {
+		return err
+	}
+	return f.WaitForOwners(ctx)
+}
+
 // launch starts a process in a group of its own, so that an interrupt from the terminal reaches the lab only, which then
 // stops its children.
 func (f *Fleet) launch(name, binary string, arguments ...string) error {
@@ -375,8 +391,17 @@
 
 // EngineStats reads the counts of an engine stand-in.
 func (f *Fleet) EngineStats(ctx context.Context, endpoint config.Endpoint) (standin.EngineStats, error) {
+	return f.readStats(ctx, endpoint, "/standin/stats")
+}
+
+// EngineCounts reads the counts of an engine stand-in without the executions of each request.
+func (f *Fleet) EngineCounts(ctx context.Context, endpoint config.Endpoint) (standin.EngineStats, error) {
+	return f.readStats(ctx, endpoint, "/standin/stats?brief")
+}
+
+func (f *Fleet) readStats(ctx context.Context, endpoint config.Endpoint, path string) (standin.EngineStats, error) {
 	var stats standin.EngineStats
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.Address+"/standin/stats", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.Address+path, nil)
 	if err != nil {
 		return stats, err
 	}
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -84,6 +84,8 @@
 	Seed uint64
 	// Classes are the prompt lengths; the default is DefaultClasses with one long prompt in fifty.
 	Classes []Class
+	// WithoutLong leaves the prompts over 100 k tokens out of the plan and changes nothing else.
+	WithoutLong bool
 	// Teams are the teams; the default is DefaultTeams.
 	Teams []Team
 	// TeamHeader names the header of the team; the default is X-Acacia-Team.
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -51,6 +52,9 @@
 		at += time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second))
 		jobs[i] = planJob(o, random, i, at)
 	}
+	if o.WithoutLong {
+		jobs = slices.DeleteFunc(jobs, func(j job) bool { return j.class.Tokens > longClassTokens })
+	}
 	return jobs
 }
 
--- a/internal/loadgen/plan_test.go
+++ b/internal/loadgen/plan_test.go
@@ -36,6 +36,22 @@
 		}
 	})
 
+	// Guards against a comparison of two loads that differ in more than their long prompts.
+	It("leaves out long prompts and nothing else", func() {
+		o := planOptions(1, 1000)
+		all := plan(o)
+		o.WithoutLong = true
+		short := plan(o)
+		Expect(len(short)).To(BeNumerically("<", len(all)))
+		for _, j := range all {
+			if j.class.Tokens <= longClassTokens {
+				Expect(short[0]).To(Equal(j))
+				short = short[1:]
+			}
+		}
+		Expect(short).To(BeEmpty())
+	})
+
 	// Guards against a mix that lacks the long prompts or large teams whose effect is to be measured.
 	It("has one long prompt in fifty and a few large teams", func() {
 		long := 0
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -123,6 +123,17 @@
 	return value * float64(histogramUnit) / float64(time.Millisecond)
 }
 
+// Combined returns the distribution of a metric over several classes of a result that was not read from a file.
+func (r *Result) Combined(metric string, classes []string) Latency {
+	sum := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, class := range classes {
+		if histogram := r.histograms[histogramKey{metric: metric, class: class}]; histogram != nil {
+			sum.Merge(histogram)
+		}
+	}
+	return summarize(sum)
+}
+
 // Err describes the violations, if there was one.
 func (r *Result) Err() error {
 	if r.ViolationCount == 0 {
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -111,6 +111,11 @@
 	writeJSON(w, http.StatusOK, e.Stats())
 }
 
-func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.Stats())
+// serveStats leaves out the executions for a query "brief", because they grow with every request.
+func (e *Engine) serveStats(w http.ResponseWriter, r *http.Request) {
+	stats := e.Stats()
+	if r.URL.Query().Has("brief") {
+		stats.Executions = nil
+	}
+	writeJSON(w, http.StatusOK, stats)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -111,9 +111,11 @@
 	PeakColdStreams int   `json:"peak_cold_streams"`
 	PeakColdTokens  int64 `json:"peak_cold_tokens"`
 	Segments        int   `json:"segments"`
-	Imported        int   `json:"imported"`
-	Orders          int   `json:"orders"`
-	StaleOrders     int   `json:"stale_orders"`
+	// LastStartMS is the wall-clock time of the last start of a request or segment in ms.
+	LastStartMS int64 `json:"last_start_ms"`
+	Imported    int   `json:"imported"`
+	Orders      int   `json:"orders"`
+	StaleOrders int   `json:"stale_orders"`
 	// Executions counts the started requests by X-Request-Id, without segments.
 	Executions map[string]int `json:"executions"`
 
@@ -249,6 +251,7 @@
 }
 
 func (e *Engine) countStart(s *stream) {
+	e.stats.LastStartMS = s.admitted.UnixMilli()
 	if s.segment != nil {
 		e.stats.Segments++
 		return
