--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -111,7 +111,7 @@
 	groupSize      = 4
 )
 
-// Generate returns a deployment on free ports.
+// Generate returns a deployment on free ports that passes the checks of the configuration.
 func Generate(size Size) (*Deployment, error) {
 	d := &Deployment{PeersKey: "lab-peers-key-0001", OperatorsKey: "lab-operators-key-0001"}
 	d.List.Revision, d.Document.Revision = 1, 1
@@ -127,7 +127,26 @@
 	for i := range generatedTeams {
 		d.Document.Teams = append(d.Document.Teams, config.Team{Name: fmt.Sprintf("team-%02d", i+1), Weight: 1})
 	}
-	return d, d.UseFreePorts()
+	if err := d.UseFreePorts(); err != nil {
+		return nil, err
+	}
+	return d, d.check()
+}
+
+// check returns the findings at once that controllers would only log.
+func (d *Deployment) check() error {
+	data, err := yaml.Marshal(d.Document)
+	if err != nil {
+		return err
+	}
+	if _, err := config.Parse(data); err != nil {
+		return err
+	}
+	if data, err = yaml.Marshal(d.List); err != nil {
+		return err
+	}
+	_, err = config.ParseInstances(data)
+	return err
 }
 
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i%domainCount+1) }
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -54,10 +54,12 @@
 }
 
 const (
-	overheadInstances     = 3
-	overheadEngines       = 9
-	overheadStreams       = 1000
-	overheadTokens        = 8_000_000
+	overheadInstances = 3
+	overheadEngines   = 9
+	overheadStreams   = 1000
+	overheadTokens    = 8_000_000
+	// overheadPrefillRate stands for engines that take no time.
+	overheadPrefillRate   = 1_000_000_000
 	overheadTokenInterval = 10 * time.Millisecond
 	overheadPromptTokens  = 250
 	// fewTokens and manyTokens are the output lengths whose difference tells the cost of tokens from that of requests.
@@ -81,7 +83,7 @@
 	limit := config.Limit{Streams: overheadStreams, Tokens: overheadTokens}
 	d, err := Generate(Size{
 		Instances: overheadInstances, Engines: overheadEngines,
-		Engine: config.Service{Warm: limit, Cold: limit},
+		Engine: config.Service{Warm: limit, Cold: limit, PrefillRate: overheadPrefillRate},
 	})
 	if err != nil {
 		return err
