Send direct calls to engines that have no owner

Trials of 'acacia-lab overhead' had 4 to 5 requests of about 17,000 that got no answer. The gateway's log showed none of them, so they were direct calls: they carry no id, the owner of the engine saw a stream that no gateway held, and cancelled it as an orphan after 5 s, as it should.

--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -50,7 +51,9 @@
 	PromptBytes    int     `json:"prompt_bytes"`
 	SentLate       int     `json:"sent_late"`
 	NotAnswered    int     `json:"not_answered"`
-	CPUShare       float64 `json:"cpu_share"`
+	// Unanswered lists how the requests ended that got no answer.
+	Unanswered []loadgen.OutcomeCount `json:"unanswered,omitempty"`
+	CPUShare   float64                `json:"cpu_share"`
 }
 
 const (
@@ -99,8 +102,12 @@
 		return err
 	}
 	defer f.Stop()
+	direct, err := f.launchDirect()
+	if err != nil {
+		return err
+	}
 	for run := range o.Runs {
-		result, err := o.measureOnce(ctx, f, o.Seed+uint64(run))
+		result, err := o.measureOnce(ctx, f, o.Seed+uint64(run), direct)
 		if err != nil {
 			return err
 		}
@@ -116,16 +123,29 @@
 	return WriteOverhead(o.Folder, w)
 }
 
-func (o *Overhead) measureOnce(ctx context.Context, f *Fleet, seed uint64) (*OverheadResult, error) {
+// launchDirect starts as many engines outside the configuration and returns their addresses. The owner of an engine
+// cancels streams that no gateway holds, so that direct calls need engines without owners.
+func (f *Fleet) launchDirect() ([]string, error) {
+	port, err := freePorts(overheadEngines)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, overheadEngines)
+	for i := range addresses {
+		addresses[i] = loopback(port + i)
+	}
+	flags := append([]string{"--listen", addresses[0], "--count", strconv.Itoa(overheadEngines)}, f.options.EngineFlags...)
+	return addresses, f.launch("standin-direct", "standin-engine", flags...)
+}
+
+func (o *Overhead) measureOnce(
+	ctx context.Context, f *Fleet, seed uint64, engines []string,
+) (*OverheadResult, error) {
 	result := &OverheadResult{
 		Seed: seed, Date: time.Now().UTC().Format(time.RFC3339), Commit: Commit(), Cores: runtime.NumCPU(),
 		Note: o.Note, Rate: o.Rate, PromptBytes: 4 * heldPromptTokens,
 	}
 	gateway := f.Gateways()[:1]
-	var engines []string
-	for _, endpoint := range f.Endpoints(EngineService) {
-		engines = append(engines, endpoint.Address)
-	}
 	cpu := machineCPU()
 	few := o.load(f, seed, fewTokens)
 	// The first load opens connections and fills caches.
@@ -193,6 +213,11 @@
 	}
 	result.SentLate += loaded.SentLate
 	result.NotAnswered += loaded.Started - answered(loaded)
+	for _, o := range loaded.Outcomes {
+		if o.Outcome != loadgen.OutcomeOK {
+			result.Unanswered = append(result.Unanswered, o)
+		}
+	}
 	return loaded, float64((after.cpu - before.cpu).Microseconds()), loaded.Err()
 }
 
