--- a/internal/lab/domain.go
+++ b/internal/lab/domain.go
@@ -116,7 +116,11 @@
 	if at := timeToShare(samples, shareWindow, shareTolerance*r.WantedShare); at >= 0 {
 		r.ShareMS = float64(at) / float64(time.Millisecond)
 	}
+	// The samples go on until the last answer, long after the last start.
 	last := len(samples) - 1
+	for last > 0 && samples[last-1].all == samples[len(samples)-1].all {
+		last--
+	}
 	begin := max(0, last-int(shareWindow/sampleInterval))
 	if last > 0 {
 		r.EndShare = shareBetween(samples[begin], samples[last])
