--- a/cmd/acacia-lab/main.go
+++ b/cmd/acacia-lab/main.go
@@ -26,9 +26,11 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "acacia-lab",
-		Usage:    "start a whole deployment on loopback, show it and measure it",
-		Commands: []*cli.Command{demoCommand(), measureCommand(), overheadCommand(), reportCommand()},
+		Name:  "acacia-lab",
+		Usage: "start a whole deployment on loopback, show it and measure it",
+		Commands: []*cli.Command{
+			demoCommand(), measureCommand(), overheadCommand(), controlCommand(), reportCommand(),
+		},
 	}
 }
 
--- a/internal/credit/limits.go
+++ b/internal/credit/limits.go
@@ -42,7 +42,7 @@
 		LongPrefills: service.LongPrefills,
 		ShortShare:   defaultShortShare,
 		PrefillRate:  service.PrefillRate,
-		Weights:      make(map[string]int, len(teams)),
+		Weights:      WeightsOf(teams),
 	}
 	if limits.LongPrefills <= 0 {
 		limits.LongPrefills = defaultLongPrefills
@@ -50,10 +50,16 @@
 	if service.ShortShare != nil {
 		limits.ShortShare = math.Min(math.Max(*service.ShortShare, 0), 1)
 	}
+	return limits
+}
+
+// WeightsOf returns the weights by team. Accounts only read them, so all accounts of a process can share one map.
+func WeightsOf(teams []config.Team) map[string]int {
+	weights := make(map[string]int, len(teams))
 	for _, team := range teams {
-		limits.Weights[team.Name] = team.Weight
+		weights[team.Name] = team.Weight
 	}
-	return limits
+	return weights
 }
 
 func (l Limits) weight(team string) float64 {
@@ -87,6 +93,9 @@
 	return limit.Streams >= needed.Streams && (l.Plain || limit.Tokens >= needed.Tokens)
 }
 
+// MaxTokens returns the most tokens that one reservation of the class can get on a warm endpoint.
+func (l Limits) MaxTokens(class peer.LengthClass) int64 { return l.forClass(l.Warm, class).Tokens }
+
 // forClass returns the part of limit that prompts of the class may use together with all longer ones. A limit of a single
 // stream has no share for short prompts, because no other prompt could ever run.
 func (l Limits) forClass(limit config.Limit, class peer.LengthClass) config.Limit {
--- a/internal/lab/figures_test.go
+++ b/internal/lab/figures_test.go
@@ -55,17 +55,7 @@
 	})
 })
 
-var _ = Describe("parseUsage", func() {
-	// Guards against columns that shift because a process name holds spaces or brackets.
-	It("reads behind the process name", func() {
-		usage, err := parseUsage([]byte("7 (a ) b) S 1 1 1 0 -1 0 0 0 0 0 150 50 0 0 20 0 9 0 100 5000 3 0"))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(usage.cpu).To(Equal(2 * time.Second))
-		Expect(usage.resident).To(BeNumerically(">", 0))
-		_, err = parseUsage([]byte("7 (a) S 1"))
-		Expect(err).To(MatchError(errStatFormat))
-	})
-
+var _ = Describe("machineCPU", func() {
 	// Guards against idle time that counts as busy.
 	It("takes the busy share of the machine", func() {
 		before := parseCPU("cpu 100 0 100 700 100 0 0 0 50 0")
