--- a/internal/lab/figures_test.go
+++ b/internal/lab/figures_test.go
@@ -49,9 +49,11 @@
 			{Outcome: "failed", Count: 4},
 			{Outcome: "reset", Count: 5},
 			{Outcome: "endpoint_error", Count: 6},
+			{Outcome: "unknown", Code: "deadline_exceeded", Count: 2},
 		}}
 		Expect(lost(result)).To(Equal(18))
-		Expect(inTime(result)).To(BeNumerically("~", 10.0/48))
+		Expect(outOfBudget(result)).To(Equal(2))
+		Expect(inTime(result)).To(BeNumerically("~", 10.0/50))
 	})
 })
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -190,9 +190,11 @@
 	{"short prompts' p95 without long ones, ms", "", 1, always(func(r *Run) float64 { return r.ShortWithout.P95 })},
 	{"mixed load: answered in time, %", "", 1, always(func(r *Run) float64 { return 100 * inTime(r.With) })},
 	{"mixed load: admitted and lost", "0", 0, always(func(r *Run) float64 { return float64(lost(r.With) + lost(r.Without)) })},
+	{"mixed load: started and out of budget", "", 0, always(func(r *Run) float64 { return float64(outOfBudget(r.With) + outOfBudget(r.Without)) })},
 	{"mixed load: endpoints that fell over", "0", 0, always(func(r *Run) float64 { return float64(r.Falls) })},
 	{"domain: answered in time, %", "", 1, always(func(r *Run) float64 { return 100 * inTime(r.Domain.Load) })},
 	{"domain: admitted and lost", "0", 0, always(func(r *Run) float64 { return float64(lost(r.Domain.Load)) })},
+	{"domain: started and out of budget", "", 0, always(func(r *Run) float64 { return float64(outOfBudget(r.Domain.Load)) })},
 	{"domain: last new work after publication, ms", fmt.Sprintf("at most %d", GoalOutMS), 0, always(func(r *Run) float64 { return r.Domain.LastStartMS })},
 	{"domain: its share of the starts after return, ms", "", 0, shareTime},
 	{"domain: share of the starts at the end, %", "", 0, always(func(r *Run) float64 { return 100 * r.Domain.EndShare })},
@@ -239,7 +241,8 @@
 	return float64(answered) / float64(max(all, 1))
 }
 
-// lost counts the requests that may have run and got no whole answer. A refusal that says not_run loses nothing.
+// lost counts the requests that may have run and got no whole answer, apart from those that ran out of their time budget.
+// A refusal that says not_run loses nothing.
 func lost(r *loadgen.Result) int {
 	n := 0
 	for _, o := range r.Outcomes {
@@ -247,5 +250,19 @@
 			n += o.Count
 		}
 	}
+	return n - outOfBudget(r)
+}
+
+// outOfBudget counts the requests whose time budget ended after an endpoint had started them.
+func outOfBudget(r *loadgen.Result) int {
+	n := 0
+	for _, o := range r.Outcomes {
+		if o.Outcome == string(outcome.Unknown) && o.Code == deadlineCode {
+			n += o.Count
+		}
+	}
 	return n
 }
+
+// deadlineCode is the gateway's code for a request whose budget ended before the answer was whole.
+const deadlineCode = "deadline_exceeded"
