Wake the controller for due claims instead of every 50 ms

An idle controller ran a lease round every 50 ms and a report round every 100 ms. A lease round now starts when the next claim is due, after 250 ms at the latest, and at once when the membership, the configuration or the list changed. Load reports are looked at every 250 ms, with the same interval of one second for each endpoint.

An account is now closed up to 250 ms after the end of its lease, so a load report that arrives then no longer leads to cancel orders: the lease is checked right before. Credits were checked against the lease already.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,8 @@
 	documents   *documents
 	// heartbeatNow asks for a round of heartbeats at once, so that peers learn a new revision without delay.
 	heartbeatNow chan struct{}
+	// leasesNow asks for a round of claims at once.
+	leasesNow chan struct{}
 	// drained is closed when a planned stop may end the process.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -76,6 +78,7 @@
 		incarnation:  incarnation,
 		started:      started,
 		heartbeatNow: make(chan struct{}, 1),
+		leasesNow:    make(chan struct{}, 1),
 		drained:      make(chan struct{}),
 		table:        member.New(s.Instance, incarnation),
 		voter:        lease.NewVoter(s.Instance),
@@ -184,4 +187,5 @@
 	c.voter.SetView(now, now.UnixMilli(), c.index, c.list)
 	c.holder.SetView(now, c.index, c.list)
 	c.applyLimits()
+	c.kickLeases()
 }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -140,7 +140,11 @@
 	}
 }
 
+// logChanges logs transitions of members and lets the preferred holders be worked out again.
 func (c *Controller) logChanges(changes []member.Change) {
+	if len(changes) > 0 {
+		c.kickLeases()
+	}
 	for _, change := range changes {
 		c.log.Info().Str("member", change.Name).Str("from", string(change.From)).Str("to", string(change.To)).
 			Str("reason", change.Reason).Msg("member_changed")
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -13,7 +13,11 @@
 )
 
 const (
-	leaseTick    = 50 * time.Millisecond
+	// leaseTick is the longest time between two rounds; a due claim or a change of the membership starts one earlier. A
+	// new lease waits longer than this before it grants, so opening its account at the next tick delays nothing.
+	leaseTick = 250 * time.Millisecond
+	// leasePause is the shortest time between two rounds.
+	leasePause   = 20 * time.Millisecond
 	claimTimeout = lease.LeaseLength
 	// handOffDelay is the time for which another instance must be preferred before a held resource is given up, so that
 	// a short doubt about a member does not interrupt an endpoint's owner.
@@ -47,15 +51,34 @@
 }
 
 func (c *Controller) serveLeases(ctx context.Context) error {
-	return every(ctx, leaseTick, c.leaseRound)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-c.leasesNow:
+		}
+		timer.Reset(c.leaseRound(ctx))
+	}
 }
 
-func (c *Controller) leaseRound(ctx context.Context) {
+// kickLeases asks for a round of claims without waiting for the next tick.
+func (c *Controller) kickLeases() {
+	select {
+	case c.leasesNow <- struct{}{}:
+	default:
+	}
+}
+
+// leaseRound sends the claims that are due and returns the time until the next round.
+func (c *Controller) leaseRound(ctx context.Context) time.Duration {
 	now := time.Now()
 	c.mu.Lock()
 	if c.index == nil || c.list == nil {
 		c.mu.Unlock()
-		return
+		return leaseTick
 	}
 	c.chooseResources(now)
 	claims := c.holder.Claims(now, now.UnixMilli())
@@ -64,10 +87,15 @@
 		addresses[claim.Voter] = c.peerAddress(claim.Voter)
 	}
 	c.reconcile(now)
+	pause := leaseTick
+	if next, wanted := c.holder.NextClaim(now); wanted {
+		pause = min(leaseTick, max(leasePause, next.Sub(now)))
+	}
 	c.mu.Unlock()
 	for _, claim := range claims {
 		go c.claim(ctx, claim, addresses[claim.Voter])
 	}
+	return pause
 }
 
 func (c *Controller) claim(ctx context.Context, outgoing lease.Outgoing, address string) {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -11,10 +11,11 @@
 
 	"github.com/acacialift/acacialift/internal/config"
 	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/lease"
 )
 
 const (
-	reportTick = 100 * time.Millisecond
+	reportTick = 250 * time.Millisecond
 	// reportInterval is the time between two load reports of an endpoint.
 	reportInterval = time.Second
 	// firstReportInterval applies until an account has its first report, which a new owner needs before it grants.
@@ -46,7 +47,7 @@
 		if owned.reportedAt.IsZero() {
 			interval = firstReportInterval
 		}
-		if now.Sub(owned.polled) < interval {
+		if now.Sub(owned.polled) < interval-reportTick/2 {
 			continue
 		}
 		owned.polling, owned.polled = true, now
@@ -60,7 +61,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	owned.polling = false
-	if c.accounts[name] != owned {
+	if _, held := c.holder.Holds(now, lease.EndpointResource(name)); !held || c.accounts[name] != owned {
 		return
 	}
 	if err != nil {
