Repeat held reservations every two seconds and in fewer bytes

Streams last about 15 s at the two-year size, so a gateway holds more than 200 reservations, and it told the owners of all of them every second. Owners now learn them every 2 s, well within the 5 s after which a stream without a holder is cancelled. A new owner is told as soon as the gateway knows it, so that it learns the holdings no later than before. Ids in reports leave out the gateway's name and incarnation, which all items of a report share.

Sending only ids to an owner that was told before was ruled out: a controller that restarted at the same address would not know what they reserve.

acacia-lab control has options for the length of the answers.

--- a/cmd/acacia-lab/control.go
+++ b/cmd/acacia-lab/control.go
@@ -38,6 +38,8 @@
 			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "length of each measurement"},
 			&cli.DurationFlag{Name: "settle", Value: 5 * time.Second, Usage: "pause before the first measurement"},
 			&cli.FloatFlag{Name: "rate", Value: 2, Usage: "requests per second and daemon under load, 0 for no load"},
+			&cli.IntFlag{Name: "tokens", Value: 8, Usage: "tokens of each answer"},
+			&cli.DurationFlag{Name: "token-interval", Value: 5 * time.Millisecond, Usage: "time between two tokens"},
 			&cli.IntFlag{Name: "changes", Usage: "configuration revisions to publish in a third window"},
 			&cli.StringFlag{Name: "out", Usage: "`FILE` for the result as JSON"},
 		},
@@ -49,6 +51,7 @@
 	options := lab.ControlOptions{
 		Binaries: cmd.String("bin"), Window: cmd.Duration("window"), Settle: cmd.Duration("settle"),
 		Rate: cmd.Float("rate"), Changes: cmd.Int("changes"),
+		OutputTokens: cmd.Int("tokens"), TokenInterval: cmd.Duration("token-interval"),
 		Progress: cmd.Root().ErrWriter,
 	}
 	for _, text := range cmd.StringSlice("size") {
--- a/internal/controller/handle.go
+++ b/internal/controller/handle.go
@@ -103,6 +103,7 @@
 }
 
 func (c *Controller) handleCreditReport(report *peer.CreditReport) any {
+	report.RestoreIDs()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/internal/gateway/credits.go
+++ b/internal/gateway/credits.go
@@ -10,8 +10,14 @@
 )
 
 const (
-	creditTimeout  = 300 * time.Millisecond
-	heldInterval   = time.Second
+	creditTimeout = 300 * time.Millisecond
+	// heldCheck is the time between two looks for reservations whose endpoint has another owner, which is told of them at
+	// once.
+	heldCheck = 500 * time.Millisecond
+	// heldInterval is the time after which a known owner is told of the held reservations again. It leaves room for two
+	// lost reports before credit.HolderSilence ends. At the two-year size a gateway holds more than 200 reservations, and
+	// repeating them is the largest part of the traffic between gateways and owners.
+	heldInterval   = 2 * time.Second
 	reportTimeout  = time.Second
 	endpointPrefix = "endpoint/"
 )
@@ -37,24 +43,33 @@
 	incarnation int64
 
 	mu   sync.Mutex
-	held map[string]peer.CreditReportItem
+	held map[string]heldItem
+	// homesTold is the time of the last report to the homes of open claims.
+	homesTold time.Time
 	// homes counts the open key claims by the address of the key's home.
 	homes map[string]int
 }
 
+// heldItem is a held reservation and the address and time at which an owner was last told of it.
+type heldItem struct {
+	peer.CreditReportItem
+	owner string
+	told  time.Time
+}
+
 func newHeldCredits(node *peer.Node, v *views, instance string, incarnation int64) *heldCredits {
 	return &heldCredits{
 		node: node, views: v, instance: instance, incarnation: incarnation,
-		held: make(map[string]peer.CreditReportItem), homes: make(map[string]int),
+		held: make(map[string]heldItem), homes: make(map[string]int),
 	}
 }
 
 // String implements fmt.Stringer.
 func (h *heldCredits) String() string { return "held-credits" }
 
-// Serve repeats the held reservations once a second until the context ends, so that a new owner learns them.
+// Serve repeats the held reservations until the context ends, and tells new owners of them.
 func (h *heldCredits) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(heldInterval)
+	ticker := time.NewTicker(heldCheck)
 	defer ticker.Stop()
 	for {
 		select {
@@ -67,24 +82,48 @@
 }
 
 func (h *heldCredits) sendHeld(ctx context.Context) {
-	byOwner := make(map[string][]peer.CreditReportItem)
+	for address, items := range h.dueReports(time.Now()) {
+		h.send(ctx, address, items)
+	}
+}
+
+// dueReports returns the reports to send now by the address of the owner. Each holds all reservations of that owner.
+func (h *heldCredits) dueReports(now time.Time) map[string][]peer.CreditReportItem {
 	h.mu.Lock()
-	for _, item := range h.held {
-		if owner, ok := h.owner(item.Endpoint); ok {
-			item.State = peer.ReportHeld
-			byOwner[owner.Address] = append(byOwner[owner.Address], item)
+	defer h.mu.Unlock()
+	byOwner := make(map[string][]string)
+	due := make(map[string]bool)
+	for id, item := range h.held {
+		owner, ok := h.owner(item.Endpoint)
+		if !ok {
+			continue
+		}
+		byOwner[owner.Address] = append(byOwner[owner.Address], id)
+		if item.owner != owner.Address || now.Sub(item.told) >= heldInterval {
+			due[owner.Address] = true
 		}
 	}
-	// An empty report keeps the home of an open claim from taking this gateway for dead.
-	for home := range h.homes {
-		if _, ok := byOwner[home]; !ok {
-			byOwner[home] = nil
+	reports := make(map[string][]peer.CreditReportItem)
+	for address := range due {
+		for _, id := range byOwner[address] {
+			item := h.held[id]
+			item.owner, item.told = address, now
+			h.held[id] = item
+			report := item.CreditReportItem
+			report.State = peer.ReportHeld
+			reports[address] = append(reports[address], report)
 		}
 	}
-	h.mu.Unlock()
-	for address, items := range byOwner {
-		h.send(ctx, address, items)
+	if now.Sub(h.homesTold) >= heldInterval {
+		h.homesTold = now
+		// An empty report keeps the home of an open claim from taking this gateway for dead.
+		for home := range h.homes {
+			if _, ok := reports[home]; !ok {
+				reports[home] = nil
+			}
+		}
 	}
+	return reports
 }
 
 func (h *heldCredits) openKey(home string) {
@@ -115,6 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report := peer.CreditReport{Gateway: h.instance, Incarnation: h.incarnation, Items: items}
+	report.ShortenIDs()
 	// A lost report is repeated by the list of held reservations, or found by its absence from it.
 	_ = h.node.Send(ctx, address, peer.KindCreditReport, report)
 }
@@ -142,7 +182,9 @@
 		return nil, reply.Reason, reply.RetryAfter
 	}
 	h.mu.Lock()
-	h.held[ask.RequestID] = reportItem(ask, peer.ReportHeld, 0)
+	h.held[ask.RequestID] = heldItem{
+		CreditReportItem: reportItem(ask, peer.ReportHeld, 0), owner: owner.Address, told: sent,
+	}
 	h.mu.Unlock()
 	return &credited{endpoint: endpoint, ask: ask, reply: reply, expires: sent.Add(reply.ValidFor)}, "", 0
 }
--- a/internal/gateway/uncontrolled.go
+++ b/internal/gateway/uncontrolled.go
@@ -61,6 +61,6 @@
 func (h *heldCredits) take(endpoint *config.Endpoint, ask peer.CreditAsk, expires time.Time) *credited {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.held[ask.RequestID] = reportItem(ask, peer.ReportHeld, 0)
+	h.held[ask.RequestID] = heldItem{CreditReportItem: reportItem(ask, peer.ReportHeld, 0)}
 	return &credited{endpoint: endpoint, ask: ask, expires: expires}
 }
--- a/internal/gateway/views_test.go
+++ b/internal/gateway/views_test.go
@@ -41,3 +41,31 @@
 		t.Fatal("an endpoint that nobody reported is known")
 	}
 }
+
+// Guards against a new owner that does not learn at once what is held, and against reservations that are repeated too
+// seldom or at every look.
+func TestHeldReports(t *testing.T) {
+	now := time.Now()
+	v := &views{}
+	owned := func(address string) {
+		v.current.Store(&view{owners: map[string]peer.OwnerView{"endpoint/a": {Address: address}}})
+	}
+	h := newHeldCredits(nil, v, "entry-1", 7)
+	h.held["x"] = heldItem{CreditReportItem: peer.CreditReportItem{RequestID: "x", Endpoint: "a"}, owner: "old", told: now}
+	h.homes["home"], h.homesTold = 1, now
+	owned("old")
+	if reports := h.dueReports(now.Add(heldCheck)); len(reports) != 0 {
+		t.Fatalf("repeated too early: %v", reports)
+	}
+	owned("new")
+	if reports := h.dueReports(now.Add(2 * heldCheck)); len(reports) != 1 || len(reports["new"]) != 1 {
+		t.Fatalf("new owner: %v", reports)
+	}
+	if reports := h.dueReports(now.Add(3 * heldCheck)); len(reports) != 0 {
+		t.Fatalf("new owner told twice: %v", reports)
+	}
+	reports := h.dueReports(now.Add(2*heldCheck + heldInterval))
+	if _, kept := reports["home"]; !kept || len(reports["new"]) != 1 || reports["new"][0].State != peer.ReportHeld {
+		t.Fatalf("after the interval: %v", reports)
+	}
+}
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -39,6 +39,9 @@
 	Settle time.Duration
 	// Rate is the number of requests per second and daemon under load; 0 leaves the load out.
 	Rate float64
+	// OutputTokens is the length of each answer, TokenInterval the time between two of its tokens.
+	OutputTokens  int
+	TokenInterval time.Duration
 	// Changes is the number of configuration changes in a third measurement; 0 leaves it out.
 	Changes int
 	// Progress receives one line for each measurement.
@@ -139,7 +142,7 @@
 	remove := func() { _ = os.RemoveAll(folder) }
 	fleet, err := Start(ctx, d, Options{
 		Binaries: options.Binaries, Folder: folder, EndpointsPerProcess: enginesPerProcess,
-		EngineFlags: []string{"--prefill-rate", "1000000", "--token-interval", "5ms"},
+		EngineFlags: []string{"--prefill-rate", "1000000", "--token-interval", options.TokenInterval.String()},
 	})
 	if err != nil {
 		remove()
@@ -298,7 +301,7 @@
 
 // load sends requests at a fixed rate, to the gateways in turn.
 func (m *measurement) load(ctx context.Context) error {
-	body, err := json.Marshal(map[string]any{"prompt": strings.Repeat("lawn ", 800), "max_tokens": 8})
+	body, err := json.Marshal(map[string]any{"prompt": strings.Repeat("lawn ", 800), "max_tokens": m.options.OutputTokens})
 	if err != nil {
 		return err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -163,6 +163,32 @@
 	})
 }
 
+// Guards against reservations that are reported under an id other than the one they were granted under.
+func TestReportIDs(t *testing.T) {
+	testkit.FixRapidSeed()
+	rapid.Check(t, func(t *rapid.T) {
+		id := peer.RequestID{
+			Gateway:     rapid.SampledFrom([]string{"entry-1", "entry-12", "other"}).Draw(t, "gateway"),
+			Incarnation: rapid.Int64Range(1, 99).Draw(t, "incarnation"), Sequence: rapid.Uint64().Draw(t, "sequence"),
+			Part: rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "part"),
+		}
+		ids := []string{id.String(), rapid.StringMatching(`[a-z:1-9]{0,20}`).Filter(func(s string) bool {
+			return len(s) == 0 || s[0] != ':'
+		}).Draw(t, "other")}
+		report := peer.CreditReport{Gateway: "entry-1", Incarnation: rapid.Int64Range(1, 99).Draw(t, "own incarnation")}
+		for _, text := range ids {
+			report.Items = append(report.Items, peer.CreditReportItem{RequestID: text})
+		}
+		report.ShortenIDs()
+		report.RestoreIDs()
+		for i, text := range ids {
+			if report.Items[i].RequestID != text {
+				t.Fatalf("%q became %q", text, report.Items[i].RequestID)
+			}
+		}
+	})
+}
+
 // Guards against large bodies that arrive changed, and against small frames that unpack to more than the limit.
 func TestPackedBodies(t *testing.T) {
 	testkit.FixRapidSeed()
--- a/internal/peer/requestid.go
+++ b/internal/peer/requestid.go
@@ -19,6 +19,9 @@
 // requestIDFields is the number of fields of the id of a hand-over.
 const requestIDFields = 4
 
+// shortMark begins a shortened id; no instance has an empty name.
+const shortMark = ":"
+
 // String returns "GATEWAY:INCARNATION:SEQUENCE:PART", or without ":PART" if Part is empty.
 func (id RequestID) String() string {
 	fields := []string{id.Gateway, strconv.FormatInt(id.Incarnation, 10), strconv.FormatUint(id.Sequence, 10)}
@@ -44,3 +47,28 @@
 	}
 	return RequestID{Gateway: fields[0], Incarnation: incarnation, Sequence: sequence, Part: fields[3]}, true
 }
+
+// ShortenIDs leaves the gateway's name and incarnation out of the ids, which all items of a report share. RestoreIDs
+// reverses it. Ids of other origin stay as they are.
+func (r *CreditReport) ShortenIDs() {
+	prefix := r.idPrefix()
+	for i := range r.Items {
+		if short, ok := strings.CutPrefix(r.Items[i].RequestID, prefix); ok {
+			r.Items[i].RequestID = shortMark + short
+		}
+	}
+}
+
+// RestoreIDs completes the ids of a received report.
+func (r *CreditReport) RestoreIDs() {
+	prefix := r.idPrefix()
+	for i := range r.Items {
+		if short, ok := strings.CutPrefix(r.Items[i].RequestID, shortMark); ok {
+			r.Items[i].RequestID = prefix + short
+		}
+	}
+}
+
+func (r *CreditReport) idPrefix() string {
+	return r.Gateway + ":" + strconv.FormatInt(r.Incarnation, 10) + ":"
+}
