--- a/cmd/acacia-lab/control.go
+++ b/cmd/acacia-lab/control.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/acacialift/acacialift/internal/lab"
+	"github.com/acacialift/acacialift/internal/lease"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// targetDaemons and targetEndpoints are the sizes for which docs/CAPACITY.md derives the cost.
 	targetDaemons   = 340
 	targetEndpoints = 600
+	// targetSlots are the key slots of two plain services.
+	targetSlots = 2 * lease.KeySlots
 )
 
 // controlCommand returns "acacia-lab control".
@@ -64,7 +67,7 @@
 	samples, err := lab.MeasureControl(ctx, options)
 	report := lab.NewControlReport(samples, baseDaemons)
 	target := lab.ControlSize{Daemons: targetDaemons, Endpoints: targetEndpoints}
-	err = errors.Join(err, report.WriteTable(cmd.Root().Writer, target))
+	err = errors.Join(err, report.WriteTable(cmd.Root().Writer, target, targetSlots))
 	if path := cmd.String("out"); path != "" {
 		err = errors.Join(err, report.WriteFile(path))
 	}
--- a/internal/lab/controlfit_test.go
+++ b/internal/lab/controlfit_test.go
@@ -6,6 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/acacialift/acacialift/internal/lease"
 )
 
 var _ = Describe("Fit of the control cost", func() {
@@ -14,17 +16,17 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			coefficient := rapid.Float64Range(-10, 10)
 			want := ControlModel{
-				Constant: coefficient.Draw(t, "constant"), PerDaemon: coefficient.Draw(t, "per daemon"),
+				Constant: coefficient.Draw(t, "constant"), PerNeighbour: coefficient.Draw(t, "per neighbour"), PerDaemon: coefficient.Draw(t, "per daemon"),
 				PerEndpoint: coefficient.Draw(t, "per endpoint"), PerOwned: coefficient.Draw(t, "per owned"),
 			}
 			var samples []ControlSample
-			for _, size := range [][2]int{{4, 20}, {16, 20}, {64, 20}, {16, 100}, {16, 600}, {64, 600}} {
+			for _, size := range [][2]int{{4, 20}, {8, 20}, {16, 20}, {32, 20}, {64, 20}, {16, 100}, {16, 600}, {64, 600}} {
 				s := ControlSample{ControlSize: ControlSize{Daemons: size[0], Endpoints: size[1]}, Phase: PhaseIdle}
-				s.Controller.CPUPercent = want.At(float64(size[0]), float64(size[1]))
+				s.Controller.CPUPercent = want.At(size[0], size[1], lease.KeySlots)
 				samples = append(samples, s)
 			}
 			fit := NewControlReport(samples, 16).Fits[0]
-			if fit.Model == nil || math.Abs(fit.Model.At(340, 600)-want.At(340, 600)) > 1e-3 {
+			if fit.Model == nil || math.Abs(fit.Model.At(340, 600, 128)-want.At(340, 600, 128)) > 1e-3 {
 				t.Fatalf("model %+v, want %+v", fit.Model, want)
 			}
 			if slope := want.PerEndpoint + want.PerOwned/16; math.Abs(fit.ByEndpoints.Slope-slope) > 1e-6 {
--- a/internal/lab/controltable.go
+++ b/internal/lab/controltable.go
@@ -6,6 +6,8 @@
 	"io"
 	"os"
 	"text/tabwriter"
+
+	"github.com/acacialift/acacialift/internal/lease"
 )
 
 // ControlFigure is one figure of a sample that is fitted over fleet sizes.
@@ -40,20 +42,38 @@
 	Model *ControlModel `json:"model,omitempty"`
 }
 
-// ControlModel is Constant + PerDaemon * daemons + PerEndpoint * endpoints + PerOwned * endpoints / daemons. The last
-// term separates what an owner does for its endpoints from what each daemon does for all endpoints.
+// ControlModel is the sum of its terms: a constant, one for each neighbour that gets heartbeats, for each daemon, for
+// each endpoint, and for each resource (endpoints and key slots) that a daemon holds. The last separates what an owner
+// does for its own resources from what each daemon does for all endpoints.
 type ControlModel struct {
-	Constant    float64 `json:"constant"`
-	PerDaemon   float64 `json:"per_daemon"`
-	PerEndpoint float64 `json:"per_endpoint"`
-	PerOwned    float64 `json:"per_owned_endpoint"`
+	Constant     float64 `json:"constant"`
+	PerNeighbour float64 `json:"per_neighbour"`
+	PerDaemon    float64 `json:"per_daemon"`
+	PerEndpoint  float64 `json:"per_endpoint"`
+	PerOwned     float64 `json:"per_owned_resource"`
 	// LargestError is the largest difference between a sample and the model.
 	LargestError float64 `json:"largest_error"`
 }
 
-// At returns the model's value for a fleet.
-func (m *ControlModel) At(daemons, endpoints float64) float64 {
-	return m.Constant + m.PerDaemon*daemons + m.PerEndpoint*endpoints + m.PerOwned*endpoints/daemons
+// At returns the model's value for a fleet with the given number of key slots.
+func (m *ControlModel) At(daemons, endpoints, slots int) float64 {
+	sum := 0.0
+	for i, term := range controlTerms(daemons, endpoints, slots) {
+		sum += term * [...]float64{m.Constant, m.PerNeighbour, m.PerDaemon, m.PerEndpoint, m.PerOwned}[i]
+	}
+	return sum
+}
+
+// controlTerms returns the terms of the model in the order of its fields. Up to 16 instances all are neighbours, in
+// larger fleets eight on the ring and one in turn (see package member).
+func controlTerms(daemons, endpoints, slots int) []float64 {
+	const meshLimit, ringNeighbours = 16, 9
+	neighbours := daemons - 1
+	if daemons > meshLimit {
+		neighbours = ringNeighbours
+	}
+	owned := float64(endpoints+slots) / float64(daemons)
+	return []float64{1, float64(neighbours), float64(daemons), float64(endpoints), owned}
 }
 
 // ControlReport is the stored result of a measurement.
@@ -92,21 +112,20 @@
 	for i := range samples {
 		s := &samples[i]
 		value := figure.of(s)
-		n, e := float64(s.Daemons), float64(s.Endpoints)
 		if s.Endpoints == fewest {
-			daemons.add(n, value)
+			daemons.add(float64(s.Daemons), value)
 		}
 		if s.Daemons == baseDaemons {
-			endpoints.add(e, value)
+			endpoints.add(float64(s.Endpoints), value)
 		}
-		rows = append(rows, []float64{1, n, e, e / n})
+		rows = append(rows, controlTerms(s.Daemons, s.Endpoints, lease.KeySlots))
 		values = append(values, value)
 	}
 	fit := ControlFit{Figure: figure.Name, Phase: phase, ByDaemons: daemons.line(), ByEndpoints: endpoints.line()}
 	if c, err := leastSquares(rows, values); err == nil {
-		fit.Model = &ControlModel{Constant: c[0], PerDaemon: c[1], PerEndpoint: c[2], PerOwned: c[3]}
+		fit.Model = &ControlModel{Constant: c[0], PerNeighbour: c[1], PerDaemon: c[2], PerEndpoint: c[3], PerOwned: c[4]}
 		for i := range samples {
-			predicted := fit.Model.At(float64(samples[i].Daemons), float64(samples[i].Endpoints))
+			predicted := fit.Model.At(samples[i].Daemons, samples[i].Endpoints, lease.KeySlots)
 			fit.Model.LargestError = max(fit.Model.LargestError, predicted-values[i], values[i]-predicted)
 		}
 	}
@@ -128,8 +147,8 @@
 	return &line
 }
 
-// WriteTable prints the samples and the fits, with the model's value at the given size.
-func (r *ControlReport) WriteTable(w io.Writer, target ControlSize) error {
+// WriteTable prints the samples and the fits, with the model's value at the given size and number of key slots.
+func (r *ControlReport) WriteTable(w io.Writer, target ControlSize, targetSlots int) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "daemons\tendpoints\tteams\tphase\treq/s\tfailed\tchanges\tctl CPU%\tmax\tctl MB\tmax\t"+
 		"ctl in KB/s\tout\tmsg/s\tgw CPU%\tgw MB\tgw in KB/s\tout\tmsg/s\treads/s\t")
@@ -145,15 +164,15 @@
 		return err
 	}
 	fmt.Fprintln(w)
-	fmt.Fprintf(table, "figure\tphase\tper daemon\tper endpoint\tmodel: constant\tper daemon\tper endpoint\t"+
-		"per owned\tlargest error\tat %d/%d\t\n", target.Daemons, target.Endpoints)
+	fmt.Fprintf(table, "figure\tphase\tper daemon\tper endpoint\tmodel: constant\tper neighbour\tper daemon\t"+
+		"per endpoint\tper owned\tlargest error\tat %d/%d\t\n", target.Daemons, target.Endpoints)
 	for _, fit := range r.Fits {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t", fit.Figure, fit.Phase, slope(fit.ByDaemons), slope(fit.ByEndpoints))
 		if m := fit.Model; m != nil {
-			fmt.Fprintf(table, "%.3f\t%.5f\t%.5f\t%.4f\t%.3f\t%.2f\t\n", m.Constant, m.PerDaemon, m.PerEndpoint, m.PerOwned,
-				m.LargestError, m.At(float64(target.Daemons), float64(target.Endpoints)))
+			fmt.Fprintf(table, "%.3f\t%.4f\t%.5f\t%.5f\t%.4f\t%.3f\t%.2f\t\n", m.Constant, m.PerNeighbour, m.PerDaemon, m.PerEndpoint, m.PerOwned,
+				m.LargestError, m.At(target.Daemons, target.Endpoints, targetSlots))
 		} else {
-			fmt.Fprintln(table, "-\t-\t-\t-\t-\t-\t")
+			fmt.Fprintln(table, "-\t-\t-\t-\t-\t-\t-\t")
 		}
 	}
 	return table.Flush()
