--- a/internal/credit/account_test.go
+++ b/internal/credit/account_test.go
@@ -116,18 +116,21 @@
 		Expect(f.state()).To(Equal(peer.EndpointWarm))
 	})
 
-	// Guards against a last step without the engine's word, and a report that raises a limit by itself.
-	It("needs completed work and a warm report for the last step", func() {
+	// Guards against a step without the engine's word, which made a cold engine fall over, and against a report that
+	// raises a limit by itself.
+	It("needs completed work and a warm report for each step", func() {
 		f := newFixture(modelLimits)
 		f.pass(time.Second)
 		Expect(f.state()).To(Equal(peer.EndpointCold))
 		f.warm = false
 		f.complete(60)
-		Expect(f.state()).To(Equal(peer.EndpointWarming))
+		Expect(f.state()).To(Equal(peer.EndpointCold))
 		f.warm = true
 		f.pass(time.Second)
-		Expect(f.state()).To(Equal(peer.EndpointWarming))
+		Expect(f.state()).To(Equal(peer.EndpointCold))
 		f.complete(1)
+		Expect(f.state()).To(Equal(peer.EndpointWarming))
+		f.complete(6 + 12 + 16)
 		Expect(f.state()).To(Equal(peer.EndpointWarm))
 	})
 
@@ -147,6 +150,10 @@
 			f.start = "s2"
 			f.pass(time.Second)
 		}, peer.EndpointCold),
+		Entry("new start id in a report that is not newer", func(f *fixture) {
+			f.start = "s2"
+			f.observe(0)
+		}, peer.EndpointCold),
 		Entry("report that is not warm any more", func(f *fixture) {
 			f.warm = false
 			f.pass(time.Second)
@@ -227,7 +234,7 @@
 		f.pass(500 * time.Millisecond)
 		f.report(f.id(), peer.ReportHeld, 0)
 		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(3))
-		f.streams[f.id()] = engine.Stream{ID: f.id(), Tokens: 1_000, Phase: engine.PhaseExported}
+		f.streams[f.id()] = engine.Stream{ID: f.id(), Tokens: 1_000, Phase: engine.PhaseDecode}
 		f.pass(time.Second)
 		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(2))
 		Expect(f.account.Orphans(f.now)).To(BeEmpty())
@@ -273,6 +280,27 @@
 		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(3))
 	})
 
+	// Guards against a second long prefill beside one whose cancellation was lost.
+	It("counts a cancelled long prefill until the engine has dropped it", func() {
+		f := warmFixture()
+		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
+		f.report(f.id(), peer.ReportCancelled, 0)
+		Expect(f.ask("a", 101_000, 0).Reason).To(Equal(credit.ReasonLongPrefills))
+		f.pass(2 * time.Second)
+		Expect(f.ask("a", 101_000, 0).Granted).To(BeTrue())
+	})
+
+	// Guards against a new owner that forgets streams which their gateway has ended but the engine goes on with.
+	It("counts a cancelled stream of an earlier owner and an exported segment", func() {
+		f := newFixture(modelLimits)
+		f.report("cancelled", peer.ReportCancelled, 0)
+		f.report("segment", peer.ReportDone, 0)
+		f.streams["cancelled"] = engine.Stream{ID: "cancelled", Tokens: 1_000, Phase: engine.PhasePrefill}
+		f.streams["segment"] = engine.Stream{ID: "segment", Tokens: 1_000, Phase: engine.PhaseExported}
+		f.pass(100 * time.Millisecond)
+		Expect(f.account.Summary(f.now).FreeStreams).To(Equal(1))
+	})
+
 	// Guards against a group member's segment whose memory is granted again before it is imported.
 	It("keeps an exported segment after its end", func() {
 		f := newFixture(modelLimits)
--- a/internal/credit/ramp.go
+++ b/internal/credit/ramp.go
@@ -45,9 +45,10 @@
 	r.lastDrop = reason
 }
 
-// completed counts a hold whose stream ended properly and moves to the next step if the current one is proven. The last
-// step also needs the engine's word: a report taken during this run that says warm. Such a report never raises a limit
-// by itself, because it may describe a time before a restart.
+// completed counts a hold whose stream ended properly and moves to the next step if the current one is proven. Each step
+// of a model engine also needs the engine's word: a report taken during this run that says warm. Completed work alone
+// does not show that a cold engine can handle twice its limit: one that stays cold falls over at the first step. A report
+// never raises a limit by itself, because it may describe a time before a restart.
 func (a *Account) completed(now time.Time, h *hold) {
 	if !h.own || h.epoch != a.ramp.epoch || a.stale(now) {
 		return
@@ -60,7 +61,7 @@
 	if !proven || next > a.limits.top() {
 		return
 	}
-	if next == a.limits.top() && !a.limits.Plain && !a.engine.warm {
+	if !a.limits.Plain && !a.engine.warm {
 		return
 	}
 	a.ramp.setStep(next)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,14 +24,16 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	settings    *settings.Gateway
-	log         zerolog.Logger
-	node        *peer.Node
-	server      *httpserver.Server
-	engines     *engine.Client
-	views       *views
-	held        *heldCredits
-	router      *router
+	settings *settings.Gateway
+	log      zerolog.Logger
+	node     *peer.Node
+	server   *httpserver.Server
+	engines  *engine.Client
+	views    *views
+	held     *heldCredits
+	router   *router
+	// groups bounds the group prompts served at once.
+	groups      chan struct{}
 	stats       *stats
 	incarnation int64
 	sequence    atomic.Uint64
@@ -59,6 +61,7 @@
 		log:         log,
 		node:        node,
 		engines:     engine.NewClient(),
+		groups:      make(chan struct{}, maxGroups),
 		stats:       newStats(),
 		incarnation: incarnation,
 		drained:     make(chan struct{}),
@@ -75,6 +78,7 @@
 		MaxHeaderBytes:   int(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes:     int(s.Limits.MaxBodyBytes),
 		MaxBufferedBytes: s.Limits.MaxBufferedBytes,
+		OnRefusal:        g.noteRefusal,
 		OnPanic: func(value any, stack []byte) {
 			g.log.Error().Interface("value", value).Bytes("stack", stack).Msg("handler_panic")
 		},
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -61,6 +61,8 @@
 	desks     int
 	// engineFlags are passed to the engine stand-ins.
 	engineFlags []string
+	// deskFlags are passed to the plain services' stand-ins.
+	deskFlags []string
 	// edit changes the first configuration before it is published.
 	edit func(*config.Document)
 }
@@ -100,7 +102,7 @@
 		if endpoint.Service == "turf-assist" {
 			f.start(endpoint.Name, "standin-engine", append([]string{"--listen", endpoint.Address}, options.engineFlags...)...)
 		} else {
-			f.start(endpoint.Name, "standin-service", "--listen", endpoint.Address)
+			f.start(endpoint.Name, "standin-service", append([]string{"--listen", endpoint.Address}, options.deskFlags...)...)
 		}
 	}
 	for i := range f.list.Instances {
@@ -231,6 +233,15 @@
 	}
 }
 
+// waitForExit waits until a process has ended by itself without an error.
+func (f *fleet) waitForExit(name string) {
+	GinkgoHelper()
+	ended := make(chan error, 1)
+	go func() { ended <- f.processes[name].Wait() }()
+	Eventually(ended, startLimit).Should(Receive(BeNil()), name)
+	delete(f.processes, name)
+}
+
 func (f *fleet) stop() {
 	if CurrentSpecReport().Failed() && os.Getenv("KEEP_LOGS") != "" {
 		_ = os.CopyFS(os.Getenv("KEEP_LOGS"), os.DirFS(f.dir))
@@ -315,6 +326,25 @@
 }
 
 func (f *fleet) send(instance int, method, path, profile, key, body string) answer {
+	return f.sendWith(instance, method, path, profile, key, body, nil)
+}
+
+// controlEngine replaces the faults of an engine stand-in.
+func (f *fleet) controlEngine(name, faults string) {
+	GinkgoHelper()
+	for _, e := range f.document.Endpoints {
+		if e.Name == name {
+			response, err := http.Post("http://"+e.Address+"/standin/control", "application/json", strings.NewReader(faults))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(BeNumerically("<", 300))
+		}
+	}
+}
+
+func (f *fleet) sendWith(
+	instance int, method, path, profile, key, body string, header map[string]string,
+) answer {
 	url := "http://" + f.list.Instances[instance].GatewayAddress + path
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -325,6 +355,9 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
 	client := http.Client{Timeout: 90 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
