--- a/cmd/acacia-lab/control.go
+++ b/cmd/acacia-lab/control.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/acacialift/acacialift/internal/lab"
+	"github.com/acacialift/acacialift/internal/lease"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// targetDaemons and targetEndpoints are the sizes for which docs/CAPACITY.md derives the cost.
 	targetDaemons   = 340
 	targetEndpoints = 600
+	// targetSlots are the key slots of two plain services.
+	targetSlots = 2 * lease.KeySlots
 )
 
 // controlCommand returns "acacia-lab control".
@@ -37,8 +40,9 @@
 			},
 			&cli.DurationFlag{Name: "window", Value: 20 * time.Second, Usage: "length of each measurement"},
 			&cli.DurationFlag{Name: "settle", Value: 5 * time.Second, Usage: "pause before the first measurement"},
-			&cli.DurationFlag{Name: "settle-limit", Value: 2 * time.Minute, Usage: "longest wait for owners"},
 			&cli.FloatFlag{Name: "rate", Value: 2, Usage: "requests per second and daemon under load, 0 for no load"},
+			&cli.IntFlag{Name: "tokens", Value: 8, Usage: "tokens of each answer"},
+			&cli.DurationFlag{Name: "token-interval", Value: 5 * time.Millisecond, Usage: "time between two tokens"},
 			&cli.IntFlag{Name: "changes", Usage: "configuration revisions to publish in a third window"},
 			&cli.StringFlag{Name: "out", Usage: "`FILE` for the result as JSON"},
 		},
@@ -49,7 +53,8 @@
 func runControl(ctx context.Context, cmd *cli.Command) error {
 	options := lab.ControlOptions{
 		Binaries: cmd.String("bin"), Window: cmd.Duration("window"), Settle: cmd.Duration("settle"),
-		SettleLimit: cmd.Duration("settle-limit"), Rate: cmd.Float("rate"), Changes: cmd.Int("changes"),
+		Rate: cmd.Float("rate"), Changes: cmd.Int("changes"),
+		OutputTokens: cmd.Int("tokens"), TokenInterval: cmd.Duration("token-interval"),
 		Progress: cmd.Root().ErrWriter,
 	}
 	for _, text := range cmd.StringSlice("size") {
@@ -62,7 +67,7 @@
 	samples, err := lab.MeasureControl(ctx, options)
 	report := lab.NewControlReport(samples, baseDaemons)
 	target := lab.ControlSize{Daemons: targetDaemons, Endpoints: targetEndpoints}
-	err = errors.Join(err, report.WriteTable(cmd.Root().Writer, target))
+	err = errors.Join(err, report.WriteTable(cmd.Root().Writer, target, targetSlots))
 	if path := cmd.String("out"); path != "" {
 		err = errors.Join(err, report.WriteFile(path))
 	}
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -4,17 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/acacialift/acacialift/internal/config"
+	"github.com/acacialift/acacialift/internal/operators"
+	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/status"
 )
 
@@ -36,10 +37,11 @@
 	Window time.Duration
 	// Settle is the time between a settled fleet and the first measurement.
 	Settle time.Duration
-	// SettleLimit bounds the wait until each endpoint has an owner.
-	SettleLimit time.Duration
 	// Rate is the number of requests per second and daemon under load; 0 leaves the load out.
 	Rate float64
+	// OutputTokens is the length of each answer, TokenInterval the time between two of its tokens.
+	OutputTokens  int
+	TokenInterval time.Duration
 	// Changes is the number of configuration changes in a third measurement; 0 leaves it out.
 	Changes int
 	// Progress receives one line for each measurement.
@@ -99,18 +101,70 @@
 	return samples, nil
 }
 
-func measureSize(ctx context.Context, options ControlOptions, size ControlSize) ([]ControlSample, error) {
-	fleet, err := startControlFleet(options.Binaries, size)
-	if fleet != nil {
-		defer fleet.stop()
+const (
+	// plainEndpoints is the number of endpoints that belong to the plain service.
+	plainEndpoints = 3
+	// enginesPerProcess bounds the engines of one stand-in process.
+	enginesPerProcess = 150
+	// memberTimeout bounds the wait until all members know each other.
+	memberTimeout = time.Minute
+)
+
+// controlDeployment describes a fleet whose endpoints bear the light load without waiting.
+func controlDeployment(size ControlSize) (*Deployment, error) {
+	d, err := Generate(Size{
+		Instances: size.Daemons, Engines: size.Endpoints - plainEndpoints, Servers: plainEndpoints,
+		Engine: config.Service{
+			PrefillRate: 200_000, Warm: config.Limit{Streams: 64, Tokens: 400_000},
+			Cold: config.Limit{Streams: 8, Tokens: 100_000},
+		},
+		Server: config.Service{Warm: config.Limit{Streams: 16}, Cold: config.Limit{Streams: 4}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.Document.Teams = nil
+	for i := range size.Teams {
+		d.Document.Teams = append(d.Document.Teams, config.Team{Name: fmt.Sprintf("team-%04d", i), Weight: 1 + i%4})
+	}
+	return d, nil
+}
+
+func startControlFleet(ctx context.Context, options ControlOptions, size ControlSize) (*Fleet, func(), error) {
+	d, err := controlDeployment(size)
+	if err != nil {
+		return nil, nil, err
+	}
+	folder, err := os.MkdirTemp("", "acacia-lab")
+	if err != nil {
+		return nil, nil, err
 	}
+	remove := func() { _ = os.RemoveAll(folder) }
+	fleet, err := Start(ctx, d, Options{
+		Binaries: options.Binaries, Folder: folder, EndpointsPerProcess: enginesPerProcess,
+		EngineFlags: []string{"--prefill-rate", "1000000", "--token-interval", options.TokenInterval.String()},
+	})
+	if err != nil {
+		remove()
+		return nil, nil, err
+	}
+	stop := func() {
+		fleet.Stop()
+		remove()
+	}
+	return fleet, stop, nil
+}
+
+func measureSize(ctx context.Context, options ControlOptions, size ControlSize) ([]ControlSample, error) {
+	fleet, stop, err := startControlFleet(ctx, options, size)
 	if err != nil {
 		return nil, err
 	}
-	if err := fleet.waitSettled(ctx, options.SettleLimit); err != nil {
+	defer stop()
+	if err := waitForMembers(ctx, fleet); err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, options.Settle); err != nil {
+	if err := pause(ctx, options.Settle); err != nil {
 		return nil, err
 	}
 	m := &measurement{options: options, fleet: fleet, size: size}
@@ -133,19 +187,51 @@
 	return samples, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
+// waitForMembers waits until every instance takes all others for alive.
+func waitForMembers(ctx context.Context, fleet *Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	for {
+		reports, err := reportsOf(fleet.Status(ctx))
+		if err == nil {
+			err = notAlive(reports)
+		}
+		if err == nil {
+			return nil
+		}
+		if pause(ctx, ownerCheckInterval) != nil {
+			return err
+		}
 	}
 }
 
+func notAlive(reports []*status.Report) error {
+	for _, report := range reports {
+		for _, member := range report.Members {
+			if member.State != peer.MemberAlive {
+				return fmt.Errorf("%s takes %s for %s", report.Instance, member.Name, member.State)
+			}
+		}
+	}
+	return nil
+}
+
+// reportsOf returns the reports of all instances, or the error of one that does not answer.
+func reportsOf(answers []operators.Answer) ([]*status.Report, error) {
+	var reports []*status.Report
+	for _, answer := range answers {
+		if answer.Err != nil {
+			return nil, answer.Err
+		}
+		reports = append(reports, answer.Report)
+	}
+	return reports, nil
+}
+
 // measurement measures one running fleet.
 type measurement struct {
 	options  ControlOptions
-	fleet    *controlFleet
+	fleet    *Fleet
 	size     ControlSize
 	requests atomic.Int64
 	failed   atomic.Int64
@@ -155,20 +241,20 @@
 type reading struct {
 	at       time.Time
 	reports  []*status.Report
-	gateways []usage
+	gateways []processUsage
 }
 
 func (m *measurement) read(ctx context.Context) (reading, error) {
 	r := reading{at: time.Now()}
-	for _, command := range m.fleet.gateways {
-		u, err := processUsage(command.Process.Pid)
+	for _, instance := range m.fleet.List.Instances {
+		u, err := usageOf(m.fleet.PID(instance.Name + "-gateway"))
 		if err != nil {
 			return r, err
 		}
 		r.gateways = append(r.gateways, u)
 	}
 	var err error
-	r.reports, err = m.fleet.reports(ctx)
+	r.reports, err = reportsOf(m.fleet.Status(ctx))
 	return r, err
 }
 
@@ -198,24 +284,24 @@
 	case PhaseLoad:
 		return 0, m.load(ctx)
 	case PhaseChanges:
-		pause := m.options.Window / time.Duration(m.options.Changes)
+		interval := m.options.Window / time.Duration(m.options.Changes)
 		for range m.options.Changes {
-			if err := m.fleet.publish(ctx); err != nil {
+			if err := m.fleet.Publish(ctx, func(*config.Document) {}); err != nil {
 				return 0, err
 			}
-			if err := sleep(ctx, pause); err != nil {
+			if err := pause(ctx, interval); err != nil {
 				return 0, err
 			}
 		}
 		return m.options.Changes, nil
 	default:
-		return 0, sleep(ctx, m.options.Window)
+		return 0, pause(ctx, m.options.Window)
 	}
 }
 
 // load sends requests at a fixed rate, to the gateways in turn.
 func (m *measurement) load(ctx context.Context) error {
-	body, err := json.Marshal(map[string]any{"prompt": strings.Repeat("lawn ", 800), "max_tokens": 8})
+	body, err := json.Marshal(map[string]any{"prompt": strings.Repeat("lawn ", 800), "max_tokens": m.options.OutputTokens})
 	if err != nil {
 		return err
 	}
@@ -231,8 +317,8 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		instance := m.fleet.list.Instances[i%len(m.fleet.list.Instances)]
-		team := m.fleet.document.Teams[i%len(m.fleet.document.Teams)].Name
+		instance := m.fleet.List.Instances[i%len(m.fleet.List.Instances)]
+		team := m.fleet.Document.Teams[i%len(m.fleet.Document.Teams)].Name
 		wait.Go(func() { m.send(ctx, instance.GatewayAddress, team, body) })
 	}
 	return nil
@@ -252,7 +338,7 @@
 		return err
 	}
 	request.Header.Set("X-Acacia-Team", team)
-	request.Header.Set("X-Acacia-Profile", "current")
+	request.Header.Set("X-Acacia-Profile", EngineProfile)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err
@@ -320,50 +406,3 @@
 	c.OutKBps += other.OutKBps / count
 	c.Messages += other.Messages / count
 }
-
-// usage is what the system says about one process.
-type usage struct {
-	cpu      time.Duration
-	resident int64
-}
-
-// tick is the unit of processor time in /proc: 1/100 s on all Linux systems that Go runs on.
-const tick = 10 * time.Millisecond
-
-var errStat = errors.New("unexpected content of /proc/PID/stat")
-
-func processUsage(pid int) (usage, error) {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return usage{}, err
-	}
-	return parseStat(string(content), int64(os.Getpagesize()))
-}
-
-// parseStat reads user time, system time and resident pages from /proc/PID/stat. The fields are counted from the end of
-// the process's name, which may contain spaces and parentheses.
-func parseStat(content string, pageBytes int64) (usage, error) {
-	const userField, systemField, residentField = 11, 12, 21
-	_, rest, ok := cutLast(content, ")")
-	fields := strings.Fields(rest)
-	if !ok || len(fields) <= residentField {
-		return usage{}, errStat
-	}
-	var values [3]int64
-	for i, field := range []int{userField, systemField, residentField} {
-		value, err := strconv.ParseInt(fields[field], 10, 64)
-		if err != nil {
-			return usage{}, errStat
-		}
-		values[i] = value
-	}
-	return usage{cpu: time.Duration(values[0]+values[1]) * tick, resident: values[2] * pageBytes}, nil
-}
-
-func cutLast(s, separator string) (before, after string, found bool) {
-	i := strings.LastIndex(s, separator)
-	if i < 0 {
-		return s, "", false
-	}
-	return s[:i], s[i+len(separator):], true
-}
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -199,7 +199,7 @@
 ) (*loadgen.Result, float64, error) {
 	load.Gateways = targets
 	pid := f.PID(f.List.Instances[0].Name + "-gateway")
-	before, err := processUsage(pid)
+	before, err := usageOf(pid)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -207,7 +207,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	after, err := processUsage(pid)
+	after, err := usageOf(pid)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -259,7 +259,7 @@
 	if err := f.Replace(ctx, name); err != nil {
 		return 0, err
 	}
-	before, err := processUsage(f.PID(name))
+	before, err := usageOf(f.PID(name))
 	if err != nil {
 		return 0, err
 	}
@@ -275,7 +275,7 @@
 			return float64(peak - before.resident), err
 		case <-time.After(sampleInterval):
 		}
-		usage, err := processUsage(f.PID(name))
+		usage, err := usageOf(f.PID(name))
 		if err != nil {
 			return 0, err
 		}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -227,6 +227,20 @@
 	t.nextAt = now.Add(RenewEvery)
 }
 
+// NextClaim returns the time at which Claims has something to send, or false if nothing is wanted.
+func (h *Holder) NextClaim(now time.Time) (time.Time, bool) {
+	if len(h.releases) > 0 {
+		return now, true
+	}
+	next, found := time.Time{}, false
+	for _, t := range h.tenures {
+		if t.claimable() && (!found || t.nextAt.Before(next)) {
+			next, found = t.nextAt, true
+		}
+	}
+	return next, found
+}
+
 // due returns the tenures to claim, in name order; if any is due, those due within batchWindow go along.
 func (h *Holder) due(now time.Time) []*tenure {
 	var soon []*tenure
