--- a/cmd/acacia-lab/measure.go
+++ b/cmd/acacia-lab/measure.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"path/filepath"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -66,6 +68,9 @@
 				return errors.New("one folder of results is needed")
 			}
 			folder, w := cmd.Args().First(), cmd.Root().Writer
+			if results, err := filepath.Glob(filepath.Join(folder, "*.json")); err != nil || len(results) == 0 {
+				return errors.Join(fmt.Errorf("%s holds no results", folder), err)
+			}
 			if err := lab.WriteReport(folder, w); err != nil {
 				return err
 			}
