Read load reports at 250 ms while they hold back grants

Ruled out: a shorter interval for all endpoints (its idle cost is not covered by the control budget) and confirming a hold by the gateway's prefill report (after a silent restart the new run's streams would be confirmed too, beyond its cold limit). State changes are logged with the reason of the ramp's last return, also when a gateway's report caused them.

--- a/internal/controller/handle.go
+++ b/internal/controller/handle.go
@@ -92,6 +92,9 @@
 		c.count("credit.granted")
 	} else {
 		c.count("credit.refused." + reply.Reason)
+		if reply.Reason == credit.ReasonUnconfirmed {
+			owned.shortUntil = now.Add(shortReportTime)
+		}
 	}
 	s := reply.Summary
 	c.log.Info().Str("request_id", ask.RequestID).Str("endpoint", ask.Endpoint).Str("gateway", from.Name).
@@ -116,6 +119,7 @@
 			owned.account.Report(now, peer.CreditReport{
 				Gateway: report.Gateway, Incarnation: report.Incarnation, Items: items,
 			})
+			c.logState(now, endpoint, owned)
 		}
 	}
 	return peer.Ack{}
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -43,6 +43,10 @@
 	// polled is the time of the last request for a load report; polling is true while one is under way.
 	polled  time.Time
 	polling bool
+	// shortUntil is the time until which load reports are asked for at the short interval.
+	shortUntil time.Time
+	// state is the endpoint's state that was logged last.
+	state peer.EndpointState
 	// report is the last load report, with the fence that the engine reported.
 	report     engine.LoadReport
 	reportedAt time.Time
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -16,9 +16,12 @@
 	reportTick = 250 * time.Millisecond
 	// reportInterval is the time between two load reports of an endpoint.
 	reportInterval = time.Second
-	// firstReportInterval applies until an account has its first report, which a new owner needs before it grants.
-	firstReportInterval = 250 * time.Millisecond
-	reportTimeout       = 2 * time.Second
+	// shortReportInterval applies until an account has its first report, which a new owner needs before it grants, and
+	// while asks are refused because the latest report does not show the work that was granted.
+	shortReportInterval = 250 * time.Millisecond
+	// shortReportTime is how long such a refusal keeps the interval short.
+	shortReportTime = 2 * time.Second
+	reportTimeout   = 2 * time.Second
 	// cancelRepeat is the time after which a cancel order for a stream that is still reported is sent again.
 	cancelRepeat   = 2 * time.Second
 	maxReportBytes = 1 << 20
@@ -42,8 +45,8 @@
 			continue
 		}
 		interval := reportInterval
-		if owned.reportedAt.IsZero() {
-			interval = firstReportInterval
+		if owned.reportedAt.IsZero() || now.Before(owned.shortUntil) {
+			interval = shortReportInterval
 		}
 		if now.Sub(owned.polled) < interval-reportTick/2 {
 			continue
@@ -73,16 +76,23 @@
 		c.log.Warn().Str("endpoint", name).Err(err).Msg("load_report_refused")
 		return
 	}
-	before := owned.account.Summary(now).State
 	owned.account.EngineReport(now, *report, sampled)
 	owned.report, owned.reportedAt = *report, now
-	if after := owned.account.Summary(now).State; after != before {
-		c.log.Info().Str("endpoint", name).Str("from", string(before)).Str("to", string(after)).
-			Str("last_drop", owned.account.LastDrop()).Str("start_id", report.StartID).Msg("endpoint_state")
-	}
+	c.logState(now, name, owned)
 	c.cancelOrphans(ctx, now, owned)
 }
 
+// logState logs a change of an endpoint's state with the reason of the ramp's last return to its first step.
+func (c *Controller) logState(now time.Time, name string, owned *ownedAccount) {
+	state := owned.account.Summary(now).State
+	if state == owned.state {
+		return
+	}
+	c.log.Info().Str("endpoint", name).Str("from", string(owned.state)).Str("to", string(state)).
+		Str("last_drop", owned.account.LastDrop()).Str("start_id", owned.report.StartID).Msg("endpoint_state")
+	owned.state = state
+}
+
 func (c *Controller) loadReport(ctx context.Context, address string) (*engine.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
