Raise the engine priority of requests that have waited

Cause: prompts of 1 M tokens were started and ran out of their budget of 20 s, because their prefill always came after short and medium prompts (priority 0) and their members were reserved after about 9 s. A request rises by one after a quarter and after half of its budget. Before: no spec; after: the table 'raises the engine priority'.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/acacialift/acacialift/internal/credit"
+	"github.com/acacialift/acacialift/internal/gateway"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/peer"
 )
@@ -66,6 +67,19 @@
 		Entry("event by event", completion(true, reachBudget), outcome.StageDecode, trickle(streamHead, chunk("data: x\n\n"))),
 	)
 
+	// Guards against long prompts that always come after short ones and run out of their budget.
+	DescribeTable("raises the engine priority of a request that has waited", func(
+		class peer.LengthClass, waited time.Duration, want int,
+	) {
+		Expect(gateway.Priority(class, waited, 20*time.Second)).To(Equal(want))
+	},
+		Entry("short", peer.ClassShort, time.Duration(0), 2),
+		Entry("long", peer.ClassLong, 4*time.Second, 0),
+		Entry("long after a quarter", peer.ClassLong, 5*time.Second, 1),
+		Entry("long after half", peer.ClassLong, 10*time.Second, 2),
+		Entry("medium after half", peer.ClassMedium, 10*time.Second, 3),
+	)
+
 	// Guards against callers with tiny budgets that return healthy endpoints to the cold step.
 	It("says nothing about an endpoint if it ends soon after the hand-over", func() {
 		r := newRig(newEndpoint("e1", "turf", silent("")))
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -29,3 +29,6 @@
 
 // SetSilentAfter changes the time from which a passed deadline speaks against an endpoint.
 func (g *Gateway) SetSilentAfter(d time.Duration) { g.silentAfter = d }
+
+// Priority is priority.
+var Priority = priority
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -206,7 +206,7 @@
 	request := engine.Request{
 		Method: http.MethodPost, Target: "/v1/segments", Address: member.credited.endpoint.Address, Body: body,
 		Header: http.Header{
-			"X-Request-Id": {ask.RequestID}, "X-Priority": {priority(x.class)}, "Content-Type": {"application/json"},
+			"X-Request-Id": {ask.RequestID}, "X-Priority": {x.priority()}, "Content-Type": {"application/json"},
 		},
 	}
 	sent := time.Now()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -68,7 +68,7 @@
 		if x.req.Kind == callers.KindChat {
 			req.Target = "/v1/chat/completions"
 		}
-		header.Set("X-Priority", priority(x.class))
+		header.Set("X-Priority", x.priority())
 		if granted.reply.Fence > 0 {
 			header.Set("X-Fence", strconv.FormatInt(granted.reply.Fence, 10))
 		}
@@ -76,16 +76,36 @@
 	return req
 }
 
-// priority puts short prompts first; the engine ages waiting ones.
-func priority(class peer.LengthClass) string {
+// The engine priorities by length class, and the shares of its budget after which a request is raised by one.
+const (
+	priorityShort  = 2
+	priorityMedium = 1
+	priorityLong   = 0
+	firstRaise     = 0.25
+	secondRaise    = 0.5
+)
+
+func (x *exchange) priority() string {
+	return strconv.Itoa(priority(x.class, time.Since(x.started), x.budget))
+}
+
+// priority puts short prompts first. A request that has waited for a good part of its budget rises, so that long prompts
+// meet their budgets beside a steady load of short ones.
+func priority(class peer.LengthClass, waited, budget time.Duration) int {
+	p := priorityLong
 	switch class {
 	case peer.ClassShort:
-		return "2"
+		p = priorityShort
 	case peer.ClassMedium:
-		return "1"
-	default:
-		return "0"
+		p = priorityMedium
+	}
+	if waited >= time.Duration(float64(budget)*firstRaise) {
+		p++
+	}
+	if waited >= time.Duration(float64(budget)*secondRaise) {
+		p++
 	}
+	return p
 }
 
 func (x *exchange) reportEnd(ctx context.Context, granted *credited, receiver *answerReceiver, err error) {
