Give endpoints in cold start an equal chance among near-equal ones

Cause: a returned domain regained its share after 13 to 27 s, because the order among near-equal endpoints weighs free streams, and a cold endpoint has 2 of them where a warm one has 16; it warms up only with completed work. With load reports read sooner, warm endpoints refuse less and the cold ones got even less (27.3 s). Ruled out: falls and the owners' limits (none fell, the limits are unchanged).

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -265,11 +265,21 @@
 	}
 }
 
-// shuffle puts choices in random order, where the chance to come first is proportional to the free streams.
+// shuffle puts choices in random order, where the chance to come first is proportional to the free streams. An endpoint in
+// cold start has the chance of the one with the most free streams: its small limit rises only with completed work, so that
+// a share by free streams would keep the endpoints of a returned failure domain cold.
 func (p *LeastWait) shuffle(choices []Choice) {
+	most := 1
+	for _, choice := range choices {
+		most = max(most, choice.FreeStreams)
+	}
 	keys := make(map[string]float64, len(choices))
 	for _, choice := range choices {
-		keys[choice.Endpoint] = p.random.ExpFloat64() / float64(max(choice.FreeStreams, 1))
+		weight := max(choice.FreeStreams, 1)
+		if choice.State == peer.EndpointCold || choice.State == peer.EndpointWarming {
+			weight = most
+		}
+		keys[choice.Endpoint] = p.random.ExpFloat64() / float64(weight)
 	}
 	sort.Slice(choices, func(i, j int) bool { return keys[choices[i].Endpoint] < keys[choices[j].Endpoint] })
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -126,6 +126,25 @@
 		}
 	})
 
+	// Guards against a returned failure domain whose endpoints stay cold, because their few free streams give them little
+	// work to warm up with.
+	It("gives endpoints in cold start with room their share", func() {
+		first := 0
+		for seed := range uint64(800) {
+			all := fleet(20)
+			for i := range all {
+				all[i].Age = time.Second
+				if i < 7 {
+					all[i].Summary.State, all[i].Summary.FreeStreams = peer.EndpointCold, 2
+				}
+			}
+			if choice := policy(seed).Order(request(100), all, nil).Choices[0]; choice.State == peer.EndpointCold {
+				first++
+			}
+		}
+		Expect(first).To(BeNumerically("~", 800*7/20, 60))
+	})
+
 	// Guards against long prompts spread over the fleet, where they delay short ones everywhere.
 	It("concentrates long requests in one order for all gateways", func() {
 		all := fleet(20)
