Show an owner's credit lines in acaciactl explain

Cause: owners log the id of a hand-over (ID:PART), and explain took only lines with the id of the request. Before: the explained request of the demo had a route and an answer; after: credit, route and answer.

--- a/internal/logline/history.go
+++ b/internal/logline/history.go
@@ -42,8 +42,13 @@
 	}
 }
 
+// concerns tells whether an id is that of the request or of one of its hand-overs, which owners log: "ID:PART".
+func (h *History) concerns(id string) bool {
+	return id == h.RequestID || strings.HasPrefix(id, h.RequestID+":")
+}
+
 func (h *History) addLine(name string, line Line) {
-	if line.Value(KeyRequestID) != h.RequestID {
+	if !h.concerns(line.Value(KeyRequestID)) {
 		return
 	}
 	source := strings.Trim(line.Value(KeyInstance)+"/"+line.Value(KeyProcess), "/")
