Reset a caller at the deadline only if its write is blocked

Cause: the whole test run in a fresh clone failed once in 'ends a request whose endpoint does not end, event by event': the budget ended during the write of an event, the write was reset at once, and the caller got a reset instead of the error event. Ruled out: a cut event (the caller had whole events). A write now has 100 ms to end before the connection is reset; a blocked one is still reset. The check is unchanged.

--- a/internal/gateway/receiver.go
+++ b/internal/gateway/receiver.go
@@ -109,10 +109,22 @@
 	return len(data)
 }
 
+// blockedWriteGrace lets a write that is not blocked end when the time budget ends, so that the caller gets the error event
+// instead of a reset.
+const blockedWriteGrace = 100 * time.Millisecond
+
 // write sends a part of the answer to the caller. A write that blocks until the time budget ends is reset: the budget
 // bounds the request, whatever its caller reads.
 func (r *answerReceiver) write(data []byte) error {
-	stop := context.AfterFunc(r.ctx, func() { httpserver.Abort(r.x.w) })
+	written := make(chan struct{})
+	defer close(written)
+	stop := context.AfterFunc(r.ctx, func() {
+		select {
+		case <-written:
+		case <-time.After(blockedWriteGrace):
+			httpserver.Abort(r.x.w)
+		}
+	})
 	defer stop()
 	if !r.x.headSent {
 		r.x.headSent = true
