Use one start check for all hand-overs and one list of due claims

The single hand-over repeated the credit check that groups had as startCredit, three places worked out anew whether an exchange sent a byte, and a planned stop repeated the addressing of claims of the lease round. startAnswer, notSent and dueClaims serve them all. One difference: the leader of a group now reaches the stage prefill, and starts its time to first token, when its check has passed, as a single hand-over does; before, the stage was set even if the credit had expired. make lint and the tests of gateway and controller pass.

--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -70,17 +70,12 @@
 	for _, resource := range c.holder.Wanted() {
 		c.holder.Drop(resource)
 	}
-	now := time.Now()
-	claims := c.holder.Claims(now, now.UnixMilli())
-	addresses := make(map[string]string, len(claims))
-	for _, claim := range claims {
-		addresses[claim.Voter] = c.peerAddress(claim.Voter)
-	}
+	claims := c.dueClaims(time.Now())
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
 	for _, claim := range claims {
-		c.claim(ctx, claim, addresses[claim.Voter])
+		c.claim(ctx, claim)
 	}
 	c.log.Info().Msg("leases_released")
 }
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -85,11 +85,7 @@
 		return leaseTick
 	}
 	c.chooseResources(now)
-	claims := c.holder.Claims(now, now.UnixMilli())
-	addresses := make(map[string]string, len(claims))
-	for _, claim := range claims {
-		addresses[claim.Voter] = c.peerAddress(claim.Voter)
-	}
+	claims := c.dueClaims(now)
 	c.reconcile(now)
 	pause := leaseTick
 	if next, wanted := c.holder.NextClaim(now); wanted {
@@ -97,12 +93,28 @@
 	}
 	c.mu.Unlock()
 	for _, claim := range claims {
-		go c.claim(ctx, claim, addresses[claim.Voter])
+		go c.claim(ctx, claim)
 	}
 	return pause
 }
 
-func (c *Controller) claim(ctx context.Context, outgoing lease.Outgoing, address string) {
+// addressedClaim is a claim with the peers' address of its voter.
+type addressedClaim struct {
+	lease.Outgoing
+	address string
+}
+
+// dueClaims returns the claims and releases to send now; the caller holds the lock.
+func (c *Controller) dueClaims(now time.Time) []addressedClaim {
+	due := c.holder.Claims(now, now.UnixMilli())
+	claims := make([]addressedClaim, 0, len(due))
+	for _, outgoing := range due {
+		claims = append(claims, addressedClaim{Outgoing: outgoing, address: c.peerAddress(outgoing.Voter)})
+	}
+	return claims
+}
+
+func (c *Controller) claim(ctx context.Context, outgoing addressedClaim) {
 	if outgoing.Voter == c.settings.Instance {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -111,13 +123,13 @@
 		c.holder.HandlePromise(now, now.UnixMilli(), outgoing.Voter, promise)
 		return
 	}
-	if address == "" {
+	if outgoing.address == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	var promise peer.Promise
-	if err := c.node.Call(ctx, address, peer.KindClaim, outgoing.Claim, &promise); err != nil {
+	if err := c.node.Call(ctx, outgoing.address, peer.KindClaim, outgoing.Claim, &promise); err != nil {
 		return
 	}
 	c.mu.Lock()
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -220,17 +220,6 @@
 	return err
 }
 
-// startCredit returns the check that runs immediately before the first byte is written.
-func (x *exchange) startCredit(granted *credited) func() error {
-	return func() error {
-		if !granted.usable(time.Now()) {
-			return errCreditExpired
-		}
-		x.gateway.held.progress(granted, peer.ReportStarted, 0)
-		return nil
-	}
-}
-
 func (x *exchange) sendLeader(ctx context.Context, members []*groupMember) (*answerReceiver, error) {
 	leader := members[0]
 	imports := make([]string, 0, len(members)-1)
@@ -242,11 +231,7 @@
 	own := (len(leader.text) + bytesPerToken - 1) / bytesPerToken
 	request.Header.Set("X-Own-Tokens", strconv.Itoa(own))
 	receiver := &answerReceiver{ctx: ctx, x: x, granted: leader.credited, sent: time.Now()}
-	check := x.startCredit(leader.credited)
-	err := x.gateway.engines.Do(ctx, request, func() error {
-		x.stage = outcome.StagePrefill
-		return check()
-	}, receiver)
+	err := x.gateway.engines.Do(ctx, request, x.startAnswer(receiver), receiver)
 	if err == nil {
 		err = receiver.complete()
 	}
@@ -312,12 +297,6 @@
 	}
 }
 
-// notSent tells whether an exchange provably sent no byte.
-func notSent(err error) bool {
-	var failure *engine.Error
-	return errors.As(err, &failure) && !failure.BytesSent
-}
-
 // segmentReceiver takes a member's answer to a segment.
 type segmentReceiver struct {
 	status  int
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -30,16 +30,7 @@
 	x.stage = outcome.StageConnect
 	endpoint := granted.endpoint
 	receiver := &answerReceiver{ctx: ctx, x: x, granted: granted, sent: time.Now()}
-	beforeWrite := func() error {
-		if !granted.usable(time.Now()) {
-			return errCreditExpired
-		}
-		x.stage = outcome.StagePrefill
-		receiver.sent = time.Now()
-		x.gateway.held.progress(granted, peer.ReportStarted, 0)
-		return nil
-	}
-	err := x.gateway.engines.Do(ctx, x.engineRequest(endpoint, granted), beforeWrite, receiver)
+	err := x.gateway.engines.Do(ctx, x.engineRequest(endpoint, granted), x.startAnswer(receiver), receiver)
 	if err == nil {
 		err = receiver.complete()
 	}
@@ -53,6 +44,36 @@
 	return x.judge(ctx, endpoint.Name, receiver, err)
 }
 
+// startCredit returns the check that runs immediately before the first byte is written.
+func (x *exchange) startCredit(granted *credited) func() error {
+	return func() error {
+		if !granted.usable(time.Now()) {
+			return errCreditExpired
+		}
+		x.gateway.held.progress(granted, peer.ReportStarted, 0)
+		return nil
+	}
+}
+
+// startAnswer is startCredit for the hand-over whose answer goes to the caller.
+func (x *exchange) startAnswer(receiver *answerReceiver) func() error {
+	start := x.startCredit(receiver.granted)
+	return func() error {
+		if err := start(); err != nil {
+			return err
+		}
+		x.stage = outcome.StagePrefill
+		receiver.sent = time.Now()
+		return nil
+	}
+}
+
+// notSent tells whether an exchange provably sent no byte.
+func notSent(err error) bool {
+	var failure *engine.Error
+	return errors.As(err, &failure) && !failure.BytesSent
+}
+
 func (x *exchange) engineRequest(endpoint *config.Endpoint, granted *credited) engine.Request {
 	header := make(http.Header)
 	header.Set("X-Request-Id", granted.ask.RequestID)
@@ -110,10 +131,9 @@
 
 func (x *exchange) reportEnd(ctx context.Context, granted *credited, receiver *answerReceiver, err error) {
 	state := peer.ReportDone
-	var failure *engine.Error
 	switch {
 	case receiver.whole && receiver.status < http.StatusInternalServerError:
-	case errors.As(err, &failure) && !failure.BytesSent:
+	case notSent(err):
 		state = peer.ReportUnused
 	case !receiver.whole && callerLeft(ctx, err):
 		// The endpoint must not turn cold for a caller that left.
@@ -131,8 +151,7 @@
 func (x *exchange) judge(
 	ctx context.Context, endpoint string, receiver *answerReceiver, err error,
 ) (final *outcome.Error, again bool) {
-	var failure *engine.Error
-	sent := !errors.As(err, &failure) || failure.BytesSent
+	sent := !notSent(err)
 	notRun := !sent || errors.Is(err, errRefused)
 	if !notRun {
 		x.bytesSent = true
@@ -155,7 +174,7 @@
 	case errors.Is(err, errCreditExpired):
 		return "credit_expired"
 	case errors.Is(err, errRefused):
-		return "endpoint_refused"
+		return reasonEndpointRefused
 	case !sent:
 		return "connect_failed"
 	default:
