Estimate the tokens of a group's segments as admission does

The gateway had its own copy of the bytes per token and of the rounding; the two must agree, because admission sizes the group and the leader's share is declared to the engine. callers.EstimateTokens serves both. make lint, the tests of callers and the process specs on groups pass.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -16,10 +16,15 @@
 	// maxMaxTokens is more output than any model gives; profiles set lower limits.
 	maxMaxTokens = 1 << 20
 
-	prefixBytes   = 4 << 10
-	bytesPerToken = 4
+	prefixBytes = 4 << 10
+
+	// BytesPerToken is the length of a token in the estimate of a prompt's tokens.
+	BytesPerToken = 4
 )
 
+// EstimateTokens returns the estimated tokens of a prompt: its bytes divided by BytesPerToken, rounded up.
+func EstimateTokens(bytes int64) int64 { return (bytes + BytesPerToken - 1) / BytesPerToken }
+
 // parseBody reads the fields that admission needs. Fields that it does not know are left to the engine.
 func (req *Request) parseBody() *outcome.Error {
 	if !utf8.Valid(req.Body) {
@@ -41,7 +46,7 @@
 	if refused != nil {
 		return refused
 	}
-	req.PromptTokens = (prompt.bytes + bytesPerToken - 1) / bytesPerToken
+	req.PromptTokens = EstimateTokens(prompt.bytes)
 	req.PrefixHash = xxhash.Sum64(prompt.prefix)
 	if refused := req.parseStream(values["stream"]); refused != nil {
 		return refused
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	bytesPerToken = 4
 	// maxGroups bounds the group prompts that a gateway serves at once, because each holds its prompt three times: as
 	// received, decoded, and as segments.
 	maxGroups = 4
@@ -144,7 +143,7 @@
 func splitPrompt(prompt string, members []*groupMember) {
 	rest := prompt
 	for _, member := range members[1:] {
-		end := min(len(rest), int(member.PromptTokens)*bytesPerToken)
+		end := min(len(rest), int(member.PromptTokens)*callers.BytesPerToken)
 		for end > 0 && end < len(rest) && !utf8.RuneStart(rest[end]) {
 			end--
 		}
@@ -228,8 +227,8 @@
 	}
 	request := x.engineRequest(leader.credited.endpoint, leader.credited)
 	request.Header.Set("X-Import", strings.Join(imports, ", "))
-	own := (len(leader.text) + bytesPerToken - 1) / bytesPerToken
-	request.Header.Set("X-Own-Tokens", strconv.Itoa(own))
+	own := callers.EstimateTokens(int64(len(leader.text)))
+	request.Header.Set("X-Own-Tokens", strconv.FormatInt(own, 10))
 	receiver := &answerReceiver{ctx: ctx, x: x, granted: leader.credited, sent: time.Now()}
 	err := x.gateway.engines.Do(ctx, request, x.startAnswer(receiver), receiver)
 	if err == nil {
