Add acacia-entry, the process of an instance on the users' platform

Placement, load counting, limits and endpoint health are packages without I/O. internal/engine keeps connections for reuse.

--- /dev/null
+++ b/cmd/acacia-entry/main.go
@@ -0,0 +1,63 @@
+// Command acacia-entry serves callers on an entry instance of the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/acacialift/acacialift/internal/daemon"
+	"github.com/acacialift/acacialift/internal/entry"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/settings"
+	"github.com/acacialift/acacialift/platform"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "acacia-entry",
+		Usage: "serve callers on the users' platform: admission, placement, streaming",
+		Description: "SIGTERM or SIGINT starts a planned stop: the instance is not ready from then on, serves what it has\n" +
+			"accepted, and ends within the stop grace of its settings. A second signal ends it at once. SIGHUP reads the\n" +
+			"settings file again.\n\n" +
+			"Example: acacia-entry --settings entry.yaml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in YAML", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	s, err := settings.LoadEntry(command.String("settings"))
+	if err != nil || command.Bool("check") {
+		return err
+	}
+	log, err := daemon.NewLogger(&s.Common, "entry")
+	if err != nil {
+		return err
+	}
+	state := fleet.NewState()
+	p, err := entry.New(entry.Options{
+		Settings:  s,
+		Dialect:   platform.Dialect{},
+		Source:    platform.NewSource(platform.SourceOptions{Address: s.Platform, State: state, Log: log}),
+		State:     state,
+		ReadyPath: platform.ReadyPath,
+		LoadSettings: func() (*settings.Entry, error) {
+			return settings.LoadEntry(command.String("settings"))
+		},
+		Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx, p)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,11 @@
 	Drained() <-chan struct{}
 }
 
+// Reloader is a process that reads its settings again on SIGHUP. Other processes ignore the signal.
+type Reloader interface {
+	Reload()
+}
+
 // NewLogger returns the logger of a process, which writes to standard error, and sends nbio's log to it.
 func NewLogger(s *settings.Common, role string) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(s.LogLevel)
@@ -41,6 +46,9 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go reloadOn(ctx, reloads, process)
 	go func() {
 		defer cancel()
 		select {
@@ -59,3 +67,17 @@
 	}
 	return nil
 }
+
+// reloadOn passes signals on to a process that reads its settings again.
+func reloadOn(ctx context.Context, signals <-chan os.Signal, process Process) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			if reloader, ok := process.(Reloader); ok {
+				reloader.Reload()
+			}
+		}
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/wire"
@@ -31,16 +33,21 @@
 	Target string
 	// Address is IP:port.
 	Address string
+	// Host is sent as the Host header; the default is Address.
+	Host string
 	// Header is sent without the headers that concern one hop only; the client sets Host, Connection and Content-Length.
 	Header http.Header
 	Body   []byte
+	// Fresh asks for a new connection, because an idle one may be closed while the request crosses it.
+	Fresh bool
 }
 
 // Receiver gets the parts of an answer in order. An error from a method ends the exchange. While a method blocks,
 // nothing more is read from the endpoint.
 type Receiver interface {
-	// OnHead is called once with the status and header of the final answer. The header holds Content-Length if the
-	// endpoint declared it, and never Transfer-Encoding.
+	// OnHead is called with the status and header of the final answer. The header holds Content-Length if the endpoint
+	// declared it, and never Transfer-Encoding. If it returns ErrForeignAnswer on a reused connection, the answer is
+	// skipped and OnHead is called again for the next one.
 	OnHead(status int, header http.Header) error
 	// OnBody is called for each part of the body as it arrives; the slice is reused after the call.
 	OnBody(data []byte) error
@@ -74,6 +81,8 @@
 	ErrUnframed = errors.New("answer declares neither a length nor chunks")
 	// ErrInvalidRequest means that a part of the request cannot be sent in HTTP/1.1.
 	ErrInvalidRequest = errors.New("request cannot be encoded")
+	// ErrForeignAnswer is returned by a receiver whose answer belongs to another request.
+	ErrForeignAnswer = errors.New("answer belongs to another request")
 )
 
 // idleError is a net.Error, by which package wire tells errors of a connection from those of its bytes.
@@ -97,13 +106,21 @@
 	IdleTimeout time.Duration
 	// MaxHeadBytes bounds the status line and header of an answer; the default is 16 KiB.
 	MaxHeadBytes int
+	// Reuse keeps connections for later requests. Without it each request uses a connection of its own, so that an answer
+	// can never be taken for that of an earlier request; with it the receiver must tell foreign answers by their header.
+	Reuse bool
+	// AllowUnframed accepts answers that end with their connection. A reset still counts as incomplete.
+	AllowUnframed bool
+	// SilenceTimeout ends a connection whose peer acknowledges nothing for this long; the default leaves it to the kernel.
+	SilenceTimeout time.Duration
 }
 
-// Client sends requests to endpoints. Each request uses a connection of its own, so that an answer can never be taken
-// for that of a cancelled earlier request.
+// Client sends requests to endpoints.
 type Client struct {
 	options ClientOptions
 	dialer  net.Dialer
+	idle    *idlePool
+	dials   atomic.Int64
 }
 
 // NewClient returns a client with default options.
@@ -117,38 +134,76 @@
 	if options.MaxHeadBytes == 0 {
 		options.MaxHeadBytes = defaultMaxHeadBytes
 	}
-	return &Client{options: options, dialer: net.Dialer{Timeout: options.DialTimeout}}
+	c := &Client{options: options, dialer: net.Dialer{Timeout: options.DialTimeout}, idle: newIdlePool()}
+	if options.SilenceTimeout > 0 {
+		c.dialer.KeepAliveConfig = keepAlive(options.SilenceTimeout)
+		c.dialer.Control = limitSilence(options.SilenceTimeout)
+	}
+	return c
+}
+
+// keepAlive returns probes that find a silent peer within the given time while nothing is sent.
+func keepAlive(silence time.Duration) net.KeepAliveConfig {
+	const probes = 2
+	interval := max(silence/(probes+1), time.Second)
+	return net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: probes}
+}
+
+// limitSilence ends a connection whose sent bytes stay unacknowledged for the given time.
+func limitSilence(silence time.Duration) func(string, string, syscall.RawConn) error {
+	const tcpUserTimeout = 18
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+		})
+		return errors.Join(err, setErr)
+	}
 }
 
+// Dials returns the number of connections opened so far.
+func (c *Client) Dials() int64 { return c.dials.Load() }
+
+// ExpireIdle closes idle connections whose time is over. It is to be called now and then if connections are reused.
+func (c *Client) ExpireIdle() { c.idle.expire(time.Now()) }
+
 // Do sends the request and passes the answer's parts to the receiver. beforeWrite runs after the connection stands and
 // immediately before the first byte is written; an error from it ends the exchange with BytesSent false. Do returns nil
 // only if the answer arrived whole by its declared length or its last chunk; bytes after that are not read. The answer
 // may end before the request was sent whole. Cancelling the context closes the connection.
 func (c *Client) Do(ctx context.Context, req Request, beforeWrite func() error, receiver Receiver) error {
-	head, err := encodeHead(req)
+	head, err := encodeHead(req, c.options.Reuse)
 	if err != nil {
 		return &Error{Err: err}
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", req.Address)
+	conn, reused, err := c.connect(ctx, req)
 	if err != nil {
 		return &Error{Err: contextCause(ctx, err)}
 	}
-	defer raw.Close()
-	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.raw.Close() })
 	defer stop()
 	if beforeWrite != nil {
 		if err := beforeWrite(); err != nil {
+			_ = conn.raw.Close()
 			return &Error{Err: err}
 		}
 	}
 	if err := ctx.Err(); err != nil {
+		_ = conn.raw.Close()
 		return &Error{Err: err}
 	}
-	l := newLink(raw, c.options.IdleTimeout)
+	l := newLink(conn.raw, c.options.IdleTimeout)
+	conn.reader.Reset(l)
 	go l.send(head, req.Body)
-	a := &answer{receiver: receiver, bodyless: req.Method == http.MethodHead}
-	err = a.receive(bufio.NewReaderSize(l, readBufferBytes), c.options.MaxHeadBytes)
-	_ = raw.Close()
+	a := &answer{
+		receiver: receiver, bodyless: req.Method == http.MethodHead,
+		allowUnframed: c.options.AllowUnframed, maySkip: reused,
+	}
+	err = a.receive(conn.reader, c.options.MaxHeadBytes)
+	if err == nil && c.keep(req.Address, conn, l, a, stop) {
+		return nil
+	}
+	_ = conn.raw.Close()
 	sent, sendErr := l.sendResult()
 	if err == nil {
 		return nil
@@ -156,6 +211,35 @@
 	return &Error{BytesSent: sent > 0, HeadReceived: a.headReceived, Err: a.cause(ctx, err, sendErr)}
 }
 
+// connect returns an idle connection or a new one.
+func (c *Client) connect(ctx context.Context, req Request) (conn *idleConn, reused bool, err error) {
+	if c.options.Reuse && !req.Fresh {
+		if conn = c.idle.take(req.Address, time.Now()); conn != nil {
+			return conn, true, nil
+		}
+	}
+	raw, err := c.dialer.DialContext(ctx, "tcp", req.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	c.dials.Add(1)
+	return &idleConn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, false, nil
+}
+
+// keep stores a connection for reuse and reports whether it did. The request must have been sent whole, because the
+// endpoint reads what is due of a body before the next request.
+func (c *Client) keep(address string, conn *idleConn, l *link, a *answer, stop func() bool) bool {
+	if !c.options.Reuse || a.reuse <= 0 || !l.sentWhole() || conn.reader.Buffered() > 0 || !stop() {
+		return false
+	}
+	if conn.raw.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	conn.until = time.Now().Add(a.reuse)
+	c.idle.put(address, conn)
+	return true
+}
+
 func contextCause(ctx context.Context, err error) error {
 	if cause := ctx.Err(); cause != nil {
 		return cause
@@ -165,10 +249,15 @@
 
 // answer passes the parts of one answer to a receiver.
 type answer struct {
-	receiver     Receiver
-	bodyless     bool
+	receiver      Receiver
+	bodyless      bool
+	allowUnframed bool
+	// maySkip allows to skip one answer that belongs to an earlier request of the connection.
+	maySkip      bool
 	headReceived bool
 	receiverErr  error
+	// reuse is how long the connection may be kept; zero means not at all.
+	reuse time.Duration
 }
 
 // cause returns the reason why the exchange failed.
@@ -198,18 +287,40 @@
 	if a.bodyless || head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
 		framing = wire.Framing{}
 	}
-	if framing.Length == wire.LengthUnknown && !framing.Chunked {
+	unframed := framing.Length == wire.LengthUnknown && !framing.Chunked
+	if unframed && !a.allowUnframed {
 		return ErrUnframed
 	}
 	if head.Framing.Length != wire.LengthUnknown {
 		head.Header.Set("Content-Length", strconv.FormatInt(head.Framing.Length, 10))
 	}
-	if a.receiverErr = a.receiver.OnHead(head.Status, head.Header); a.receiverErr != nil {
+	a.receiverErr = a.receiver.OnHead(head.Status, head.Header)
+	if errors.Is(a.receiverErr, ErrForeignAnswer) && a.maySkip && !unframed {
+		return a.skip(r, framing, maxHeadBytes)
+	}
+	if a.receiverErr != nil {
 		return a.receiverErr
 	}
+	if unframed {
+		return a.receiveBody(r)
+	}
+	a.reuse = reuseTime(head.Header)
 	return a.receiveBody(wire.NewBody(r, framing))
 }
 
+// skip drops the body of a foreign answer and receives the next answer. The connection is not reused after that.
+func (a *answer) skip(r *bufio.Reader, framing wire.Framing, maxHeadBytes int) error {
+	a.maySkip = false
+	a.headReceived = false
+	a.receiverErr = nil
+	if _, err := io.Copy(io.Discard, wire.NewBody(r, framing)); err != nil {
+		return err
+	}
+	err := a.receive(r, maxHeadBytes)
+	a.reuse = 0
+	return err
+}
+
 func (a *answer) receiveBody(body io.Reader) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -38,7 +38,7 @@
 }
 
 // encodeHead returns the request line and header. It refuses whatever would change the structure of the message.
-func encodeHead(req Request) ([]byte, error) {
+func encodeHead(req Request, keep bool) ([]byte, error) {
 	switch {
 	case !wire.ValidFieldName(req.Method):
 		return nil, fmt.Errorf("%w: invalid method", ErrInvalidRequest)
@@ -48,7 +48,17 @@
 		return nil, fmt.Errorf("%w: invalid address", ErrInvalidRequest)
 	}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n", req.Method, req.Target, req.Address)
+	host := req.Host
+	if host == "" {
+		host = req.Address
+	}
+	if !isVisible(host) {
+		return nil, fmt.Errorf("%w: invalid host", ErrInvalidRequest)
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, host)
+	if !keep {
+		b.WriteString("Connection: close\r\n")
+	}
 	for name, values := range req.Header {
 		name = http.CanonicalHeaderKey(name)
 		if hopHeaders[name] {
@@ -61,7 +71,10 @@
 			fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 		}
 	}
-	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(req.Body))
+	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.Body))
+	}
+	b.WriteString("\r\n")
 	return b.Bytes(), nil
 }
 
@@ -119,6 +132,16 @@
 	return l.sent, l.sendErr
 }
 
+// sentWhole reports whether the request was sent without an error.
+func (l *link) sentWhole() bool {
+	select {
+	case <-l.sendEnded:
+		return l.sendErr == nil
+	default:
+		return false
+	}
+}
+
 func (l *link) progress() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/httpserver"
+	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/outcome"
+)
+
+// HandlerOptions configures a Handler.
+type HandlerOptions struct {
+	Dialect Dialect
+	State   *fleet.State
+	Book    *load.Book
+	Health  *health.Tracker
+	Retries *limit.Retries
+	Cold    *limit.Cold
+	Client  *engine.Client
+	// Domain is the failure domain of this instance.
+	Domain string
+	// MaxUnconfirmed is the longest time without confirmation of the catalog in which keys are accepted; zero means that
+	// keys are accepted however old the catalog is.
+	MaxUnconfirmed time.Duration
+	Log            zerolog.Logger
+	Metrics        *Metrics
+}
+
+// Handler answers callers.
+type Handler struct {
+	options HandlerOptions
+	// stopAt is the boot-time at which requests still running will be cut; zero unless a planned stop has begun.
+	stopAt atomic.Int64
+}
+
+// NewHandler returns a handler.
+func NewHandler(options HandlerOptions) *Handler { return &Handler{options: options} }
+
+// StartStop begins a planned stop, at whose end the requests still running are cut. Answers close their connections
+// from now on, and requests that would not end in time are refused.
+func (h *Handler) StartStop(until time.Duration) { h.stopAt.Store(int64(clock.Boot() + until)) }
+
+// untilStop returns the time until the end of a planned stop.
+func (h *Handler) untilStop() (time.Duration, bool) {
+	at := h.stopAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Duration(at) - clock.Boot(), true
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	if _, stopping := h.untilStop(); stopping {
+		w.Header().Set("Connection", "close")
+	}
+	call, err := h.options.Dialect.ReadCall(r, bodyOf(r))
+	if err != nil {
+		refusal := outcome.Refusal(http.StatusBadRequest, outcome.StageAdmission, codeMalformed, err.Error(), 0)
+		h.options.Log.Info().Str("code", refusal.Code).Str("reason", err.Error()).Msg("request_refused")
+		h.options.Metrics.Answered(refusal.Code)
+		writeError(w, refusal)
+		return
+	}
+	x := &exchange{handler: h, call: call, w: w, received: received}
+	x.run(r.Context())
+}
+
+func bodyOf(r *http.Request) []byte {
+	if body, ok := r.Body.(*httpserver.Body); ok {
+		return body.Bytes()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/log.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
+// logPlaced records where a request goes and by which figures.
+func (x *exchange) logPlaced(choice placement.Choice) {
+	x.handler.options.Log.Info().
+		Str("request", x.call.ID).
+		Str("profile", x.profile.Name).
+		Str("team", x.team.Name).
+		Int64("catalog", x.catalog.Version).
+		Dur("catalog_age_ms", x.catalogAge).
+		Str("endpoint", choice.First.ID).
+		Int("helpers", len(choice.Helpers)).
+		Int64("prompt_tokens", x.call.PromptTokens).
+		Dur("predicted_ms", choice.Predicted).
+		Int("attempt", x.sent+1).
+		Dur("waited_ms", time.Since(x.received)).
+		Msg("request_placed")
+}
+
+// logRepeat records whether a failed attempt is followed by another one.
+func (x *exchange) logRepeat(reason string, allowed bool) {
+	x.handler.options.Log.Info().
+		Str("request", x.call.ID).
+		Str("reason", reason).
+		Int("attempts", x.sent).
+		Int("max_attempts", x.profile.Attempts).
+		Bool("repeat", allowed).
+		Msg("attempt_failed")
+}
+
+// logSuspect records that an endpoint is avoided from now on.
+func (x *exchange) logSuspect(e *fleet.Endpoint, reason string) {
+	x.handler.options.Log.Warn().
+		Str("request", x.call.ID).
+		Str("endpoint", e.ID).
+		Str("reason", reason).
+		Msg("endpoint_suspected")
+}
+
+// logEnd records how a request ended.
+func (x *exchange) logEnd(result string, status int, code string) {
+	now := time.Now()
+	m := x.handler.options.Metrics
+	m.Ended(result, code, now.Sub(x.received))
+	line := x.handler.options.Log.Info().
+		Str("request", x.call.ID).
+		Str("result", result).
+		Int("status", status).
+		Str("code", code).
+		Int("attempts", x.sent).
+		Int("events", x.events.count).
+		Dur("total_ms", now.Sub(x.received))
+	if x.profile != nil {
+		line.Str("profile", x.profile.Name)
+	}
+	if !x.firstAt.IsZero() {
+		m.First(x.firstAt.Sub(x.received))
+		line.Dur("first_ms", x.firstAt.Sub(x.received))
+	}
+	line.Msg("request_ended")
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// reservoirSize and reservoirAlpha configure the latency histograms: uniform weight would hide the recent past.
+const (
+	reservoirSize  = 512
+	reservoirAlpha = 0.015
+)
+
+// Metrics counts what callers experience. It is safe for concurrent use.
+type Metrics struct {
+	registry metrics.Registry
+	total    metrics.Histogram
+	first    metrics.Histogram
+}
+
+// NewMetrics returns empty counters.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: metrics.NewRegistry()}
+	m.total = m.histogram("request_total_ms")
+	m.first = m.histogram("request_first_event_ms")
+	return m
+}
+
+func (m *Metrics) histogram(name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+}
+
+func (m *Metrics) count(name string) { metrics.GetOrRegisterCounter(name, m.registry).Inc(1) }
+
+// Received counts a request.
+func (m *Metrics) Received() { m.count("requests") }
+
+// Repeated counts a further attempt.
+func (m *Metrics) Repeated() { m.count("attempts_repeated") }
+
+// Answered counts an answer of this instance by its code.
+func (m *Metrics) Answered(code string) { m.count("answers_" + code) }
+
+// Ended counts the end of a request by its result and the code of the answer.
+func (m *Metrics) Ended(result, code string, total time.Duration) {
+	m.count("results_" + result)
+	if code != "" {
+		m.Answered(code)
+	}
+	m.total.Update(total.Milliseconds())
+}
+
+// First records the time to the first event, or to the answer.
+func (m *Metrics) First(first time.Duration) { m.first.Update(first.Milliseconds()) }
+
+// Gauge sets a current value.
+func (m *Metrics) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+// ServeHTTP writes all counters and histograms, one name and value a line.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m.registry.Each(func(name string, value any) {
+		switch metric := value.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "acacialift_%s %d\n", name, metric.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "acacialift_%s %d\n", name, metric.Value())
+		case metrics.Histogram:
+			writeHistogram(w, name, metric.Snapshot())
+		}
+	})
+}
+
+func writeHistogram(w http.ResponseWriter, name string, h metrics.Histogram) {
+	fmt.Fprintf(w, "acacialift_%s_count %d\n", name, h.Count())
+	for _, p := range []float64{0.5, 0.95, 0.99} {
+		fmt.Fprintf(w, "acacialift_%s{quantile=\"%g\"} %.0f\n", name, p, h.Percentile(p))
+	}
+}
--- /dev/null
+++ b/internal/entry/place.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
+const (
+	// waitDivisor bounds how long a request waits for room, as a part of its objective.
+	waitDivisor = 8
+	// placeInterval is the pause between two tries to place a waiting request.
+	placeInterval = 10 * time.Millisecond
+	// maxLateObjective is the time to the first event within which a request that cannot be on time is still taken.
+	maxLateObjective = 1500 * time.Millisecond
+)
+
+// place chooses endpoints, and waits a moment for room. It returns a refusal if there is none.
+func (x *exchange) place(ctx context.Context) (placement.Choice, *placement.Refusal) {
+	objective := x.objectiveLeft(time.Now())
+	until := x.received.Add(x.profile.Objective / waitDivisor)
+	for {
+		choice, refusal := x.placeNow(objective)
+		if refusal == nil || refusal.Reason == placement.TooLarge || time.Now().Add(placeInterval).After(until) {
+			return choice, refusal
+		}
+		select {
+		case <-ctx.Done():
+			return choice, refusal
+		case <-time.After(placeInterval):
+		}
+	}
+}
+
+// objectiveLeft returns the time to the first event that the placement aims at. A caller that comes back has used up a
+// part of its objective, which shows in its budget.
+func (x *exchange) objectiveLeft(now time.Time) time.Duration {
+	used := now.Sub(x.received)
+	if x.call.Budget > 0 {
+		used += max(x.profile.TimeLimit-x.call.Budget, 0)
+	}
+	left := x.profile.Objective - used
+	if left < x.profile.Objective/4 {
+		return min(max(x.profile.Objective, maxLateObjective/3), maxLateObjective)
+	}
+	return left
+}
+
+func (x *exchange) placeNow(objective time.Duration) (placement.Choice, *placement.Refusal) {
+	candidates := x.candidates(time.Now())
+	e := x.service.Engine
+	if e == nil {
+		return placement.Plain(candidates, x.handler.options.Domain)
+	}
+	return placement.Model(e, candidates, placement.Need{
+		Tokens:    x.call.PromptTokens,
+		Output:    x.call.MaxOutput,
+		Objective: objective,
+		MaxPause:  x.profile.MaxPause,
+	})
+}
+
+// candidates returns the endpoints of the service that may get the request.
+func (x *exchange) candidates(now time.Time) []placement.Candidate {
+	h := x.handler
+	snapshot := h.options.State.Snapshot()
+	totals, _ := h.options.Book.Totals(now)
+	var candidates []placement.Candidate
+	for _, e := range snapshot.Endpoints[x.service.Name] {
+		if e.Leaving || snapshot.OutOfService[e.Domain] || x.tried[e.ID] {
+			continue
+		}
+		c := placement.Candidate{Endpoint: e, Entry: totals[e.Key()]}
+		c.Suspect = c.Suspect || h.options.Health.Suspects(e.Key(), now)
+		c.Cold = x.service.ColdRate > 0 && e.IsCold(now)
+		if c.Cold && !h.options.Cold.Allows(e.Key(), x.service.ColdRate, now) {
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// takeCold counts a request against the cold start of its endpoint and reports whether it may be sent.
+func (x *exchange) takeCold(e *fleet.Endpoint, now time.Time) bool {
+	if x.service.ColdRate <= 0 || !e.IsCold(now) {
+		return true
+	}
+	return x.handler.options.Cold.Take(e.Key(), x.service.ColdRate, now)
+}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/daemon"
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/httpserver"
+	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/loadshare"
+	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/settings"
+)
+
+const (
+	// dialTimeout bounds the time until a connection to an endpoint stands.
+	dialTimeout = 600 * time.Millisecond
+	// endpointSilence is how long an endpoint's kernel may leave sent bytes unacknowledged.
+	endpointSilence = 2 * time.Second
+	// maxBufferedBytes bounds the bodies that the process holds.
+	maxBufferedBytes = 64 << 20
+	maxBodyBytes     = 5 << 20
+	maxHeaderBytes   = 24 << 10
+	headTimeout      = 5 * time.Second
+	requestTimeout   = 15 * time.Second
+	idleTimeout      = 30 * time.Second
+	writeTimeout     = 5 * time.Second
+	// revocationMargin is taken off the time in which keys may outlive their removal.
+	revocationMargin = 600 * time.Millisecond
+	// unreadyAfter is the part of the revocation time without confirmation after which the instance is not ready.
+	unreadyAfter = 0.6
+	// openTime is how long a stopping instance goes on accepting connections, until the platform has noticed.
+	openTime = 3 * time.Second
+	// stopMargin is left of the stop's grace when the remaining requests are cut.
+	stopMargin = 400 * time.Millisecond
+	// janitorInterval is the pause between two cleanings of idle connections and counters.
+	janitorInterval = time.Second
+)
+
+// Source keeps the view of the fleet in step with the platform.
+type Source interface {
+	// ServeOperators follows what operators publish until the context ends.
+	ServeOperators(ctx context.Context) error
+	// ServeServers follows the list of endpoints until the context ends.
+	ServeServers(ctx context.Context) error
+}
+
+// Options configures a Process.
+type Options struct {
+	Settings  *settings.Entry
+	Dialect   Dialect
+	Source    Source
+	State     *fleet.State
+	ReadyPath string
+	// LoadSettings reads the settings file again.
+	LoadSettings func() (*settings.Entry, error)
+	Log          zerolog.Logger
+}
+
+// Process is an entry instance. It implements daemon.Process.
+type Process struct {
+	options   Options
+	log       zerolog.Logger
+	handler   *Handler
+	metrics   *Metrics
+	client    *engine.Client
+	cold      *limit.Cold
+	callers   *httpserver.Server
+	readiness *httpserver.Server
+	exporter  *httpserver.Server
+	sharer    *loadshare.Sharer
+
+	stopOnce sync.Once
+	stopping chan struct{}
+	drained  chan struct{}
+}
+
+// New opens the listeners of an entry instance.
+func New(options Options) (*Process, error) {
+	s := options.Settings
+	b := s.Bounds
+	p := &Process{
+		options:  options,
+		log:      options.Log,
+		metrics:  NewMetrics(),
+		stopping: make(chan struct{}),
+		drained:  make(chan struct{}),
+		client: engine.NewClientWithOptions(engine.ClientOptions{
+			Reuse: true, AllowUnframed: true, DialTimeout: dialTimeout, SilenceTimeout: endpointSilence,
+		}),
+		cold: limit.NewCold(b.ColdFactor, b.ColdSlack, b.MaxInstances),
+	}
+	book, tracker := load.NewBook(), health.NewTracker()
+	handlerOptions := HandlerOptions{
+		Dialect: options.Dialect, State: options.State, Book: book, Health: tracker, Cold: p.cold,
+		Client: p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
+		Retries: limit.NewRetries(limit.RetryOptions{
+			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Instances: b.MaxInstances,
+		}),
+	}
+	if b.StrictRevocation {
+		handlerOptions.MaxUnconfirmed = b.RevocationTime.Std() - revocationMargin
+	}
+	p.handler = NewHandler(handlerOptions)
+	return p, p.listen(book, tracker)
+}
+
+// listen opens the listeners.
+func (p *Process) listen(book *load.Book, tracker *health.Tracker) error {
+	s := p.options.Settings
+	var err error
+	if p.callers, err = httpserver.New(httpserver.Options{
+		Address: s.Addresses.Callers, Handler: p.handler,
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
+		HeadTimeout: headTimeout, RequestTimeout: requestTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		MaxConnections: s.Bounds.MaxConnections,
+		OnRefusal: func(e *outcome.Error) {
+			p.metrics.Answered(e.Code)
+			p.log.Info().Str("code", e.Code).Int("status", e.Status).Msg("request_unreadable")
+		},
+		OnPanic: func(value any, stack []byte) {
+			p.log.Error().Interface("panic", value).Bytes("stack", stack).Msg("handler_panicked")
+		},
+	}); err != nil {
+		return err
+	}
+	if p.readiness, err = httpserver.New(httpserver.Options{Address: s.Addresses.Readiness, Handler: http.HandlerFunc(p.serveReady)}); err != nil {
+		return err
+	}
+	if p.exporter, err = httpserver.New(httpserver.Options{Address: s.Addresses.Metrics, Handler: p.metrics}); err != nil {
+		return err
+	}
+	p.sharer, err = loadshare.New(loadshare.Options{
+		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
+		Book: book, Health: tracker, Log: p.log,
+	})
+	return err
+}
+
+// Serve implements daemon.Process.
+func (p *Process) Serve(ctx context.Context) error {
+	tree := daemon.NewTree("acacia-entry", p.log)
+	for _, service := range []suture.Service{
+		daemon.Service{Name: "operators", Run: p.options.Source.ServeOperators},
+		daemon.Service{Name: "endpoints", Run: p.options.Source.ServeServers},
+		daemon.Service{Name: "peers", Run: p.sharer.Serve},
+		daemon.Service{Name: "callers", Run: p.callers.Serve},
+		daemon.Service{Name: "readiness", Run: p.readiness.Serve},
+		daemon.Service{Name: "metrics", Run: p.exporter.Serve},
+		daemon.Service{Name: "janitor", Run: p.clean},
+		daemon.Service{Name: "stop", Run: p.awaitStop},
+	} {
+		tree.Add(service)
+	}
+	p.log.Info().Str("callers", p.options.Settings.Addresses.Callers).Msg("started")
+	err := tree.Serve(ctx)
+	p.log.Info().Msg("stopped")
+	return err
+}
+
+// serveReady answers whether the instance takes new connections.
+func (p *Process) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != p.options.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !p.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Process) isReady() bool {
+	select {
+	case <-p.stopping:
+		return false
+	default:
+	}
+	snapshot := p.options.State.Snapshot()
+	if snapshot.Catalog == nil || len(snapshot.Endpoints) == 0 {
+		return false
+	}
+	maxAge := time.Duration(unreadyAfter * float64(p.options.Settings.Bounds.RevocationTime))
+	return clock.Boot()-p.options.State.ConfirmedAt() <= maxAge
+}
+
+// StartDrain implements daemon.Process.
+func (p *Process) StartDrain(reason string) {
+	p.stopOnce.Do(func() {
+		p.log.Info().Str("reason", reason).Msg("stopping")
+		p.handler.StartStop(p.options.Settings.Bounds.StopGrace.Std() - stopMargin)
+		close(p.stopping)
+	})
+}
+
+// Reload implements daemon.Reloader. New seeds are called from now on; other settings need a restart.
+func (p *Process) Reload() {
+	s, err := p.options.LoadSettings()
+	if err != nil {
+		p.log.Error().Err(err).Msg("settings_rejected")
+		return
+	}
+	p.sharer.AddSeeds(s.Seeds)
+	p.log.Info().Strs("seeds", s.Seeds).Msg("settings_reloaded")
+}
+
+// Drained implements daemon.Process.
+func (p *Process) Drained() <-chan struct{} { return p.drained }
+
+// awaitStop ends a planned stop: connections are accepted until the platform has noticed, then the remaining requests
+// run to their end.
+func (p *Process) awaitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-p.stopping:
+	}
+	grace := p.options.Settings.Bounds.StopGrace.Std() - stopMargin
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(openTime, grace)):
+	}
+	if err := p.callers.Drain(ctx); err != nil {
+		p.log.Warn().Int("connections", p.callers.Connections()).Err(err).Msg("stop_cut_requests")
+	}
+	close(p.drained)
+	return suture.ErrDoNotRestart
+}
+
+// clean drops what is not needed any more.
+func (p *Process) clean(ctx context.Context) error {
+	ticker := time.NewTicker(janitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			p.client.ExpireIdle()
+			p.cold.Forget(now)
+			p.metrics.Gauge("connections", int64(p.callers.Connections()))
+			p.metrics.Gauge("buffered_bytes", p.callers.BufferedBytes())
+			p.metrics.Gauge("endpoint_dials", p.client.Dials())
+			p.metrics.Gauge("peers", int64(p.sharer.Live(now)))
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+// maxAnswerBytes bounds an answer that is held until it is whole.
+const maxAnswerBytes = 8 << 20
+
+var (
+	errRejected    = errors.New("the endpoint's answer is not passed on")
+	errAnswerSize  = errors.New("the endpoint's answer is too large")
+	errEventSize   = errors.New("an event of the endpoint's stream is too large")
+	errCallerWrite = errors.New("the caller's connection broke")
+)
+
+// relay receives the answer of one attempt. Streams are passed on event by event; other answers are held until they are
+// whole, so that a cut one never looks complete.
+type relay struct {
+	x *exchange
+	// judgement is set with the head.
+	judgement Judgement
+	judged    bool
+	status    int
+	header    http.Header
+	body      []byte
+	streaming bool
+	// onFirst is called with the first event or the end of another answer.
+	onFirst func()
+}
+
+// OnHead implements engine.Receiver.
+func (r *relay) OnHead(status int, header http.Header) error {
+	judgement := r.x.handler.options.Dialect.Judge(r.x.call, status, header)
+	if judgement.Verdict == Foreign {
+		r.judgement = judgement
+		return engine.ErrForeignAnswer
+	}
+	r.judgement, r.judged = judgement, true
+	r.status, r.header = status, header
+	if judgement.Verdict != Accepted {
+		return nil
+	}
+	r.streaming = status == http.StatusOK && r.x.profile.Kind == fleet.Streaming && isEventStream(header)
+	return nil
+}
+
+func isEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// OnBody implements engine.Receiver.
+func (r *relay) OnBody(data []byte) error {
+	if r.streaming {
+		return r.passEvents(data)
+	}
+	if len(r.body)+len(data) > maxAnswerBytes {
+		return errAnswerSize
+	}
+	r.body = append(r.body, data...)
+	return nil
+}
+
+// passEvents sends the whole events to the caller.
+func (r *relay) passEvents(data []byte) error {
+	whole := r.x.events.feed(data)
+	if r.x.events.isOversize() {
+		return errEventSize
+	}
+	if len(whole) == 0 {
+		return nil
+	}
+	r.onFirst()
+	if err := r.x.sendEvents(r.header, whole); err != nil {
+		return errors.Join(errCallerWrite, err)
+	}
+	return nil
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// copyHeader copies what concerns the answer itself.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
+
+// sendWhole passes a held answer on.
+func (r *relay) sendWhole(w http.ResponseWriter) error {
+	copyHeader(w.Header(), r.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	w.WriteHeader(r.status)
+	_, err := w.Write(r.body)
+	return err
+}
--- /dev/null
+++ b/internal/fleet/catalog.go
@@ -0,0 +1,154 @@
+// Package fleet holds what operators and endpoints publish, as typed values: the catalog of profiles, services and
+// teams, the endpoints, and the failure domains that are out of service.
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind states what may be repeated for a request.
+type Kind string
+
+// The kinds of profiles.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = "non_idempotent"
+	// Streaming requests are answered by events; they run at most once unless the profile is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Share is a part of a profile's requests that one service gets.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Profile is a serving profile. Callers choose it by host and path.
+type Profile struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Shares has at least one entry with a positive weight.
+	Shares []Share
+	// TimeLimit is the longest time that a request is kept waiting.
+	TimeLimit time.Duration
+	// Objective is the time to the answer, or to the first event of a stream, within which a request is on time.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is on time.
+	MaxPause time.Duration
+	// Attempts is the number of endpoints to which one request may be sent.
+	Attempts int
+	// Priority is the rank of the profile; 0 is the highest.
+	Priority int
+	// Public profiles need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint after the last event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the profile may run more than once.
+func (p *Profile) Repeatable() bool {
+	return p.Kind == Idempotent || p.Kind == Streaming && p.Resumable
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
+	// Memory is the number of tokens that an engine can hold.
+	Memory int64
+	// StepTime is the time of one token step; StepTimePerStream and StepTimePerContext are added for each stream that
+	// is writing and for each 1,000 tokens of its context.
+	StepTime           time.Duration
+	StepTimePerStream  time.Duration
+	StepTimePerContext time.Duration
+	// Stride is the number of steps of a pass in which streams write.
+	Stride int
+	// ReadRate is the number of prompt tokens read in a second, apart from the time for pairs.
+	ReadRate float64
+	// PairsTime is the time for a million pairs of a token and an earlier token.
+	PairsTime time.Duration
+	// ReportLag is the age of an engine's report on itself.
+	ReportLag time.Duration
+}
+
+// PromptTime returns how long one engine reads a prompt that it reads alone.
+func (e *Engine) PromptTime(tokens int64) time.Duration {
+	n := float64(tokens)
+	seconds := n/e.ReadRate + n*n/2e6*e.PairsTime.Seconds()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// PassTime returns how long a pass without reading takes for streams with the given sum of contexts.
+func (e *Engine) PassTime(streams int, contextTokens int64) time.Duration {
+	step := e.StepTime + time.Duration(streams)*e.StepTimePerStream
+	step += time.Duration(float64(contextTokens) / 1000 * float64(e.StepTimePerContext))
+	return time.Duration(e.Stride) * step
+}
+
+// Service is a pool of endpoints of one kind.
+type Service struct {
+	Name string
+	// MaxConnections is the number of connections that an endpoint accepts from all instances together.
+	MaxConnections int
+	// ColdRate is the number of requests a second that an endpoint in cold start can handle; zero means no limit.
+	ColdRate float64
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeadTimeout    time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Team is a customer whose callers present one of its keys.
+type Team struct {
+	Name     string
+	Priority int
+}
+
+// Catalog is one version of what operators publish. It is not changed after it was built.
+type Catalog struct {
+	Version  int64
+	Profiles []Profile
+	Services map[string]*Service
+	Limits   Limits
+	// Teams maps a caller's key to its team. No keys are needed if HasTeams is false.
+	Teams    map[string]Team
+	HasTeams bool
+
+	byHost map[string][]*Profile
+}
+
+// NewCatalog returns the catalog with its index of profiles.
+func NewCatalog(c Catalog) *Catalog {
+	c.byHost = make(map[string][]*Profile)
+	for i := range c.Profiles {
+		p := &c.Profiles[i]
+		c.byHost[p.Host] = append(c.byHost[p.Host], p)
+	}
+	for _, profiles := range c.byHost {
+		slices.SortStableFunc(profiles, func(a, b *Profile) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return &c
+}
+
+// Match returns the profile of the host with the longest prefix of the path, or nil.
+func (c *Catalog) Match(host, path string) *Profile {
+	for _, p := range c.byHost[host] {
+		if strings.HasPrefix(path, p.PathPrefix) {
+			return p
+		}
+	}
+	return nil
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -55,6 +55,8 @@
 	IdleTimeout time.Duration
 	// WriteTimeout ends a connection whose peer reads nothing for this long while a write waits; the default is 30 s.
 	WriteTimeout time.Duration
+	// MaxConnections bounds the open connections; further ones are reset. The default is no bound.
+	MaxConnections int
 	// OnRefusal, if set, is told each answer that the server gives itself, before it is sent.
 	OnRefusal func(refusal *outcome.Error)
 	// OnPanic, if set, is told the value and stack of a panic in the handler. The connection has been reset before.
@@ -139,6 +141,12 @@
 		case err != nil:
 			return err
 		}
+		if limit := s.options.MaxConnections; limit > 0 && s.Connections() >= limit {
+			// A descriptor that a caller holds cannot serve the endpoints' side.
+			_ = raw.(*net.TCPConn).SetLinger(0)
+			_ = raw.Close()
+			continue
+		}
 		c := newConn(s, raw)
 		if !s.add(c) {
 			_ = raw.Close()
--- /dev/null
+++ b/internal/load/book.go
@@ -0,0 +1,190 @@
+// Package load counts the work that instances have placed on endpoints and that has not ended yet.
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+// shareLifetime is how long the counts of another instance hold without a newer message.
+const shareLifetime = 1500 * time.Millisecond
+
+// minUnreadShare is the part of a prompt's reading time that counts until the first event, however long it takes.
+const minUnreadShare = 0.25
+
+// Entry is the work placed on one endpoint.
+type Entry struct {
+	// Endpoint is the key of the endpoint's incarnation.
+	Endpoint uint64
+	// Streams counts the requests that have not ended.
+	Streams int
+	// Context is the number of tokens that these requests hold in the endpoint's memory.
+	Context int64
+	// Unread is the time that the endpoint still needs to read prompts.
+	Unread time.Duration
+	// Pause is the shortest of the longest pauses that the endpoint's streams may have; zero if none has one.
+	Pause time.Duration
+	// Suspect is true if the endpoint fails requests.
+	Suspect bool
+}
+
+func (e *Entry) add(other Entry) {
+	e.Streams += other.Streams
+	e.Context += other.Context
+	e.Unread += other.Unread
+	e.Suspect = e.Suspect || other.Suspect
+	if other.Pause > 0 && (e.Pause == 0 || other.Pause < e.Pause) {
+		e.Pause = other.Pause
+	}
+}
+
+// Work describes a request at the time at which it is placed.
+type Work struct {
+	First   *fleet.Endpoint
+	Helpers []*fleet.Endpoint
+	// Tokens is the memory that the request takes at the first endpoint.
+	Tokens int64
+	// Part is the time that each of the endpoints needs to read its part of the prompt.
+	Part time.Duration
+	// Predicted is the time to the first event.
+	Predicted time.Duration
+	// MaxPause is the longest pause between two events; zero if the request has no events.
+	MaxPause time.Duration
+}
+
+// Holding is a placed request. Its methods may be called from any goroutine.
+type Holding struct {
+	book   *Book
+	work   Work
+	placed time.Time
+	read   bool
+	ended  bool
+}
+
+// share is the last message of another instance.
+type share struct {
+	entries  []Entry
+	received time.Time
+}
+
+// Book holds the work of this instance and the last counts of the others.
+type Book struct {
+	mu       sync.Mutex
+	holdings map[*Holding]struct{}
+	shares   map[string]share
+	changes  uint64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{holdings: make(map[*Holding]struct{}), shares: make(map[string]share)}
+}
+
+// Place adds a request.
+func (b *Book) Place(work Work, now time.Time) *Holding {
+	h := &Holding{book: b, work: work, placed: now}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holdings[h] = struct{}{}
+	b.changes++
+	return h
+}
+
+// Read states that the whole prompt was read.
+func (h *Holding) Read() {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	if !h.read {
+		h.read = true
+		h.book.changes++
+	}
+}
+
+// End removes the request. Later calls do nothing.
+func (h *Holding) End() {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	if h.ended {
+		return
+	}
+	h.ended = true
+	delete(h.book.holdings, h)
+	h.book.changes++
+}
+
+// unread returns the time that each endpoint of the request still needs for its part.
+func (h *Holding) unread(now time.Time) time.Duration {
+	if h.read {
+		return 0
+	}
+	left := 1.0
+	if h.work.Predicted > 0 {
+		left = 1 - float64(now.Sub(h.placed))/float64(h.work.Predicted)
+	}
+	return time.Duration(max(left, minUnreadShare) * float64(h.work.Part))
+}
+
+// Changes returns a number that grows with each change of this instance's work.
+func (b *Book) Changes() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changes
+}
+
+// Own returns the work of this instance for each endpoint that has some.
+func (b *Book) Own(now time.Time) map[uint64]Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.own(now)
+}
+
+func (b *Book) own(now time.Time) map[uint64]Entry {
+	entries := make(map[uint64]Entry)
+	for h := range b.holdings {
+		unread := h.unread(now)
+		addTo(entries, Entry{
+			Endpoint: h.work.First.Key(), Streams: 1, Context: h.work.Tokens, Unread: unread, Pause: h.work.MaxPause,
+		})
+		if unread == 0 {
+			continue
+		}
+		for _, helper := range h.work.Helpers {
+			addTo(entries, Entry{Endpoint: helper.Key(), Unread: unread})
+		}
+	}
+	return entries
+}
+
+func addTo(entries map[uint64]Entry, e Entry) {
+	sum := entries[e.Endpoint]
+	sum.Endpoint = e.Endpoint
+	sum.add(e)
+	entries[e.Endpoint] = sum
+}
+
+// Merge replaces the counts of another instance.
+func (b *Book) Merge(instance string, entries []Entry, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shares[instance] = share{entries: entries, received: now}
+}
+
+// Totals returns the work of all instances for each endpoint that has some, and the number of instances heard of.
+func (b *Book) Totals(now time.Time) (totals map[uint64]Entry, instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	totals = b.own(now)
+	for name, s := range b.shares {
+		if now.Sub(s.received) > shareLifetime {
+			delete(b.shares, name)
+			continue
+		}
+		instances++
+		for _, e := range s.entries {
+			addTo(totals, e)
+		}
+	}
+	return totals, instances
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -26,6 +26,7 @@
 	KindKeyEnd
 	KindSummary
 	KindAck
+	KindLoadShare
 )
 
 // Role is the kind of process at the other end of a connection.
@@ -35,6 +36,7 @@
 const (
 	RoleController Role = "controller"
 	RoleGateway    Role = "gateway"
+	RoleEntry      Role = "entry"
 )
 
 // Hello is the first message on each connection.
@@ -388,3 +390,29 @@
 	// Gone names resources that the owner holds no longer.
 	Gone []string
 }
+
+// LoadShare tells another entry instance what the sender has placed on endpoints.
+type LoadShare struct {
+	// Address is the peers' address of the sender.
+	Address string
+	// Known lists the peers' addresses of the live instances that the sender knows.
+	Known []string
+	// Loads lists the endpoints on which the sender has placed something.
+	Loads []EndpointLoad
+}
+
+// EndpointLoad is the work that one instance has placed on one endpoint.
+type EndpointLoad struct {
+	// Endpoint identifies the incarnation of the endpoint.
+	Endpoint uint64
+	// Streams counts the requests that have not ended.
+	Streams int
+	// Context is the memory of these requests in tokens.
+	Context int64
+	// UnreadMS is the time that the endpoint still needs to read prompts.
+	UnreadMS int64
+	// PauseMS is the shortest of the longest pauses that the streams may have; zero if none has one.
+	PauseMS int64
+	// Suspect is true if the sender avoids the endpoint because it fails requests.
+	Suspect bool
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -299,6 +299,24 @@
 	client.openErr = n.write(conn, KindHello, 0, false, n.options.Self)
 }
 
+// Disconnect closes the connection to an address, if one stands, so that the next message opens a new one. A connection
+// that went silent reports no error of its own.
+func (n *Node) Disconnect(address string) {
+	n.mu.Lock()
+	client := n.clients[address]
+	delete(n.clients, address)
+	n.mu.Unlock()
+	if client == nil {
+		return
+	}
+	go func() {
+		<-client.ready
+		if client.conn != nil {
+			_ = client.conn.Close()
+		}
+	}()
+}
+
 func (n *Node) forget(client *clientConn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
