Add an emulator of the engines' passes in virtual time

The emulator plays the passes (steps, stride, chunk, pairs, parts, memory) and drives load, placement and the time left with several instances and the lag of their messages. acacia-lab emulate compares policies. The time left no longer takes a budget of 80 to 100 percent for a caller that has come back.

--- a/cmd/acacia-lab/main.go
+++ b/cmd/acacia-lab/main.go
@@ -29,7 +29,7 @@
 		Name:  "acacia-lab",
 		Usage: "start a whole deployment on loopback, show it and measure it",
 		Commands: []*cli.Command{
-			demoCommand(), measureCommand(), overheadCommand(), controlCommand(), reportCommand(),
+			demoCommand(), measureCommand(), overheadCommand(), controlCommand(), reportCommand(), emulateCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/emulator/emulator.go
@@ -0,0 +1,379 @@
+// Package emulator plays loads on model engines in virtual time. It drives the decision packages directly, so that a
+// load pattern is replayed in milliseconds and policies are compared on the same arrivals.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
+const (
+	// shareInterval is the pause between two load messages of an instance.
+	shareInterval = 60 * time.Millisecond
+	// placeInterval is the pause between two tries to place a waiting request.
+	placeInterval = 10 * time.Millisecond
+	// waitDivisor bounds the wait for room, as a part of the objective.
+	waitDivisor = 8
+	// networkTime is the time from a caller to an engine and back.
+	networkTime = 8 * time.Millisecond
+	// eventTokens is the number of tokens of an event.
+	eventTokens = 34
+)
+
+// Policy places requests.
+type Policy func(p placement.Planner, e *fleet.Engine, candidates []placement.Candidate, need placement.Need) (placement.Choice, *placement.Refusal)
+
+// Options describes a run.
+type Options struct {
+	Engine fleet.Engine
+	// Chunk is the number of prompt tokens that an engine reads in a step.
+	Chunk     int64
+	Endpoints int
+	Instances int
+	Load      Load
+	Policy    Policy
+	Seed      uint64
+}
+
+// Result sums what callers got.
+type Result struct {
+	Kinds map[string]*KindResult
+	// Worth is the credit earned as a part of the credit owed.
+	Worth float64
+	// Reading is the part of the engines' time that they spent on reading prompts.
+	Reading float64
+}
+
+// KindResult sums the outcomes of a kind.
+type KindResult struct {
+	Asked, OnTime, Late, Refused int
+	Earned, Owed                 float64
+	// LargeAsked and LargeServed count the largest tenth of the kind.
+	LargeAsked, LargeServed int
+}
+
+// request is one call in the emulator.
+type request struct {
+	arrival
+	instance  int
+	placed    bool
+	returned  bool
+	arrived   time.Duration
+	holding   *load.Holding
+	first     *endpoint
+	ownPart   *part
+	partsLeft int
+	written   int
+	firstAt   time.Duration
+	lastAt    time.Duration
+	paused    bool
+	// place tells how the request was placed, for a trace.
+	place placement.Choice
+}
+
+func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
+
+// worth returns the credit of the request: it grows with the size of the prompt.
+func (r *request) worth(of float64) float64 {
+	return min(of*(0.3+0.7*float64(r.tokens)/r.kind.Prompt.Mean), 4*of)
+}
+
+// event is an action at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// run is one play of a load.
+type run struct {
+	options   Options
+	random    *rand.Rand
+	planner   placement.Planner
+	now       time.Duration
+	queue     eventQueue
+	seq       int
+	endpoints []*endpoint
+	byID      map[*fleet.Endpoint]*endpoint
+	books     []*load.Book
+	result    Result
+}
+
+// Play runs a load and returns what callers got.
+func Play(options Options) Result {
+	r := &run{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		byID:    make(map[*fleet.Endpoint]*endpoint),
+		result:  Result{Kinds: make(map[string]*KindResult)},
+	}
+	r.planner = placement.Planner{IntN: r.random.IntN}
+	for i := range options.Endpoints {
+		e := &endpoint{
+			Endpoint: &fleet.Endpoint{ID: fmt.Sprintf("engine-%02d", i), Slots: options.Engine.Slots},
+			engine:   &options.Engine, chunk: options.Chunk,
+		}
+		r.endpoints = append(r.endpoints, e)
+		r.byID[e.Endpoint] = e
+	}
+	for i := range options.Instances {
+		r.books = append(r.books, load.NewBook())
+		r.after(time.Duration(i)*shareInterval/time.Duration(options.Instances), func() { r.share(i) })
+	}
+	r.schedule(options.Load.arrivals(r.random))
+	for len(r.queue) > 0 {
+		next := heap.Pop(&r.queue).(event)
+		r.now = next.at
+		next.run()
+	}
+	return r.summary()
+}
+
+func (r *run) after(delay time.Duration, action func()) {
+	r.seq++
+	heap.Push(&r.queue, event{at: r.now + delay, seq: r.seq, run: action})
+}
+
+// clock returns the virtual time in the form that the decision packages take.
+func (r *run) clock() time.Time { return time.Unix(0, int64(r.now)) }
+
+// share sends the counts of one instance to the others.
+func (r *run) share(instance int) {
+	own := r.books[instance].Own(r.clock())
+	entries := make([]load.Entry, 0, len(own))
+	for _, e := range own {
+		entries = append(entries, e)
+	}
+	for i, book := range r.books {
+		if i != instance {
+			book.Merge(fmt.Sprintf("instance-%d", instance), entries, r.clock())
+		}
+	}
+	if r.now < r.options.Load.Length+time.Minute {
+		r.after(shareInterval, func() { r.share(instance) })
+	}
+}
+
+func (r *run) schedule(arrivals []arrival) {
+	for _, a := range arrivals {
+		call := &request{arrival: a, instance: r.random.IntN(r.options.Instances)}
+		kind := r.kindResult(a.kind)
+		kind.Asked++
+		kind.Owed += call.worth(a.kind.Worth)
+		if call.isLarge() {
+			kind.LargeAsked++
+		}
+		r.after(a.at, func() { r.arrive(call) })
+	}
+}
+
+// isLarge reports a prompt of about the largest tenth of its kind.
+func (r *request) isLarge() bool {
+	const ninthDecile = 1.28
+	s := r.kind.Prompt
+	return float64(r.tokens) > quantile(s, ninthDecile)
+}
+
+func (r *run) kindResult(kind *Kind) *KindResult {
+	result := r.result.Kinds[kind.Name]
+	if result == nil {
+		result = &KindResult{}
+		r.result.Kinds[kind.Name] = result
+	}
+	return result
+}
+
+func (r *run) arrive(call *request) {
+	call.arrived = r.now
+	r.tryPlace(call)
+}
+
+// tryPlace places a request, waits a moment for room, or refuses it.
+func (r *run) tryPlace(call *request) {
+	need := placement.Need{
+		Tokens: call.tokens, Output: int64(call.events * eventTokens), MaxPause: call.kind.MaxPause,
+		Objective: placement.ObjectiveLeft(placement.Timing{
+			Objective: call.kind.Objective, TimeLimit: call.kind.Deadline,
+			Budget: call.kind.Deadline - (call.arrived - call.at), Waited: r.now - call.arrived,
+		}),
+	}
+	choice, refusal := r.options.Policy(r.planner, &r.options.Engine, r.candidates(call.instance), need)
+	switch {
+	case refusal == nil:
+		r.send(call, choice)
+	case refusal.Reason != placement.TooLarge && r.now+placeInterval <= call.arrived+call.kind.Objective/waitDivisor:
+		r.after(placeInterval, func() { r.tryPlace(call) })
+	default:
+		r.refuse(call, refusal)
+	}
+}
+
+// refuse lets the caller return once, if the advised delay is at most a third of its time.
+func (r *run) refuse(call *request, refusal *placement.Refusal) {
+	left := call.kind.Deadline - (r.now - call.at)
+	if call.returned || refusal.RetryAfter > left/3 {
+		r.kindResult(call.kind).Refused++
+		return
+	}
+	call.returned = true
+	call.instance = r.random.IntN(r.options.Instances)
+	r.after(refusal.RetryAfter+networkTime, func() { r.arrive(call) })
+}
+
+func (r *run) candidates(instance int) []placement.Candidate {
+	totals, _ := r.books[instance].Totals(r.clock())
+	candidates := make([]placement.Candidate, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
+		candidates = append(candidates, placement.Candidate{Endpoint: e.Endpoint, Entry: totals[e.Key()]})
+	}
+	return candidates
+}
+
+// send hands a request to its endpoints.
+func (r *run) send(call *request, choice placement.Choice) {
+	call.place = choice
+	call.holding = r.books[call.instance].Place(load.Work{
+		First: choice.First, Helpers: choice.Helpers, Tokens: call.memory(),
+		Part: choice.Part, Predicted: choice.Predicted, MaxPause: call.kind.MaxPause,
+	}, r.clock())
+	readers := int64(len(choice.Helpers) + 1)
+	call.partsLeft = int(readers)
+	call.first = r.byID[choice.First]
+	tokens := max(call.tokens/readers, 1)
+	perToken := r.options.Engine.PromptTime(call.tokens) / time.Duration(max(call.tokens, 1))
+	call.ownPart = &part{request: call, left: tokens, perToken: perToken}
+	call.first.queue = append(call.first.queue, call)
+	r.wake(call.first)
+	for _, h := range choice.Helpers {
+		helper := r.byID[h]
+		helper.addPart(&part{request: call, left: tokens, perToken: perToken, helping: true})
+		r.wake(helper)
+	}
+}
+
+// wake starts a pass of an idle endpoint.
+func (r *run) wake(e *endpoint) {
+	if e.running {
+		return
+	}
+	length := e.startPass()
+	if length == 0 {
+		return
+	}
+	e.running = true
+	r.after(length, func() { r.endPass(e) })
+}
+
+func (r *run) endPass(e *endpoint) {
+	e.running = false
+	read, wrote := e.endPass()
+	for _, call := range wrote {
+		r.write(call)
+	}
+	for _, call := range read {
+		call.holding.Read()
+		call.firstAt = r.now
+		call.first.writers = append(call.first.writers, call)
+		r.write(call)
+		r.wake(call.first)
+	}
+	r.wake(e)
+}
+
+// write lets a request write one event.
+func (r *run) write(call *request) {
+	if call.written > 0 && r.now-call.lastAt > call.kind.MaxPause {
+		call.paused = true
+	}
+	call.lastAt = r.now
+	call.written++
+	if call.written < call.events && r.now-call.at < call.kind.Deadline {
+		return
+	}
+	call.first.finish(call)
+	call.holding.End()
+	r.account(call)
+}
+
+func (r *run) account(call *request) {
+	kind := r.kindResult(call.kind)
+	switch {
+	case r.now-call.at > call.kind.Deadline:
+		kind.Refused++
+		return
+	case call.paused || call.firstAt-call.at+networkTime > call.kind.Objective:
+		kind.Late++
+		kind.Earned += call.worth(call.kind.LateWorth)
+	default:
+		kind.OnTime++
+		kind.Earned += call.worth(call.kind.Worth)
+	}
+	if call.isLarge() {
+		kind.LargeServed++
+	}
+}
+
+func (r *run) summary() Result {
+	var earned, owed float64
+	for _, kind := range r.result.Kinds {
+		earned += kind.Earned
+		owed += kind.Owed
+	}
+	if owed > 0 {
+		r.result.Worth = earned / owed
+	}
+	var read time.Duration
+	for _, e := range r.endpoints {
+		read += e.readTime
+	}
+	r.result.Reading = float64(read) / float64(r.options.Load.Length*time.Duration(len(r.endpoints)))
+	return r.result
+}
+
+// Sum plays a pattern with several seeds and adds up the results.
+func Sum(pattern Pattern, policy Policy, seeds int) Result {
+	sum := Result{Kinds: make(map[string]*KindResult)}
+	for seed := range seeds {
+		result := Play(pattern.Options(policy, uint64(seed)+1))
+		sum.Worth += result.Worth / float64(seeds)
+		sum.Reading += result.Reading / float64(seeds)
+		for name, k := range result.Kinds {
+			if sum.Kinds[name] == nil {
+				sum.Kinds[name] = &KindResult{}
+			}
+			sum.Kinds[name].add(k)
+		}
+	}
+	return sum
+}
+
+func (k *KindResult) add(other *KindResult) {
+	k.Asked += other.Asked
+	k.OnTime += other.OnTime
+	k.Late += other.Late
+	k.Refused += other.Refused
+	k.Earned += other.Earned
+	k.Owed += other.Owed
+	k.LargeAsked += other.LargeAsked
+	k.LargeServed += other.LargeServed
+}
--- /dev/null
+++ b/internal/emulator/load.go
@@ -0,0 +1,96 @@
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is a kind of request.
+type Kind struct {
+	Name string
+	// Rate is the mean number of requests a second.
+	Rate                          float64
+	Objective, Deadline, MaxPause time.Duration
+	// Worth is the credit of a mean request that is on time, LateWorth that of a late one.
+	Worth, LateWorth float64
+	// Prompt and Events are distributions of prompt tokens and of the events of an answer.
+	Prompt, Events Sizes
+}
+
+// Sizes is a log-normal distribution with a bound.
+type Sizes struct {
+	Mean, Spread, Max float64
+}
+
+func (s Sizes) draw(random *rand.Rand) float64 {
+	mu := math.Log(s.Mean) - s.Spread*s.Spread/2
+	return min(max(math.Exp(mu+s.Spread*random.NormFloat64()), 1), s.Max)
+}
+
+// Phase multiplies the rates of kinds for a while.
+type Phase struct {
+	From, To time.Duration
+	// Factors maps the name of a kind to its factor; kinds that are not named keep their rate.
+	Factors map[string]float64
+}
+
+// Load is a pattern of arrivals.
+type Load struct {
+	Kinds  []Kind
+	Phases []Phase
+	Length time.Duration
+}
+
+// arrival is one request of a load.
+type arrival struct {
+	at     time.Duration
+	kind   *Kind
+	tokens int64
+	events int
+}
+
+// arrivals draws the requests of a load, in no order.
+func (l *Load) arrivals(random *rand.Rand) []arrival {
+	var all []arrival
+	for i := range l.Kinds {
+		kind := &l.Kinds[i]
+		for at := time.Duration(0); ; {
+			// Thinning of a process at the highest rate.
+			peak := kind.Rate * l.peakFactor(kind.Name)
+			at += time.Duration(random.ExpFloat64() / peak * float64(time.Second))
+			if at >= l.Length {
+				break
+			}
+			if random.Float64()*peak > kind.Rate*l.factor(kind.Name, at) {
+				continue
+			}
+			all = append(all, arrival{
+				at: at, kind: kind, tokens: int64(kind.Prompt.draw(random)), events: int(math.Ceil(kind.Events.draw(random))),
+			})
+		}
+	}
+	return all
+}
+
+func (l *Load) factor(kind string, at time.Duration) float64 {
+	for _, p := range l.Phases {
+		if factor, named := p.Factors[kind]; named && at >= p.From && at < p.To {
+			return factor
+		}
+	}
+	return 1
+}
+
+func (l *Load) peakFactor(kind string) float64 {
+	peak := 1.0
+	for _, p := range l.Phases {
+		peak = max(peak, p.Factors[kind])
+	}
+	return peak
+}
+
+// quantile returns the size at a number of standard deviations of the logarithm.
+func quantile(s Sizes, deviations float64) float64 {
+	return min(math.Exp(math.Log(s.Mean)-s.Spread*s.Spread/2+deviations*s.Spread), s.Max)
+}
--- /dev/null
+++ b/internal/emulator/patterns.go
@@ -0,0 +1,98 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+// Pattern is a named fleet and load.
+type Pattern struct {
+	Name      string
+	Endpoints int
+	Instances int
+	Load      Load
+}
+
+// StandardEngine is the engine of both deployments: 405,000 tokens of memory, 154 prompt tokens read in a millisecond.
+func StandardEngine() fleet.Engine {
+	return fleet.Engine{
+		Slots: 16, Memory: 405_000, Stride: 34,
+		StepTime:           1310 * time.Microsecond,
+		StepTimePerStream:  917 * time.Nanosecond,
+		StepTimePerContext: 2130 * time.Nanosecond,
+		ReadRate:           154_000,
+		PairsTime:          162 * time.Microsecond,
+	}
+}
+
+// StandardChunk is the number of prompt tokens that the standard engine reads in a step.
+const StandardChunk = 2048
+
+// kinds returns short, middle and long prompts at the given mean rates, with the times of both deployments.
+func kinds(short, middle, long float64) []Kind {
+	return []Kind{
+		{
+			Name: "short", Rate: short, Objective: 300 * time.Millisecond, Deadline: 10 * time.Second, MaxPause: 250 * time.Millisecond,
+			Worth: 1.3, LateWorth: 0.33,
+			Prompt: Sizes{Mean: 5000, Spread: 0.9, Max: 23_800}, Events: Sizes{Mean: 38.5, Spread: 0.7, Max: 96},
+		},
+		{
+			Name: "middle", Rate: middle, Objective: 1500 * time.Millisecond, Deadline: 10 * time.Second, MaxPause: 600 * time.Millisecond,
+			Worth: 3.9, LateWorth: 0.97,
+			Prompt: Sizes{Mean: 45_000, Spread: 0.5, Max: 110_000}, Events: Sizes{Mean: 23.1, Spread: 0.6, Max: 58},
+		},
+		{
+			Name: "long", Rate: long, Objective: 3 * time.Second, Deadline: 15 * time.Second, MaxPause: time.Second,
+			Worth: 24, LateWorth: 6.1,
+			Prompt: Sizes{Mean: 182_000, Spread: 0.55, Max: 900_000}, Events: Sizes{Mean: 19.2, Spread: 0.5, Max: 48},
+		},
+	}
+}
+
+const (
+	phaseLength = 9500 * time.Millisecond
+	dayLength   = 34 * time.Second
+)
+
+func longPhase(from time.Duration) Phase {
+	return Phase{From: from, To: from + phaseLength, Factors: map[string]float64{"short": 0.38, "middle": 1.3, "long": 2.8}}
+}
+
+func shortPhase(from time.Duration) Phase {
+	return Phase{From: from, To: from + phaseLength, Factors: map[string]float64{"short": 2.5, "middle": 0.5, "long": 0.05}}
+}
+
+// LongShortLong swings from long prompts to short ones and back, every ten seconds.
+func LongShortLong() Pattern {
+	return Pattern{Name: "long-short-long", Endpoints: 23, Instances: 7, Load: Load{
+		Kinds: kinds(46, 2.57, 1.19), Length: dayLength,
+		Phases: []Phase{longPhase(1700 * time.Millisecond), shortPhase(13 * time.Second), longPhase(23 * time.Second)},
+	}}
+}
+
+// ShortLongShort swings from short prompts to long ones and back, every ten seconds.
+func ShortLongShort() Pattern {
+	return Pattern{Name: "short-long-short", Endpoints: 18, Instances: 8, Load: Load{
+		Kinds: kinds(36, 2.01, 0.935), Length: dayLength,
+		Phases: []Phase{shortPhase(1700 * time.Millisecond), longPhase(12 * time.Second), shortPhase(23 * time.Second)},
+	}}
+}
+
+// DomainOut is LongShortLong with a third of the endpoints out of service.
+func DomainOut() Pattern {
+	p := LongShortLong()
+	p.Name, p.Endpoints = "domain-out", 15
+	return p
+}
+
+// Patterns lists the patterns of the experiments.
+func Patterns() []Pattern { return []Pattern{LongShortLong(), ShortLongShort(), DomainOut()} }
+
+// Options returns a run of the pattern.
+func (p Pattern) Options(policy Policy, seed uint64) Options {
+	return Options{
+		Engine: StandardEngine(), Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
+		Load: p.Load, Policy: policy, Seed: seed,
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -291,6 +291,7 @@
 
 // giveUp ends a call that could not be placed.
 func (x *exchange) giveUp(ctx context.Context, refusal *placement.Refusal) {
+	x.logUnplaced(refusal)
 	switch {
 	case ctx.Err() != nil:
 		x.expire(ctx)
@@ -301,8 +302,7 @@
 	case refusal.Reason == placement.NoEndpoint:
 		x.end(refuseUnavailable(outcome.StageAdmission, codeNoEndpoint, "no endpoint is in service", refusal.RetryAfter))
 	default:
-		e := refuseUnavailable(outcome.StageAdmission, codeOverloaded, string(refusal.Reason), refusal.RetryAfter)
-		x.end(e)
+		x.end(refuseUnavailable(outcome.StageAdmission, codeOverloaded, string(refusal.Reason), refusal.RetryAfter))
 	}
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/placement"
 )
 
 // HandlerOptions configures a Handler.
@@ -24,6 +25,7 @@
 	Book    *load.Book
 	Health  *health.Tracker
 	Retries *limit.Retries
+	Planner placement.Planner
 	Cold    *limit.Cold
 	Client  *engine.Client
 	// Domain is the failure domain of this instance.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -19,11 +19,28 @@
 		Int("helpers", len(choice.Helpers)).
 		Int64("prompt_tokens", x.call.PromptTokens).
 		Dur("predicted_ms", choice.Predicted).
+		Dur("budget_ms", x.call.Budget).
+		Dur("time_limit_ms", x.profile.TimeLimit).
 		Int("attempt", x.sent+1).
 		Dur("waited_ms", time.Since(x.received)).
 		Msg("request_placed")
 }
 
+// logUnplaced records why no endpoint was chosen.
+func (x *exchange) logUnplaced(refusal *placement.Refusal) {
+	x.handler.options.Log.Info().
+		Str("request", x.call.ID).
+		Str("profile", x.profile.Name).
+		Str("reason", string(refusal.Reason)).
+		Int64("prompt_tokens", x.call.PromptTokens).
+		Dur("objective_ms", x.objectiveLeft(time.Now())).
+		Dur("predicted_ms", refusal.Predicted).
+		Dur("retry_after_ms", refusal.RetryAfter).
+		Dur("waited_ms", time.Since(x.received)).
+		Int("endpoints", refusal.Candidates).
+		Msg("request_not_placed")
+}
+
 // logRepeat records whether a failed attempt is followed by another one.
 func (x *exchange) logRepeat(reason string, allowed bool) {
 	x.handler.options.Log.Info().
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -13,8 +13,6 @@
 	waitDivisor = 8
 	// placeInterval is the pause between two tries to place a waiting request.
 	placeInterval = 10 * time.Millisecond
-	// maxLateObjective is the time to the first event within which a request that cannot be on time is still taken.
-	maxLateObjective = 1500 * time.Millisecond
 )
 
 // place chooses endpoints, and waits a moment for room. It returns a refusal if there is none.
@@ -34,27 +32,20 @@
 	}
 }
 
-// objectiveLeft returns the time to the first event that the placement aims at. A caller that comes back has used up a
-// part of its objective, which shows in its budget.
+// objectiveLeft returns the time to the first event that the placement aims at.
 func (x *exchange) objectiveLeft(now time.Time) time.Duration {
-	used := now.Sub(x.received)
-	if x.call.Budget > 0 {
-		used += max(x.profile.TimeLimit-x.call.Budget, 0)
-	}
-	left := x.profile.Objective - used
-	if left < x.profile.Objective/4 {
-		return min(max(x.profile.Objective, maxLateObjective/3), maxLateObjective)
-	}
-	return left
+	return placement.ObjectiveLeft(placement.Timing{
+		Objective: x.profile.Objective, TimeLimit: x.profile.TimeLimit, Budget: x.call.Budget, Waited: now.Sub(x.received),
+	})
 }
 
 func (x *exchange) placeNow(objective time.Duration) (placement.Choice, *placement.Refusal) {
 	candidates := x.candidates(time.Now())
 	e := x.service.Engine
 	if e == nil {
-		return placement.Plain(candidates, x.handler.options.Domain)
+		return x.handler.options.Planner.Plain(candidates, x.handler.options.Domain)
 	}
-	return placement.Model(e, candidates, placement.Need{
+	return x.handler.options.Planner.Model(e, candidates, placement.Need{
 		Tokens:    x.call.PromptTokens,
 		Output:    x.call.MaxOutput,
 		Objective: objective,
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/settings"
 )
 
@@ -103,7 +105,8 @@
 	book, tracker := load.NewBook(), health.NewTracker()
 	handlerOptions := HandlerOptions{
 		Dialect: options.Dialect, State: options.State, Book: book, Health: tracker, Cold: p.cold,
-		Client: p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
+		Planner: placement.Planner{IntN: rand.IntN},
+		Client:  p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
 		Retries: limit.NewRetries(limit.RetryOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Instances: b.MaxInstances,
 		}),
--- /dev/null
+++ b/internal/placement/objective.go
@@ -0,0 +1,41 @@
+package placement
+
+import "time"
+
+const (
+	// returnedShare is the part of the time limit below which a budget shows that the caller has come back: budgets of
+	// first attempts vary, but stay above it.
+	returnedShare = 0.75
+	// lateShare is the part of the objective under which a request counts as late.
+	lateShare = 0.25
+	// maxLate bounds the time to the first event within which a late request is still taken.
+	maxLate = 1500 * time.Millisecond
+	minLate = 500 * time.Millisecond
+)
+
+// Timing holds the times of a request.
+type Timing struct {
+	// Objective is the time to the first event within which a request is on time, from the caller's first attempt.
+	Objective time.Duration
+	// TimeLimit is the longest time of a request of the profile.
+	TimeLimit time.Duration
+	// Budget is the time that the caller waits from the arrival of this attempt; zero if it stated none.
+	Budget time.Duration
+	// Waited is the time since the arrival of this attempt.
+	Waited time.Duration
+}
+
+// ObjectiveLeft returns the time to the first event that a placement aims at. A caller that comes back has used up a
+// part of its objective, which shows in its budget. A request that cannot be on time any more is taken only if it is
+// answered soon, because it is worth less than the ones that can.
+func ObjectiveLeft(t Timing) time.Duration {
+	used := t.Waited
+	if t.Budget > 0 && float64(t.Budget) < returnedShare*float64(t.TimeLimit) {
+		used += t.TimeLimit - t.Budget
+	}
+	left := t.Objective - used
+	if float64(left) < lateShare*float64(t.Objective) {
+		return min(max(t.Objective, minLate), maxLate)
+	}
+	return left
+}
--- /dev/null
+++ b/internal/placement/plain.go
@@ -0,0 +1,35 @@
+package placement
+
+// Plain places a request on the endpoints of a plain service: the one with the fewest requests, the own domain first
+// among equals.
+func (p Planner) Plain(candidates []Candidate, domain string) (Choice, *Refusal) {
+	var best *Candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Streams >= c.Endpoint.Slots*2 {
+			continue
+		}
+		if best == nil || plainCost(c, domain) < plainCost(best, domain) {
+			best = c
+		}
+	}
+	switch {
+	case best != nil:
+		return Choice{First: best.Endpoint}, nil
+	case len(candidates) == 0:
+		return Choice{}, &Refusal{Reason: NoEndpoint, RetryAfter: minRetryAfter}
+	}
+	return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.spread(minRetryAfter/2, minRetryAfter)}
+}
+
+// plainCost orders the endpoints of a plain service. Requests queue from the number of slots on.
+func plainCost(c *Candidate, domain string) float64 {
+	cost := float64(c.Streams) / float64(max(c.Endpoint.Slots, 1))
+	if c.Endpoint.Domain != domain {
+		cost += 0.5
+	}
+	if c.Cold || c.Reserve || c.Suspect {
+		cost += 2
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/placement/short.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+// shortGroup returns the number of endpoints, from the start of the order, that short streams need.
+func shortGroup(candidates []Candidate) int {
+	streams := 0
+	for i := range candidates {
+		if candidates[i].Pause > 0 && candidates[i].Pause <= shortPause {
+			streams += candidates[i].Streams
+		}
+	}
+	return min(2+(streams*5/4)/shortStreams, len(candidates))
+}
+
+// shortPause is the longest pause of streams that count as short.
+const shortPause = 400 * time.Millisecond
+
+// placeShort takes the endpoint with the earliest first event in the short group, or in the rest if the group has none
+// in time.
+func (p Planner) placeShort(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
+	reading := e.PromptTime(need.Tokens)
+	limit := time.Duration(objectiveShare * float64(need.Objective))
+	for _, part := range [][]Candidate{preferred(candidates[:group]), preferred(candidates[group:]), candidates} {
+		best, predicted := p.earliest(e, part, need, reading)
+		if best != nil && predicted <= limit {
+			return Choice{First: best.Endpoint, Part: reading, Predicted: predicted}, nil
+		}
+	}
+	best, predicted := p.earliest(e, candidates, need, reading)
+	if best == nil {
+		return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.spread(minRetryAfter, 2*need.Objective)}
+	}
+	return Choice{}, &Refusal{Reason: TooLate, RetryAfter: p.retryAfter(predicted - limit), Predicted: predicted}
+}
+
+// preferred returns the candidates that are neither cold nor a reserve.
+func preferred(candidates []Candidate) []Candidate {
+	var kept []Candidate
+	for _, c := range candidates {
+		if !c.Cold && !c.Reserve && !c.Suspect {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// earliest returns the candidate with room and the earliest first event. Near-equal ones have the same chance, so that
+// instances that decide at the same moment spread their choices.
+func (p Planner) earliest(e *fleet.Engine, candidates []Candidate, need Need, reading time.Duration) (*Candidate, time.Duration) {
+	const nearEqual = 12 * time.Millisecond
+	var best *Candidate
+	var bestTime time.Duration
+	ties := 0
+	for i := range candidates {
+		c := &candidates[i]
+		if !hasRoom(e, c, need) {
+			continue
+		}
+		predicted := firstEvent(e, c, reading) + time.Duration(c.Streams)*time.Millisecond
+		switch {
+		case best == nil || predicted < bestTime-nearEqual:
+			best, bestTime, ties = c, predicted, 1
+		case predicted <= bestTime+nearEqual:
+			ties++
+			if p.IntN(ties) == 0 {
+				best = c
+			}
+			bestTime = min(bestTime, predicted)
+		}
+	}
+	return best, bestTime
+}
+
+// hasRoom reports whether the engine can take the request as its first endpoint without queueing it.
+func hasRoom(e *fleet.Engine, c *Candidate, need Need) bool {
+	return c.Streams < e.Slots && c.Context+need.Tokens+need.Output <= e.Memory
+}
+
+// firstEvent predicts the time to the first event of a prompt with the given reading time on the endpoint.
+func firstEvent(e *fleet.Engine, c *Candidate, reading time.Duration) time.Duration {
+	pass := passDelay(e, c)
+	return pass/2 + c.Unread + reading + pass
+}
+
+// passDelay is the time of one pass apart from its reading.
+func passDelay(e *fleet.Engine, c *Candidate) time.Duration {
+	if c.Streams == 0 {
+		return idlePass
+	}
+	return e.PassTime(c.Streams, c.Context)
+}
+
+// fitsPause reports whether reading on the endpoint leaves its streams within their pauses.
+func fitsPause(e *fleet.Engine, c *Candidate, part time.Duration) bool {
+	if c.Pause == 0 {
+		return true
+	}
+	return c.Unread+part+passDelay(e, c) <= time.Duration(pauseShare*float64(c.Pause))
+}
