Place by parts, turns and reservations as the emulator shows

(2) Prompts of 15 to 24 k were refused although two readers make them on time. (3) Middle prompts took endpoints of the long pool and tightened its pauses; small parts are now held and written by the short group. (4) The short group was larger than its streams need.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -18,8 +18,6 @@
 	shareInterval = 60 * time.Millisecond
 	// placeInterval is the pause between two tries to place a waiting request.
 	placeInterval = 10 * time.Millisecond
-	// waitDivisor bounds the wait for room, as a part of the objective.
-	waitDivisor = 8
 	// networkTime is the time from a caller to an engine and back.
 	networkTime = 8 * time.Millisecond
 	// eventTokens is the number of tokens of an event.
@@ -67,6 +65,7 @@
 	arrived   time.Duration
 	holding   *load.Holding
 	first     *endpoint
+	held      map[*fleet.Endpoint]int64
 	ownPart   *part
 	partsLeft int
 	written   int
@@ -74,11 +73,20 @@
 	lastAt    time.Duration
 	paused    bool
 	// place tells how the request was placed, for a trace.
-	place placement.Choice
+	place    placement.Choice
 }
 
 func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
 
+// heldTokens returns the memory of the request at other endpoints than the first.
+func (r *request) heldTokens() int64 {
+	var held int64
+	for _, tokens := range r.held {
+		held += tokens
+	}
+	return min(held, r.memory())
+}
+
 // worth returns the credit of the request: it grows with the size of the prompt.
 func (r *request) worth(of float64) float64 {
 	return min(of*(0.3+0.7*float64(r.tokens)/r.kind.Prompt.Mean), 4*of)
@@ -221,7 +229,7 @@
 	switch {
 	case refusal == nil:
 		r.send(call, choice)
-	case refusal.Reason != placement.TooLarge && r.now+placeInterval <= call.arrived+call.kind.Objective/waitDivisor:
+	case r.now+placeInterval <= call.arrived+placement.WaitLimit(refusal.Reason, call.kind.Objective):
 		r.after(placeInterval, func() { r.tryPlace(call) })
 	default:
 		r.refuse(call, refusal)
@@ -252,8 +260,13 @@
 // send hands a request to its endpoints.
 func (r *run) send(call *request, choice placement.Choice) {
 	call.place = choice
+	call.held = make(map[*fleet.Endpoint]int64)
+	for _, h := range choice.Holdings {
+		call.held[h.Endpoint] = h.Tokens
+		r.byID[h.Endpoint].memory += h.Tokens
+	}
 	call.holding = r.books[call.instance].Place(load.Work{
-		First: choice.First, Helpers: choice.Helpers, Tokens: call.memory(),
+		First: choice.First, Helpers: choice.Helpers, Tokens: call.memory() - call.heldTokens(), Held: call.held,
 		Part: choice.Part, Predicted: choice.Predicted, MaxPause: call.kind.MaxPause,
 	}, r.clock())
 	readers := int64(len(choice.Helpers) + 1)
@@ -311,6 +324,9 @@
 		return
 	}
 	call.first.finish(call)
+	for h, tokens := range call.held {
+		r.byID[h].memory -= tokens
+	}
 	call.holding.End()
 	r.account(call)
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -46,12 +46,12 @@
 func (e *endpoint) admit() {
 	for len(e.queue) > 0 {
 		r := e.queue[0]
-		if e.slots >= e.engine.Slots || e.memory+r.memory() > e.engine.Memory {
+		if e.slots >= e.engine.Slots || e.memory+r.memory()-r.heldTokens() > e.engine.Memory {
 			return
 		}
 		e.queue = e.queue[1:]
 		e.slots++
-		e.memory += r.memory()
+		e.memory += r.memory() - r.heldTokens()
 		e.addPart(r.ownPart)
 	}
 }
@@ -93,7 +93,7 @@
 	e.readTime += read
 	var context int64
 	for _, w := range e.writers {
-		context += w.tokens
+		context += w.tokens - w.heldTokens()
 	}
 	step := e.engine.PassTime(len(e.writers), context) / time.Duration(e.engine.Stride)
 	return read + time.Duration(steps)*step
@@ -118,6 +118,6 @@
 // finish frees the slot and the memory of a request.
 func (e *endpoint) finish(r *request) {
 	e.slots--
-	e.memory -= r.memory()
+	e.memory -= r.memory() - r.heldTokens()
 	e.writers = slices.DeleteFunc(e.writers, func(w *request) bool { return w == r })
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -34,6 +34,8 @@
 type Delivery struct {
 	Endpoint *fleet.Endpoint
 	Helpers  []*fleet.Endpoint
+	// Tickets are the memory reserved at helpers.
+	Tickets []Ticket
 	// Team is the name of the caller's team; empty if the profile needs no key.
 	Team string
 	// Left is what is left of the time of the request.
@@ -68,6 +70,15 @@
 	Reason string
 }
 
+// Order is an order to an endpoint.
+type Order struct {
+	Method, Target string
+	Header         http.Header
+	Body           []byte
+	// Done is the status of an order that was carried out.
+	Done int
+}
+
 // Dialect translates between calls and what is spoken on the wire.
 type Dialect interface {
 	// ReadCall returns the call, or an error that says what is wrong with the request.
@@ -76,6 +87,10 @@
 	Header(call *Call, d Delivery) http.Header
 	// Judge returns the meaning of the head of an answer.
 	Judge(call *Call, status int, header http.Header) Judgement
+	// Reserve returns the order that reserves memory, or renews its reservation, for the given time.
+	Reserve(t Ticket, hold time.Duration) Order
+	// Release returns the order that gives memory back.
+	Release(t Ticket) Order
 	// MarkCall adds the call's id to the header of an answer that this instance gives itself.
 	MarkCall(id string, header http.Header)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -84,11 +84,13 @@
 		return true
 	}
 	x.logPlaced(choice)
-	holding := x.handler.options.Book.Place(load.Work{
-		First: first, Helpers: choice.Helpers, Tokens: x.call.PromptTokens + x.call.MaxOutput,
-		Part: choice.Part, Predicted: choice.Predicted, MaxPause: x.profile.MaxPause,
-	}, now)
+	holding := x.handler.options.Book.Place(x.work(choice), now)
 	defer holding.End()
+	reserved, err := x.reserve(ctx, choice.Holdings)
+	if err != nil {
+		return x.judgeNotReserved(ctx, choice, err)
+	}
+	defer reserved.release()
 	r := &relay{x: x}
 	r.onFirst = func() {
 		holding.Read()
@@ -96,13 +98,45 @@
 			x.firstAt = time.Now()
 		}
 	}
-	err := x.handler.options.Client.Do(ctx, x.request(choice, now), func() error { return x.stillUsable(first) }, r)
+	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.tickets), func() error { return x.stillUsable(first) }, r)
 	return x.judge(ctx, first, r, err)
 }
 
+// work describes the placed call to the other instances.
+func (x *exchange) work(choice placement.Choice) load.Work {
+	w := load.Work{
+		First: choice.First, Helpers: choice.Helpers, Tokens: x.call.PromptTokens + x.call.MaxOutput,
+		Part: choice.Part, Predicted: choice.Predicted, MaxPause: x.profile.MaxPause,
+		Held: make(map[*fleet.Endpoint]int64, len(choice.Holdings)),
+	}
+	for _, h := range choice.Holdings {
+		w.Held[h.Endpoint] = h.Tokens
+		w.Tokens = max(w.Tokens-h.Tokens, 0)
+	}
+	return w
+}
+
+// judgeNotReserved handles an attempt that failed before the request was sent, because an endpoint had no memory left.
+func (x *exchange) judgeNotReserved(ctx context.Context, choice placement.Choice, err error) bool {
+	for _, h := range choice.Holdings {
+		x.tried[h.Endpoint.ID] = true
+	}
+	x.logRepeat(err.Error(), true)
+	x.unreachable++
+	switch {
+	case ctx.Err() != nil:
+		x.expire(ctx)
+		return false
+	case x.unreachable <= maxUnreachable:
+		return true
+	}
+	x.finishFailed()
+	return false
+}
+
 // request builds the request to an endpoint. A request that must not run twice gets a connection of its own, because the
 // fate of one that crosses the close of an idle connection is not known.
-func (x *exchange) request(choice placement.Choice, now time.Time) engine.Request {
+func (x *exchange) request(choice placement.Choice, tickets []Ticket) engine.Request {
 	return engine.Request{
 		Method:  x.call.Method,
 		Target:  x.call.Target,
@@ -113,8 +147,9 @@
 		Header: x.handler.options.Dialect.Header(x.call, Delivery{
 			Endpoint:   choice.First,
 			Helpers:    choice.Helpers,
+			Tickets:    tickets,
 			Team:       x.team.Name,
-			Left:       x.received.Add(x.limit).Sub(now),
+			Left:       time.Until(x.received.Add(x.limit)),
 			AfterEvent: x.events.lastID,
 		}),
 	}
--- /dev/null
+++ b/internal/entry/memory.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/engine"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
+const (
+	// holdTime is how long memory stays reserved without a renewal. It bounds what a killed instance leaves behind.
+	holdTime = 3 * time.Second
+	// renewInterval is the pause between two renewals.
+	renewInterval = time.Second
+	// orderTimeout bounds one order to an endpoint.
+	orderTimeout = 300 * time.Millisecond
+	// maxOrderReplyBytes bounds the answer to an order.
+	maxOrderReplyBytes = 4 << 10
+)
+
+// Ticket is reserved memory of an endpoint.
+type Ticket struct {
+	Endpoint *fleet.Endpoint
+	// ID is unique for each attempt, because two requests must not use one ticket.
+	ID     string
+	Tokens int64
+}
+
+// OrderError is a refused order.
+type OrderError struct {
+	Endpoint string
+	Status   int
+}
+
+// Error implements the error interface.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("endpoint %s answered an order with status %d", e.Endpoint, e.Status)
+}
+
+// reservation is the memory of one attempt. It is renewed until it is released.
+type reservation struct {
+	x       *exchange
+	tickets []Ticket
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
+}
+
+// reserve reserves memory at all endpoints of the list, or at none.
+func (x *exchange) reserve(ctx context.Context, holdings []placement.Holding) (*reservation, error) {
+	r := &reservation{x: x, stop: func() {}}
+	for _, h := range holdings {
+		r.tickets = append(r.tickets, Ticket{
+			Endpoint: h.Endpoint, Tokens: h.Tokens, ID: fmt.Sprintf("%s-%d", x.call.ID, x.sent),
+		})
+	}
+	if len(r.tickets) == 0 {
+		return r, nil
+	}
+	if err := r.each(func(t Ticket) error { return x.order(ctx, t.Endpoint, x.handler.options.Dialect.Reserve(t, holdTime)) }); err != nil {
+		r.release()
+		return nil, err
+	}
+	// The renewals outlive the request's context until the release.
+	renewCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	r.stop = stop
+	r.ended.Add(1)
+	go r.renew(renewCtx)
+	return r, nil
+}
+
+// each runs an action for all tickets at the same time and returns the first error.
+func (r *reservation) each(action func(Ticket) error) error {
+	errs := make(chan error, len(r.tickets))
+	for _, t := range r.tickets {
+		go func() { errs <- action(t) }()
+	}
+	var first error
+	for range r.tickets {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (r *reservation) renew(ctx context.Context) {
+	defer r.ended.Done()
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			err := r.each(func(t Ticket) error {
+				return r.x.order(ctx, t.Endpoint, r.x.handler.options.Dialect.Reserve(t, holdTime))
+			})
+			if err != nil && ctx.Err() == nil {
+				r.x.handler.options.Log.Warn().Str("request", r.x.call.ID).Err(err).Msg("reservation_not_renewed")
+			}
+		}
+	}
+}
+
+// release gives the memory back. What an endpoint does not confirm ends by itself after holdTime.
+func (r *reservation) release() {
+	if len(r.tickets) == 0 {
+		return
+	}
+	r.stop()
+	r.ended.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	err := r.each(func(t Ticket) error { return r.x.order(ctx, t.Endpoint, r.x.handler.options.Dialect.Release(t)) })
+	if err != nil {
+		r.x.handler.options.Log.Warn().Str("request", r.x.call.ID).Err(err).Msg("reservation_not_released")
+	}
+}
+
+// order sends an order to an endpoint.
+func (x *exchange) order(ctx context.Context, e *fleet.Endpoint, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	x.handler.options.Metrics.Ordered()
+	status, _, err := x.handler.options.Client.Fetch(ctx, engine.Request{
+		Method: o.Method, Target: o.Target, Address: e.Address, Header: o.Header, Body: o.Body,
+	}, maxOrderReplyBytes)
+	if err != nil {
+		return err
+	}
+	if status != o.Done {
+		return &OrderError{Endpoint: e.ID, Status: status}
+	}
+	return nil
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,6 +41,9 @@
 // Repeated counts a further attempt.
 func (m *Metrics) Repeated() { m.count("attempts_repeated") }
 
+// Ordered counts an order to an endpoint.
+func (m *Metrics) Ordered() { m.count("orders") }
+
 // Answered counts an answer of this instance by its code.
 func (m *Metrics) Answered(code string) { m.count("answers_" + code) }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -9,19 +9,19 @@
 )
 
 const (
-	// waitDivisor bounds how long a request waits for room, as a part of its objective.
-	waitDivisor = 8
 	// placeInterval is the pause between two tries to place a waiting request.
 	placeInterval = 10 * time.Millisecond
 )
 
 // place chooses endpoints, and waits a moment for room. It returns a refusal if there is none.
 func (x *exchange) place(ctx context.Context) (placement.Choice, *placement.Refusal) {
-	objective := x.objectiveLeft(time.Now())
-	until := x.received.Add(x.profile.Objective / waitDivisor)
 	for {
-		choice, refusal := x.placeNow(objective)
-		if refusal == nil || refusal.Reason == placement.TooLarge || time.Now().Add(placeInterval).After(until) {
+		choice, refusal := x.placeNow(x.objectiveLeft(time.Now()))
+		if refusal == nil {
+			return choice, nil
+		}
+		until := x.received.Add(placement.WaitLimit(refusal.Reason, x.profile.Objective))
+		if time.Now().Add(placeInterval).After(until) {
 			return choice, refusal
 		}
 		select {
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -24,6 +24,9 @@
 	Context int64
 	// Unread is the time that the endpoint still needs to read prompts.
 	Unread time.Duration
+	// OwnUnread is the part of Unread for prompts that the endpoint is the first to get. It reads parts of other prompts
+	// before them.
+	OwnUnread time.Duration
 	// Pause is the shortest of the longest pauses that the endpoint's streams may have; zero if none has one.
 	Pause time.Duration
 	// Suspect is true if the endpoint fails requests.
@@ -34,6 +37,7 @@
 	e.Streams += other.Streams
 	e.Context += other.Context
 	e.Unread += other.Unread
+	e.OwnUnread += other.OwnUnread
 	e.Suspect = e.Suspect || other.Suspect
 	if other.Pause > 0 && (e.Pause == 0 || other.Pause < e.Pause) {
 		e.Pause = other.Pause
@@ -44,6 +48,8 @@
 type Work struct {
 	First   *fleet.Endpoint
 	Helpers []*fleet.Endpoint
+	// Held maps helpers to the memory in tokens that they hold for the request.
+	Held map[*fleet.Endpoint]int64
 	// Tokens is the memory that the request takes at the first endpoint.
 	Tokens int64
 	// Part is the time that each of the endpoints needs to read its part of the prompt.
@@ -114,16 +120,15 @@
 	h.book.changes++
 }
 
-// unread returns the time that each endpoint of the request still needs for its part.
+// unread returns the time that each endpoint of the request still needs for its part. Parts are read in turn, so that a
+// part counts in full until its own turn, which ends at the predicted time.
 func (h *Holding) unread(now time.Time) time.Duration {
 	if h.read {
 		return 0
 	}
-	left := 1.0
-	if h.work.Predicted > 0 {
-		left = 1 - float64(now.Sub(h.placed))/float64(h.work.Predicted)
-	}
-	return time.Duration(max(left, minUnreadShare) * float64(h.work.Part))
+	left := h.work.Predicted - now.Sub(h.placed)
+	least := time.Duration(minUnreadShare * float64(h.work.Part))
+	return min(max(left, least), h.work.Part)
 }
 
 // Changes returns a number that grows with each change of this instance's work.
@@ -145,13 +150,13 @@
 	for h := range b.holdings {
 		unread := h.unread(now)
 		addTo(entries, Entry{
-			Endpoint: h.work.First.Key(), Streams: 1, Context: h.work.Tokens, Unread: unread, Pause: h.work.MaxPause,
+			Endpoint: h.work.First.Key(), Streams: 1, Context: h.work.Tokens, Unread: unread, OwnUnread: unread,
+			Pause: h.work.MaxPause,
 		})
-		if unread == 0 {
-			continue
-		}
 		for _, helper := range h.work.Helpers {
-			addTo(entries, Entry{Endpoint: helper.Key(), Unread: unread})
+			if held := h.work.Held[helper]; held > 0 || unread > 0 {
+				addTo(entries, Entry{Endpoint: helper.Key(), Unread: unread, Context: held})
+			}
 		}
 	}
 	return entries
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -230,7 +230,7 @@
 	for _, e := range own {
 		loads = append(loads, peer.EndpointLoad{
 			Endpoint: e.Endpoint, Streams: e.Streams, Context: e.Context,
-			UnreadMS: e.Unread.Milliseconds(), PauseMS: e.Pause.Milliseconds(), Suspect: e.Suspect,
+			UnreadMS: e.Unread.Milliseconds(), OwnUnreadMS: e.OwnUnread.Milliseconds(), PauseMS: e.Pause.Milliseconds(), Suspect: e.Suspect,
 		})
 	}
 	return loads
@@ -241,8 +241,10 @@
 	for _, l := range loads {
 		entries = append(entries, load.Entry{
 			Endpoint: l.Endpoint, Streams: l.Streams, Context: l.Context,
-			Unread: time.Duration(l.UnreadMS) * time.Millisecond, Pause: time.Duration(l.PauseMS) * time.Millisecond,
-			Suspect: l.Suspect,
+			Unread:    time.Duration(l.UnreadMS) * time.Millisecond,
+			OwnUnread: time.Duration(l.OwnUnreadMS) * time.Millisecond,
+			Pause:     time.Duration(l.PauseMS) * time.Millisecond,
+			Suspect:   l.Suspect,
 		})
 	}
 	return entries
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -6,14 +6,67 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 )
 
+const (
+	// maxReaders is the number of endpoints that read one prompt: the first one and at most 16 helpers.
+	maxReaders = 17
+	// readerOverhead is the time that a further reader must save.
+	readerOverhead = 4 * time.Millisecond
+	// sizeShare is the extra time, as a part of its reading, that a prompt must have left: what a prompt is worth grows
+	// with its size and what it costs with the square, so that large ones give way first when engines are short.
+	sizeShare = 0.5
+	// maxGuestPart is the longest part of a long prompt that the short group reads; its memory is mostly free.
+	maxGuestPart = 60 * time.Millisecond
+	// maxOvertaken is the longest reading of own prompts that an endpoint may have as a helper, whose part goes first.
+	maxOvertaken = 100 * time.Millisecond
+	// holderMemory is the part of an endpoint's memory that streams and holdings may take.
+	holderMemory = 0.97
+	// minHolding is the least memory worth a reservation, ticketSlack what is reserved beyond the need; both in tokens.
+	minHolding  = 40_000
+	ticketSlack = 2_000
+	// shortMemory is the memory that a long stream leaves to short ones in the short group, as a part of the whole.
+	shortMemory = 0.3
+)
+
+// longPool holds the endpoints for one long prompt.
+type longPool struct {
+	engine *fleet.Engine
+	need   Need
+	// guests are the endpoints of the short group. They may hold and write, and read small parts.
+	guests []Candidate
+	// readers are all others, from the end of the order.
+	readers []Candidate
+	// spread is true if the prompt is larger than the memory of one endpoint.
+	spread bool
+}
+
+// newLongPool sorts the candidates. Cold, suspected and reserve endpoints are left out: one of them would stall all
+// readers of the prompt.
+func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
+	pool := &longPool{engine: e, need: need}
+	for i := len(candidates) - 1; i >= 0; i-- {
+		c := candidates[i]
+		switch {
+		case c.Cold || c.Reserve || c.Suspect:
+		case i < group:
+			pool.guests = append(pool.guests, c)
+		default:
+			pool.readers = append(pool.readers, c)
+		}
+	}
+	return pool
+}
+
 // placeLong finds the number of readers with the earliest first event. The prompt is read in even parts.
 func (p Planner) placeLong(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
-	usable := longCandidates(candidates, group)
+	pool := newLongPool(e, candidates, group, need)
+	if need.Tokens+need.Output > e.Memory {
+		pool.spreadMemory()
+	}
 	reading := e.PromptTime(need.Tokens)
 	var best Choice
 	var bestCost time.Duration
-	for readers := 1; readers <= min(maxReaders, len(usable)); readers++ {
-		choice, ok := withReaders(e, usable, need, reading, readers)
+	for readers := 1; readers <= maxReaders; readers++ {
+		choice, ok := pool.choose(reading/time.Duration(readers), readers)
 		cost := choice.Predicted + time.Duration(readers)*readerOverhead
 		if ok && (best.First == nil || cost < bestCost) {
 			best, bestCost = choice, cost
@@ -23,83 +76,154 @@
 	switch {
 	case best.First == nil:
 		return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.spread(minRetryAfter, maxRetryAfter)}
-	case best.Predicted > limit:
+	case best.Predicted+time.Duration(sizeShare*float64(best.Part)) > limit:
 		return Choice{}, &Refusal{Reason: TooLate, RetryAfter: p.retryAfter(best.Predicted - limit), Predicted: best.Predicted}
 	}
 	return best, nil
 }
 
-// longCandidates returns the endpoints for long prompts, from the end of the order. Endpoints of the short group are
-// left out, and others that still have short streams too unless nothing else is left.
-func longCandidates(candidates []Candidate, group int) []Candidate {
-	var free, mixed []Candidate
-	for i := len(candidates) - 1; i >= 0; i-- {
-		c := candidates[i]
-		switch {
-		case c.Cold || c.Reserve || c.Suspect:
-		case i < group && c.Streams > 0 || c.Pause > 0 && c.Pause <= shortPause:
-			mixed = append(mixed, c)
-		case i >= group:
-			free = append(free, c)
-		}
-	}
-	if len(free) == 0 {
-		return mixed
-	}
-	return free
-}
-
-// withReaders returns the choice with a given number of readers.
-func withReaders(e *fleet.Engine, usable []Candidate, need Need, reading time.Duration, readers int) (Choice, bool) {
-	part := reading / time.Duration(readers)
-	first := firstOf(e, usable, need, part)
+// choose returns the choice with a given number of readers.
+func (l *longPool) choose(part time.Duration, readers int) (Choice, bool) {
+	first := l.first(part)
 	if first == nil {
 		return Choice{}, false
 	}
-	choice := Choice{First: first.Endpoint, Part: part, Predicted: firstEvent(e, first, part)}
+	choice := Choice{First: first.Endpoint, Part: part, Predicted: firstEvent(l.engine, first, part)}
 	taken := map[*fleet.Endpoint]bool{first.Endpoint: true}
+	add := func(helper *Candidate) {
+		taken[helper.Endpoint] = true
+		choice.Helpers = append(choice.Helpers, helper.Endpoint)
+		choice.Predicted = max(choice.Predicted, firstEvent(l.engine, helper, part))
+	}
+	missing := l.need.Tokens + l.need.Output - (l.engine.Memory - first.Context)
+	for missing > 0 {
+		holder := l.holder(taken, part)
+		if holder == nil {
+			return Choice{}, false
+		}
+		tokens := min(missing+ticketSlack, holdable(l.engine, holder))
+		choice.Holdings = append(choice.Holdings, Holding{Endpoint: holder.Endpoint, Tokens: tokens})
+		missing -= tokens
+		add(holder)
+	}
 	for len(choice.Helpers) < readers-1 {
-		helper := helperOf(e, usable, taken, part)
+		helper := l.helper(taken, part)
 		if helper == nil {
 			return Choice{}, false
 		}
-		taken[helper.Endpoint] = true
-		choice.Helpers = append(choice.Helpers, helper.Endpoint)
-		choice.Predicted = max(choice.Predicted, firstEvent(e, helper, part))
+		add(helper)
 	}
-	return choice, true
+	return choice, len(choice.Helpers) == readers-1
+}
+
+// spreadMemory makes the pool look for memory at several endpoints.
+func (l *longPool) spreadMemory() { l.spread = true }
+
+// holdable returns the tokens that a prompt may take at an endpoint besides its streams.
+func holdable(e *fleet.Engine, c *Candidate) int64 {
+	return int64(holderMemory*float64(e.Memory)) - c.Context
 }
 
-// firstOf returns the endpoint that holds the memory and writes. Endpoints that have long streams already are
-// preferred, because each stream bounds how much may be read beside it.
-func firstOf(e *fleet.Engine, usable []Candidate, need Need, part time.Duration) *Candidate {
+// holder returns the untaken endpoint with the most free memory.
+func (l *longPool) holder(taken map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
 	var best *Candidate
-	for i := range usable {
-		c := &usable[i]
-		if !hasRoom(e, c, need) || !fitsPause(e, c, part) {
+	for i := range l.readers {
+		c := &l.readers[i]
+		if taken[c.Endpoint] || !fitsPause(l.engine, c, part) || c.OwnUnread > maxOvertaken {
 			continue
 		}
-		if best == nil || betterFirst(c, best) {
+		if free := holdable(l.engine, c); free > minHolding && (best == nil || free > holdable(l.engine, best)) {
 			best = c
 		}
 	}
 	return best
 }
 
-func betterFirst(a, b *Candidate) bool {
-	aBusy, bBusy := a.Streams > 0, b.Streams > 0
-	if aBusy != bBusy {
-		return aBusy
+// first returns the endpoint that holds the memory and writes. A stream bounds how much may be read beside it, so that
+// long streams are gathered on few endpoints, and those of small parts in the short group.
+func (l *longPool) first(part time.Duration) *Candidate {
+	if part <= maxGuestPart && !l.spread {
+		if guest := l.guest(part); guest != nil {
+			return guest
+		}
+	}
+	var best *Candidate
+	for i := range l.readers {
+		c := &l.readers[i]
+		if !l.hasRoom(c) || !fitsPause(l.engine, c, part) {
+			continue
+		}
+		if best == nil || l.isBetterFirst(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+// guest returns the endpoint of the short group with the least to read.
+func (l *longPool) guest(part time.Duration) *Candidate {
+	limit := int64((1 - shortMemory) * float64(l.engine.Memory))
+	var best *Candidate
+	for i := range l.guests {
+		c := &l.guests[i]
+		if !hasRoom(l.engine, c, l.need) || c.Context+l.need.Tokens+l.need.Output > limit || !fitsPause(l.engine, c, part) {
+			continue
+		}
+		if best == nil || c.Unread < best.Unread {
+			best = c
+		}
+	}
+	return best
+}
+
+// hasRoom reports whether the endpoint can be the first one. The first one of a prompt that is held by several
+// endpoints gives most of its memory.
+func (l *longPool) hasRoom(c *Candidate) bool {
+	if l.spread {
+		return c.Streams < l.engine.Slots && holdable(l.engine, c) > minHolding
+	}
+	return hasRoom(l.engine, c, l.need)
+}
+
+func (l *longPool) isBetterFirst(a, b *Candidate) bool {
+	if l.spread {
+		return a.Context < b.Context
+	}
+	if rankA, rankB := l.firstRank(a), l.firstRank(b); rankA != rankB {
+		return rankA < rankB
+	}
+	if a.Streams > 0 {
+		return a.Context > b.Context
 	}
 	return a.Unread < b.Unread
 }
 
-// helperOf returns the untaken endpoint that is free to read first.
-func helperOf(e *fleet.Engine, usable []Candidate, taken map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
+// firstRank prefers endpoints whose streams bear the same pauses, then empty ones.
+func (l *longPool) firstRank(c *Candidate) int {
+	switch {
+	case c.Streams > 0 && c.Pause == l.need.MaxPause:
+		return 0
+	case c.Streams == 0:
+		return 1
+	}
+	return 2
+}
+
+// helper returns the untaken endpoint that is free to read first. Endpoints of the short group read small parts if no
+// other one is left.
+func (l *longPool) helper(taken map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
+	if best := earliestReader(l.engine, l.readers, taken, part); best != nil || part > maxGuestPart {
+		return best
+	}
+	return earliestReader(l.engine, l.guests, taken, part)
+}
+
+// earliestReader returns the untaken candidate that can read the part first without breaking a pause.
+func earliestReader(e *fleet.Engine, candidates []Candidate, taken map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
 	var best *Candidate
-	for i := range usable {
-		c := &usable[i]
-		if taken[c.Endpoint] || !fitsPause(e, c, part) {
+	for i := range candidates {
+		c := &candidates[i]
+		if taken[c.Endpoint] || !fitsPause(e, c, part) || c.OwnUnread > maxOvertaken {
 			continue
 		}
 		if best == nil || firstEvent(e, c, part) < firstEvent(e, best, part) {
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -11,6 +11,10 @@
 	// maxLate bounds the time to the first event within which a late request is still taken.
 	maxLate = 1500 * time.Millisecond
 	minLate = 500 * time.Millisecond
+	// waitShare and roomWaitShare bound how long a request waits to be placed, as parts of its objective. Full slots empty
+	// as streams end, so that more waiting pays there; a queue that is too long only gets room for others.
+	waitShare     = 0.125
+	roomWaitShare = 0.6
 )
 
 // Timing holds the times of a request.
@@ -39,3 +43,11 @@
 	}
 	return left
 }
+
+// WaitLimit returns how long a request that was refused for the reason may wait for a place.
+func WaitLimit(reason Reason, objective time.Duration) time.Duration {
+	if reason == TooLarge {
+		return 0
+	}
+	return time.Duration(waitShare * float64(objective))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,18 +10,14 @@
 )
 
 const (
-	// maxReaders is the number of endpoints that read one prompt: the first one and at most 16 helpers.
-	maxReaders = 17
 	// shortReading is the longest reading time of a prompt that may share an endpoint with short streams.
 	shortReading = 160 * time.Millisecond
 	// shortStreams is the number of short streams at which an endpoint's passes stay well within their pauses.
-	shortStreams = 11
+	shortStreams = 13
 	// pauseShare is the part of a stream's longest pause that reading on its endpoint may use.
 	pauseShare = 0.85
 	// objectiveShare is the part of the objective that a prediction may use, as margin for its error.
 	objectiveShare = 0.9
-	// readerOverhead is the extra time that a further reader must save.
-	readerOverhead = 4 * time.Millisecond
 	// idlePass is the time until an endpoint without streams takes up new work.
 	idlePass = 15 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advised delay of a refusal.
@@ -60,10 +56,18 @@
 type Choice struct {
 	First   *fleet.Endpoint
 	Helpers []*fleet.Endpoint
+	// Holdings lists memory to reserve, at helpers, for a prompt that is larger than what the first endpoint has free.
+	Holdings []Holding
 	// Part is the reading time of each endpoint, Predicted the time to the first event.
 	Part, Predicted time.Duration
 }
 
+// Holding is memory of a helper that holds a part of a prompt.
+type Holding struct {
+	Endpoint *fleet.Endpoint
+	Tokens   int64
+}
+
 // Reason tells why a request cannot be placed.
 type Reason string
 
@@ -103,7 +107,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, &Refusal{Reason: NoEndpoint, RetryAfter: minRetryAfter}
 	}
-	if need.Tokens+need.Output > e.Memory {
+	if need.Tokens+need.Output > int64(len(candidates))*e.Memory {
 		return Choice{}, &Refusal{Reason: TooLarge}
 	}
 	group := shortGroup(candidates)
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -14,21 +14,27 @@
 			streams += candidates[i].Streams
 		}
 	}
-	return min(2+(streams*5/4)/shortStreams, len(candidates))
+	return min(1+streams/shortStreams, len(candidates))
 }
 
 // shortPause is the longest pause of streams that count as short.
 const shortPause = 400 * time.Millisecond
 
+// maxShortPart is the longest part of a short prompt that one endpoint reads; longer ones are split.
+const maxShortPart = 70 * time.Millisecond
+
 // placeShort takes the endpoint with the earliest first event in the short group, or in the rest if the group has none
 // in time.
 func (p Planner) placeShort(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
 	reading := e.PromptTime(need.Tokens)
+	readers := 1 + int(reading/maxShortPart)
 	limit := time.Duration(objectiveShare * float64(need.Objective))
 	for _, part := range [][]Candidate{preferred(candidates[:group]), preferred(candidates[group:]), candidates} {
-		best, predicted := p.earliest(e, part, need, reading)
-		if best != nil && predicted <= limit {
-			return Choice{First: best.Endpoint, Part: reading, Predicted: predicted}, nil
+		for k := readers; k >= 1; k-- {
+			choice, ok := p.shortChoice(e, part, need, reading, k)
+			if ok && choice.Predicted <= limit {
+				return choice, nil
+			}
 		}
 	}
 	best, predicted := p.earliest(e, candidates, need, reading)
@@ -38,6 +44,27 @@
 	return Choice{}, &Refusal{Reason: TooLate, RetryAfter: p.retryAfter(predicted - limit), Predicted: predicted}
 }
 
+// shortChoice returns the earliest endpoint and the helpers that read the prompt with it.
+func (p Planner) shortChoice(e *fleet.Engine, candidates []Candidate, need Need, reading time.Duration, readers int) (Choice, bool) {
+	part := reading / time.Duration(readers)
+	first, predicted := p.earliest(e, candidates, need, part)
+	if first == nil {
+		return Choice{}, false
+	}
+	choice := Choice{First: first.Endpoint, Part: part, Predicted: predicted}
+	taken := map[*fleet.Endpoint]bool{first.Endpoint: true}
+	for len(choice.Helpers) < readers-1 {
+		helper := earliestReader(e, candidates, taken, part)
+		if helper == nil {
+			return Choice{}, false
+		}
+		taken[helper.Endpoint] = true
+		choice.Helpers = append(choice.Helpers, helper.Endpoint)
+		choice.Predicted = max(choice.Predicted, firstEvent(e, helper, part))
+	}
+	return choice, true
+}
+
 // preferred returns the candidates that are neither cold nor a reserve.
 func preferred(candidates []Candidate) []Candidate {
 	var kept []Candidate
