--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -73,7 +73,7 @@
 	lastAt    time.Duration
 	paused    bool
 	// place tells how the request was placed, for a trace.
-	place    placement.Choice
+	place placement.Choice
 }
 
 func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -77,6 +77,7 @@
 	metrics   *Metrics
 	client    *engine.Client
 	cold      *limit.Cold
+	fleet     *limit.Fleet
 	callers   *httpserver.Server
 	readiness *httpserver.Server
 	exporter  *httpserver.Server
@@ -100,15 +101,16 @@
 		client: engine.NewClientWithOptions(engine.ClientOptions{
 			Reuse: true, AllowUnframed: true, DialTimeout: dialTimeout, SilenceTimeout: endpointSilence,
 		}),
-		cold: limit.NewCold(b.ColdFactor, b.ColdSlack, b.MaxInstances),
+		fleet: limit.NewFleet(b.LeastInstances, time.Now()),
 	}
+	p.cold = limit.NewCold(b.ColdFactor, b.ColdSlack, p.fleet)
 	book, tracker := load.NewBook(), health.NewTracker()
 	handlerOptions := HandlerOptions{
 		Dialect: options.Dialect, State: options.State, Book: book, Health: tracker, Cold: p.cold,
 		Planner: placement.Planner{IntN: rand.IntN},
 		Client:  p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
 		Retries: limit.NewRetries(limit.RetryOptions{
-			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Instances: b.MaxInstances,
+			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleet,
 		}),
 	}
 	if b.StrictRevocation {
@@ -157,7 +159,7 @@
 		daemon.Service{Name: "operators", Run: p.options.Source.ServeOperators},
 		daemon.Service{Name: "endpoints", Run: p.options.Source.ServeServers},
 		daemon.Service{Name: "peers", Run: p.sharer.Serve},
-		daemon.Service{Name: "callers", Run: p.callers.Serve},
+		daemon.Service{Name: "callers", Run: p.serveCallers},
 		daemon.Service{Name: "readiness", Run: p.readiness.Serve},
 		daemon.Service{Name: "metrics", Run: p.exporter.Serve},
 		daemon.Service{Name: "janitor", Run: p.clean},
@@ -171,6 +173,17 @@
 	return err
 }
 
+// serveCallers accepts callers. A planned stop closes the listener, after which there is nothing to restart.
+func (p *Process) serveCallers(ctx context.Context) error {
+	err := p.callers.Serve(ctx)
+	select {
+	case <-p.stopping:
+		return suture.ErrDoNotRestart
+	default:
+		return err
+	}
+}
+
 // serveReady answers whether the instance takes new connections.
 func (p *Process) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != p.options.ReadyPath {
@@ -257,7 +270,9 @@
 			p.metrics.Gauge("connections", int64(p.callers.Connections()))
 			p.metrics.Gauge("buffered_bytes", p.callers.BufferedBytes())
 			p.metrics.Gauge("endpoint_dials", p.client.Dials())
-			p.metrics.Gauge("peers", int64(p.sharer.Live(now)))
+			peers := p.sharer.Live(now)
+			p.fleet.Seen(peers)
+			p.metrics.Gauge("peers", int64(peers))
 		}
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -14,9 +14,7 @@
 const maxAnswerBytes = 8 << 20
 
 var (
-	errRejected    = errors.New("the endpoint's answer is not passed on")
 	errAnswerSize  = errors.New("the endpoint's answer is too large")
-	errEventSize   = errors.New("an event of the endpoint's stream is too large")
 	errCallerWrite = errors.New("the caller's connection broke")
 )
 
@@ -69,12 +67,9 @@
 
 // passEvents sends the whole events to the caller.
 func (r *relay) passEvents(data []byte) error {
-	whole := r.x.events.feed(data)
-	if r.x.events.isOversize() {
-		return errEventSize
-	}
-	if len(whole) == 0 {
-		return nil
+	whole, err := r.x.events.feed(data)
+	if err != nil || len(whole) == 0 {
+		return err
 	}
 	r.onFirst()
 	if err := r.x.sendEvents(r.header, whole); err != nil {
--- a/internal/limit/window.go
+++ b/internal/limit/window.go
@@ -43,8 +43,8 @@
 	Slack int
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// Instances is the number of instances among which Slack is divided.
-	Instances int
+	// Fleet tells among how many instances Slack is divided.
+	Fleet *Fleet
 }
 
 // safety keeps the shares below the bound, because windows of instances and of endpoints do not coincide.
@@ -75,7 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	allowed := safety * r.options.Ratio * float64(r.window(r.requests, service).Count(now))
-	allowed += safety * float64(r.options.Slack) / float64(max(r.options.Instances, 1))
+	allowed += safety * float64(r.options.Slack) * r.options.Fleet.Share(now)
 	repeats := r.window(r.repeats, service)
 	if float64(repeats.Count(now)+1) > allowed {
 		return false
@@ -98,16 +98,16 @@
 
 // Cold is this instance's share of the requests that endpoints in cold start can handle. It is safe for concurrent use.
 type Cold struct {
-	mu        sync.Mutex
-	factor    float64
-	slack     int
-	instances int
-	sent      map[uint64]*Window
+	mu     sync.Mutex
+	factor float64
+	slack  int
+	fleet  *Fleet
+	sent   map[uint64]*Window
 }
 
 // NewCold returns the limiter. An endpoint accepts rate x factor + slack requests a second from all instances.
-func NewCold(factor float64, slack, instances int) *Cold {
-	return &Cold{factor: factor, slack: slack, instances: max(instances, 1), sent: make(map[uint64]*Window)}
+func NewCold(factor float64, slack int, fleet *Fleet) *Cold {
+	return &Cold{factor: factor, slack: slack, fleet: fleet, sent: make(map[uint64]*Window)}
 }
 
 // Allows reports whether a request may be sent now to the endpoint.
@@ -118,7 +118,7 @@
 }
 
 func (c *Cold) allows(endpoint uint64, rate float64, now time.Time) bool {
-	share := safety * (rate*c.factor + float64(c.slack)) / float64(c.instances)
+	share := safety * (rate*c.factor + float64(c.slack)) * c.fleet.Share(now)
 	w := c.sent[endpoint]
 	return share >= 1 && (w == nil || float64(w.Count(now)+1) <= share)
 }
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -42,12 +42,12 @@
 // newLongPool sorts the candidates. Cold, suspected and reserve endpoints are left out: one of them would stall all
 // readers of the prompt.
 func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
-	pool := &longPool{engine: e, need: need}
+	pool := &longPool{engine: e, need: need, spread: need.Tokens+need.Output > e.Memory}
 	for i := len(candidates) - 1; i >= 0; i-- {
 		c := candidates[i]
 		switch {
 		case c.Cold || c.Reserve || c.Suspect:
-		case i < group:
+		case i < group && (!pool.spread || c.Streams > 0):
 			pool.guests = append(pool.guests, c)
 		default:
 			pool.readers = append(pool.readers, c)
@@ -59,9 +59,6 @@
 // placeLong finds the number of readers with the earliest first event. The prompt is read in even parts.
 func (p Planner) placeLong(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
 	pool := newLongPool(e, candidates, group, need)
-	if need.Tokens+need.Output > e.Memory {
-		pool.spreadMemory()
-	}
 	reading := e.PromptTime(need.Tokens)
 	var best Choice
 	var bestCost time.Duration
@@ -116,9 +113,6 @@
 	return choice, len(choice.Helpers) == readers-1
 }
 
-// spreadMemory makes the pool look for memory at several endpoints.
-func (l *longPool) spreadMemory() { l.spread = true }
-
 // holdable returns the tokens that a prompt may take at an endpoint besides its streams.
 func holdable(e *fleet.Engine, c *Candidate) int64 {
 	return int64(holderMemory*float64(e.Memory)) - c.Context
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -43,8 +43,9 @@
 	// second, ColdFactor times the rate of its service and ColdSlack besides.
 	ColdFactor float64 `yaml:"cold_factor"`
 	ColdSlack  int     `yaml:"cold_slack"`
-	// MaxInstances is the number of instances among which the bounds are divided.
-	MaxInstances int `yaml:"max_instances"`
+	// LeastInstances is the least number of instances among which the bounds are divided; more are counted as they are
+	// heard of.
+	LeastInstances int `yaml:"least_instances"`
 	// MaxConnections bounds the callers' connections.
 	MaxConnections int `yaml:"max_connections"`
 }
@@ -101,8 +102,8 @@
 	if b.ColdSlack < 0 {
 		c.report.Add("bounds.cold_slack", "must not be negative")
 	}
-	if b.MaxInstances < 1 {
-		c.report.Add("bounds.max_instances", "must be at least 1")
+	if b.LeastInstances < 1 {
+		c.report.Add("bounds.least_instances", "must be at least 1")
 	}
 	if b.MaxConnections < 1 {
 		c.report.Add("bounds.max_connections", "must be at least 1")
