--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -134,7 +134,7 @@
 			c.Profiles[i].Objective = 10 * time.Second
 		}
 	}
-	finished := func(conn net.Conn, a arrival) { text(streamHead + chunk(streamEvent(1)) + "0\r\n\r\n")(conn, a) }
+	finished := func(conn net.Conn, a arrival) { text(streamHead+chunk(streamEvent(1))+"0\r\n\r\n")(conn, a) }
 	reset := func(conn net.Conn, a arrival) { reset("")(conn, a) }
 
 	operations := func(e *fakeEndpoint) []string {
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -234,9 +234,9 @@
 	It("is passed on event by event", func() {
 		goOn := make(chan struct{})
 		e := newEndpoint(func(conn net.Conn, a arrival) {
-			text(streamHead + chunk(streamEvent(1)))(conn, a)
+			text(streamHead+chunk(streamEvent(1)))(conn, a)
 			<-goOn
-			text(chunk(streamEvent(2)) + "0\r\n\r\n")(conn, a)
+			text(chunk(streamEvent(2))+"0\r\n\r\n")(conn, a)
 		})
 		r := newRig([]*fakeEndpoint{e})
 		response, err := (&http.Transport{DisableCompression: true}).RoundTrip(r.newRequest(context.Background(), "/stream/"))
@@ -271,10 +271,10 @@
 		script := func(conn net.Conn, a arrival) {
 			if first {
 				first = false
-				reset(streamHead + chunk(streamEvent(1)+streamEvent(2)+"id: 3\ndata: pi"))(conn, a)
+				reset(streamHead+chunk(streamEvent(1)+streamEvent(2)+"id: 3\ndata: pi"))(conn, a)
 				return
 			}
-			text(streamHead + chunk(streamEvent(3)+streamEvent(4)) + "0\r\n\r\n")(conn, a)
+			text(streamHead+chunk(streamEvent(3)+streamEvent(4))+"0\r\n\r\n")(conn, a)
 		}
 		a, b := newEndpoint(script), newEndpoint(script)
 		got := newRig([]*fakeEndpoint{a, b}).call("/resume/")
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -14,8 +14,11 @@
 	// sizeShare is the extra time, as a part of its reading, that a prompt must have left: what a prompt is worth grows
 	// with its size and what it costs with the square, so that large ones give way first when engines are short.
 	sizeShare = 0.5
+	// readerStreamCost is the time that a first endpoint in the short group may cost more than one among the readers, where
+	// its stream bounds the reading beside it.
+	readerStreamCost = 150 * time.Millisecond
 	// maxGuestPart is the longest part of a long prompt that the short group reads; its memory is mostly free.
-	maxGuestPart = 60 * time.Millisecond
+	maxGuestPart = 140 * time.Millisecond
 	// maxOvertaken is the longest reading of own prompts that an endpoint may have as a helper, whose part goes first.
 	maxOvertaken = 100 * time.Millisecond
 	// holderMemory is the part of an endpoint's memory that streams and holdings may take.
@@ -64,7 +67,7 @@
 	var bestCost time.Duration
 	for readers := 1; readers <= maxReaders; readers++ {
 		choice, ok := pool.choose(reading/time.Duration(readers), readers)
-		cost := choice.Predicted + time.Duration(readers)*readerOverhead
+		cost := choice.Predicted + time.Duration(readers)*readerOverhead + pool.streamCost(choice.First)
 		if ok && (best.First == nil || cost < bestCost) {
 			best, bestCost = choice, cost
 		}
@@ -79,6 +82,16 @@
 	return best, nil
 }
 
+// streamCost returns the disadvantage of a first endpoint.
+func (l *longPool) streamCost(first *fleet.Endpoint) time.Duration {
+	for i := range l.guests {
+		if l.guests[i].Endpoint == first {
+			return 0
+		}
+	}
+	return readerStreamCost
+}
+
 // choose returns the choice with a given number of readers.
 func (l *longPool) choose(part time.Duration, readers int) (Choice, bool) {
 	first := l.first(part)
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,330 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestPlacement(t *testing.T) { testkit.RunSpecs(t, "placement") }
+
+var standard = fleet.Engine{
+	Slots: 16, Memory: 405_000, Stride: 34,
+	StepTime: 1310 * time.Microsecond, StepTimePerStream: 917 * time.Nanosecond, StepTimePerContext: 2130 * time.Nanosecond,
+	ReadRate: 154_000, PairsTime: 162 * time.Microsecond,
+}
+
+var (
+	shortNeed  = placement.Need{Tokens: 5000, Output: 1300, Objective: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond}
+	middleNeed = placement.Need{Tokens: 45_000, Output: 800, Objective: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond}
+	longNeed   = placement.Need{Tokens: 182_000, Output: 650, Objective: 3 * time.Second, MaxPause: time.Second}
+)
+
+func planner() placement.Planner {
+	return placement.Planner{IntN: rand.New(rand.NewPCG(1, 1)).IntN}
+}
+
+// idle returns candidates without work.
+func idle(n int) []placement.Candidate {
+	candidates := make([]placement.Candidate, n)
+	for i := range candidates {
+		candidates[i].Endpoint = &fleet.Endpoint{ID: fmt.Sprintf("e%02d", i), Slots: 16, Domain: fmt.Sprintf("d%d", i%3)}
+	}
+	return candidates
+}
+
+func indexOf(candidates []placement.Candidate, e *fleet.Endpoint) int {
+	for i := range candidates {
+		if candidates[i].Endpoint == e {
+			return i
+		}
+	}
+	return -1
+}
+
+var _ = Describe("short prompts", func() {
+	// Guards against short streams on all endpoints, which leave none for reading long prompts.
+	It("fill the order from its start", func() {
+		candidates := idle(20)
+		for i := range 3 {
+			candidates[i].Entry = load.Entry{Streams: 10, Context: 60_000, Pause: shortNeed.MaxPause}
+		}
+		for range 50 {
+			choice, refusal := planner().Model(&standard, candidates, shortNeed)
+			Expect(refusal).To(BeNil())
+			Expect(indexOf(candidates, choice.First)).To(BeNumerically("<", 4))
+			Expect(choice.Helpers).To(BeEmpty())
+		}
+	})
+
+	// Guards against a short prompt behind the reading of a long one.
+	It("avoid endpoints that read long prompts", func() {
+		candidates := idle(4)
+		for i := range 3 {
+			candidates[i].Entry = load.Entry{Unread: 2 * time.Second}
+		}
+		choice, refusal := planner().Model(&standard, candidates, shortNeed)
+		Expect(refusal).To(BeNil())
+		Expect(indexOf(candidates, choice.First)).To(Equal(3))
+	})
+
+	// Guards against a queue at the engines when all slots are taken.
+	It("are refused at once with a time to come back when all slots are taken", func() {
+		candidates := idle(3)
+		for i := range candidates {
+			candidates[i].Entry = load.Entry{Streams: 16, Pause: shortNeed.MaxPause}
+		}
+		_, refusal := planner().Model(&standard, candidates, shortNeed)
+		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	// Guards against prompts of 15 to 24 k tokens that one endpoint cannot read in time beside its streams.
+	It("that are rather long are read by several endpoints", func() {
+		candidates := idle(10)
+		for i := range candidates {
+			candidates[i].Entry = load.Entry{Streams: 12, Context: 70_000, Pause: shortNeed.MaxPause, Unread: 40 * time.Millisecond}
+		}
+		need := shortNeed
+		need.Tokens = 23_800
+		choice, refusal := planner().Model(&standard, candidates, need)
+		Expect(refusal).To(BeNil())
+		Expect(choice.Helpers).NotTo(BeEmpty())
+		Expect(choice.Part).To(BeNumerically("<", 90*time.Millisecond))
+	})
+
+	// Guards against instances that pick the same endpoint at the same moment.
+	It("spread over near-equal endpoints", func() {
+		p := planner()
+		picked := make(map[string]bool)
+		candidates := idle(12)
+		for i := range candidates {
+			candidates[i].Entry = load.Entry{Streams: 8, Context: 40_000, Pause: shortNeed.MaxPause}
+		}
+		for range 100 {
+			choice, _ := p.Model(&standard, candidates, shortNeed)
+			picked[choice.First.ID] = true
+		}
+		Expect(len(picked)).To(BeNumerically(">=", 6))
+	})
+})
+
+var _ = Describe("long prompts", func() {
+	// Guards against a prompt that one endpoint cannot read within the objective.
+	It("are read by many endpoints", func() {
+		choice, refusal := planner().Model(&standard, idle(20), longNeed)
+		Expect(refusal).To(BeNil())
+		Expect(len(choice.Helpers)).To(BeNumerically(">=", 10))
+		Expect(choice.Predicted).To(BeNumerically("<", 600*time.Millisecond))
+	})
+
+	// Guards against short streams that stall while a long prompt is read on their endpoint.
+	It("are not read where short streams write", func() {
+		candidates := idle(20)
+		for i := range 12 {
+			candidates[i].Entry = load.Entry{Streams: 10, Context: 60_000, Pause: shortNeed.MaxPause}
+		}
+		choice, refusal := planner().Model(&standard, candidates, longNeed)
+		Expect(refusal).To(BeNil())
+		for _, e := range append(choice.Helpers, choice.First) {
+			Expect(indexOf(candidates, e)).To(BeNumerically(">=", 12))
+		}
+	})
+
+	// Guards against long streams on every endpoint, each of which bounds the reading beside it.
+	It("gather their streams on few endpoints", func() {
+		candidates := idle(20)
+		candidates[15].Entry = load.Entry{Streams: 1, Context: 150_000, Pause: longNeed.MaxPause}
+		choice, refusal := planner().Model(&standard, candidates, longNeed)
+		Expect(refusal).To(BeNil())
+		Expect(indexOf(candidates, choice.First)).To(Equal(15))
+	})
+
+	// Guards against own prompts that are overtaken by helped ones again and again.
+	It("are not helped by endpoints that have an own prompt to read", func() {
+		candidates := idle(20)
+		candidates[19].Entry = load.Entry{Unread: 300 * time.Millisecond, OwnUnread: 300 * time.Millisecond, Streams: 1, Pause: time.Second}
+		choice, refusal := planner().Model(&standard, candidates, longNeed)
+		Expect(refusal).To(BeNil())
+		for _, e := range choice.Helpers {
+			Expect(indexOf(candidates, e)).NotTo(Equal(19))
+		}
+	})
+
+	// Guards against work that cannot be on time and delays what can.
+	It("are refused when they would be late, with a time at which the queue is shorter", func() {
+		candidates := idle(20)
+		for i := range candidates {
+			candidates[i].Entry = load.Entry{Unread: 4 * time.Second}
+		}
+		_, refusal := planner().Model(&standard, candidates, longNeed)
+		Expect(refusal.Reason).To(Equal(placement.TooLate))
+		Expect(refusal.RetryAfter).To(BeNumerically(">=", 500*time.Millisecond))
+	})
+
+	// Guards against endpoints in cold start, or that fail, which would stall all readers of a prompt.
+	It("leave out cold, suspected and reserve endpoints", func() {
+		candidates := idle(20)
+		candidates[19].Cold = true
+		candidates[18].Suspect = true
+		candidates[17].Reserve = true
+		choice, refusal := planner().Model(&standard, candidates, longNeed)
+		Expect(refusal).To(BeNil())
+		for _, e := range append(choice.Helpers, choice.First) {
+			Expect(indexOf(candidates, e)).To(BeNumerically("<", 17))
+		}
+	})
+
+	// Guards against prompts over one engine's memory that are refused, or sent without the memory that they need.
+	It("larger than one engine's memory are held by several endpoints", func() {
+		need := longNeed
+		need.Tokens = 900_000
+		need.Objective = 20 * time.Second
+		candidates := idle(20)
+		choice, refusal := planner().Model(&standard, candidates, need)
+		Expect(refusal).To(BeNil())
+		held := int64(0)
+		for _, h := range choice.Holdings {
+			Expect(choice.Helpers).To(ContainElement(h.Endpoint))
+			Expect(h.Tokens).To(BeNumerically("<=", standard.Memory))
+			held += h.Tokens
+		}
+		Expect(held + standard.Memory).To(BeNumerically(">=", need.Tokens+need.Output))
+		Expect(len(choice.Helpers)).To(BeNumerically("<=", 16))
+	})
+
+	// Guards against a request that waits for memory that the fleet does not have.
+	It("larger than all engines together are refused as too large", func() {
+		need := longNeed
+		need.Tokens = 2_000_000
+		_, refusal := planner().Model(&standard, idle(4), need)
+		Expect(refusal.Reason).To(Equal(placement.TooLarge))
+		Expect(placement.WaitLimit(refusal.Reason, need.Objective)).To(BeZero())
+	})
+})
+
+var _ = Describe("middle prompts", func() {
+	// Guards against middle streams on the endpoints that read long prompts, whose pauses they would tighten.
+	It("are held by the short group and read by the others", func() {
+		candidates := idle(20)
+		for i := range 4 {
+			candidates[i].Entry = load.Entry{Streams: 12, Context: 70_000, Pause: shortNeed.MaxPause}
+		}
+		choice, refusal := planner().Model(&standard, candidates, middleNeed)
+		Expect(refusal).To(BeNil())
+		Expect(indexOf(candidates, choice.First)).To(BeNumerically("<", 6))
+		Expect(choice.Helpers).NotTo(BeEmpty())
+	})
+})
+
+// Guards against any choice that breaks what the engines state: slots, memory, pauses, distinct readers.
+func TestChoicesFitTheEngines(t *testing.T) {
+	testkit.FixRapidSeed()
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := idle(rapid.IntRange(1, 30).Draw(t, "endpoints"))
+		for i := range candidates {
+			c := &candidates[i]
+			c.Streams = rapid.IntRange(0, 20).Draw(t, "streams")
+			c.Context = rapid.Int64Range(0, standard.Memory).Draw(t, "context")
+			c.Unread = time.Duration(rapid.IntRange(0, 3000).Draw(t, "unread")) * time.Millisecond
+			c.Cold = rapid.IntRange(0, 9).Draw(t, "cold") == 0
+			if c.Streams > 0 {
+				c.Pause = rapid.SampledFrom([]time.Duration{250, 600, 1000}).Draw(t, "pause") * time.Millisecond
+			}
+		}
+		need := rapid.SampledFrom([]placement.Need{shortNeed, middleNeed, longNeed}).Draw(t, "need")
+		need.Tokens = rapid.Int64Range(1, 1_000_000).Draw(t, "tokens")
+		choice, refusal := planner().Model(&standard, candidates, need)
+		if refusal != nil {
+			if refusal.Reason != placement.TooLarge && refusal.RetryAfter <= 0 {
+				t.Fatalf("refusal without advice: %+v", refusal)
+			}
+			return
+		}
+		held := int64(0)
+		for _, h := range choice.Holdings {
+			c := candidates[indexOf(candidates, h.Endpoint)]
+			if c.Context+h.Tokens > standard.Memory {
+				t.Fatalf("holding of %d tokens beside %d", h.Tokens, c.Context)
+			}
+			held += h.Tokens
+		}
+		first := candidates[indexOf(candidates, choice.First)]
+		if first.Streams >= standard.Slots {
+			t.Fatalf("no slot is free at %s", choice.First.ID)
+		}
+		if first.Context+need.Tokens+need.Output-held > standard.Memory {
+			t.Fatalf("no memory is free at %s", choice.First.ID)
+		}
+		seen := map[*fleet.Endpoint]bool{choice.First: true}
+		for _, h := range choice.Helpers {
+			if seen[h] {
+				t.Fatalf("%s reads twice", h.ID)
+			}
+			seen[h] = true
+		}
+		if len(choice.Helpers) > 16 {
+			t.Fatalf("%d helpers", len(choice.Helpers))
+		}
+		if choice.Predicted > need.Objective {
+			t.Fatalf("placed with a prediction of %v for an objective of %v", choice.Predicted, need.Objective)
+		}
+	})
+}
+
+var _ = Describe("plain services", func() {
+	// Guards against traffic between domains without need, and against a full endpoint next to a free one.
+	It("take the endpoint of the own domain until it is busier by half its slots", func() {
+		candidates := idle(3)
+		for i := range candidates {
+			candidates[i].Endpoint.Slots = 6
+		}
+		choice, _ := planner().Plain(candidates, "d1")
+		Expect(choice.First.Domain).To(Equal("d1"))
+		candidates[1].Streams = 2
+		choice, _ = planner().Plain(candidates, "d1")
+		Expect(choice.First.Domain).To(Equal("d1"))
+		candidates[1].Streams = 4
+		choice, _ = planner().Plain(candidates, "d1")
+		Expect(choice.First.Domain).NotTo(Equal("d1"))
+	})
+
+	// Guards against a failing endpoint that attracts requests because it has few.
+	It("avoid suspected endpoints while another one has room", func() {
+		candidates := idle(2)
+		candidates[0].Suspect = true
+		candidates[1].Streams = 10
+		choice, _ := planner().Plain(candidates, "d0")
+		Expect(indexOf(candidates, choice.First)).To(Equal(1))
+	})
+})
+
+var _ = Describe("the objective left", func() {
+	const limit = 15 * time.Second
+	left := func(budget, waited time.Duration) time.Duration {
+		return placement.ObjectiveLeft(placement.Timing{Objective: 3 * time.Second, TimeLimit: limit, Budget: budget, Waited: waited})
+	}
+
+	// Guards against first attempts that are taken for returns because budgets vary.
+	It("is whole for first attempts, whose budgets vary", func() {
+		Expect(left(limit, 0)).To(Equal(3 * time.Second))
+		Expect(left(12*time.Second, 0)).To(Equal(3 * time.Second))
+		Expect(left(0, 0)).To(Equal(3 * time.Second))
+	})
+
+	// Guards against late work that is placed as if it could be on time.
+	It("is short for a caller that has come back too late", func() {
+		Expect(left(7*time.Second, 0)).To(Equal(1500 * time.Millisecond))
+		Expect(left(limit, 2900*time.Millisecond)).To(Equal(1500 * time.Millisecond))
+	})
+})
