Follow the store with one watch of 2 s for all keys

An empty prefix covers operators' and servers' keys, and a wait of 2 s still confirms the configuration well within the time in which keys may outlive their removal.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -51,10 +51,8 @@
 
 // Source keeps the view of the fleet in step with the platform.
 type Source interface {
-	// ServeOperators follows what operators publish until the context ends.
-	ServeOperators(ctx context.Context) error
-	// ServeServers follows the list of endpoints until the context ends.
-	ServeServers(ctx context.Context) error
+	// Serve follows what operators and endpoints publish until the context ends.
+	Serve(ctx context.Context) error
 }
 
 // Options configures a Process.
@@ -156,8 +154,7 @@
 func (p *Process) Serve(ctx context.Context) error {
 	tree := daemon.NewTree("acacia-entry", p.log)
 	for _, service := range []suture.Service{
-		daemon.Service{Name: "operators", Run: p.options.Source.ServeOperators},
-		daemon.Service{Name: "endpoints", Run: p.options.Source.ServeServers},
+		daemon.Service{Name: "platform", Run: p.options.Source.Serve},
 		daemon.Service{Name: "peers", Run: p.sharer.Serve},
 		daemon.Service{Name: "callers", Run: p.serveCallers},
 		daemon.Service{Name: "readiness", Run: p.readiness.Serve},
