Share loads and publications through hubs in a larger fleet

Above 12 live instances, seeds and a few others add up the counts of 16 members each; they also pass on what the platform has published, with an age that is counted from the member's own stamp, so that nothing seems fresher than it is. The short group now counts by slots, and a short prompt goes to the best of three random endpoints: with old counts the best of all drew every instance's requests. One list of the live kept the dead alive by being passed on (found by the new spec with 18 instances); only what was met is passed on now.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// shareInterval is the pause between two load messages of an instance.
+	// shareInterval is the pause between two load messages of an instance, unless a run states another one.
 	shareInterval = 60 * time.Millisecond
 	// placeInterval is the pause between two tries to place a waiting request.
 	placeInterval = 10 * time.Millisecond
@@ -34,7 +34,9 @@
 	Chunk     int64
 	Endpoints int
 	Instances int
-	Load      Load
+	// ShareInterval is the pause between two load messages of an instance; the default is 60 ms.
+	ShareInterval time.Duration
+	Load          Load
 	Policy    Policy
 	Seed      uint64
 }
@@ -60,7 +62,6 @@
 type request struct {
 	arrival
 	instance  int
-	placed    bool
 	returned  bool
 	arrived   time.Duration
 	holding   *load.Holding
@@ -135,6 +136,9 @@
 		byID:    make(map[*fleet.Endpoint]*endpoint),
 		result:  Result{Kinds: make(map[string]*KindResult)},
 	}
+	if r.options.ShareInterval == 0 {
+		r.options.ShareInterval = shareInterval
+	}
 	r.planner = placement.Planner{IntN: r.random.IntN}
 	for i := range options.Endpoints {
 		e := &endpoint{
@@ -146,7 +150,7 @@
 	}
 	for i := range options.Instances {
 		r.books = append(r.books, load.NewBook())
-		r.after(time.Duration(i)*shareInterval/time.Duration(options.Instances), func() { r.share(i) })
+		r.after(time.Duration(i)*r.options.ShareInterval/time.Duration(options.Instances), func() { r.share(i) })
 	}
 	r.schedule(options.Load.arrivals(r.random))
 	for len(r.queue) > 0 {
@@ -178,7 +182,7 @@
 		}
 	}
 	if r.now < r.options.Load.Length+time.Minute {
-		r.after(shareInterval, func() { r.share(instance) })
+		r.after(r.options.ShareInterval, func() { r.share(instance) })
 	}
 }
 
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,71 @@
+package emulator_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/emulator"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestEmulator(t *testing.T) { testkit.RunSpecs(t, "emulator") }
+
+// seeds is the number of plays for each comparison; the large fleet, which takes longer, is played once.
+const seeds = 3
+
+var _ = Describe("the placement under a load that swings", func() {
+	for _, pattern := range emulator.Patterns() {
+		// Guards against a placement that serves callers no better than one that counts requests.
+		It("earns more than the baselines: "+pattern.Name, func() {
+			ours := emulator.Sum(pattern, emulator.Ours, plays(pattern))
+			Expect(ours.Worth).To(BeNumerically(">", emulator.Sum(pattern, emulator.LeastRequests, plays(pattern)).Worth))
+			Expect(ours.Worth).To(BeNumerically(">", emulator.Sum(pattern, emulator.RandomTwo, plays(pattern)).Worth))
+		})
+
+		// Guards against kinds of requests that starve.
+		It("serves every kind at least a quarter as often as all: "+pattern.Name, func() {
+			kinds := emulator.Sum(pattern, emulator.Ours, plays(pattern)).Kinds
+			asked, served := 0, 0
+			for _, k := range kinds {
+				asked += k.Asked
+				served += k.OnTime + k.Late
+			}
+			all := float64(served) / float64(asked)
+			for name, k := range kinds {
+				Expect(float64(k.OnTime+k.Late)/float64(k.Asked)).To(BeNumerically(">=", all/4), name)
+			}
+		})
+	}
+
+	// Guards against the largest tenth of long prompts being dropped to serve the others: at least half as often as the
+	// kind.
+	It("serves the largest long prompts", func() {
+		long := emulator.Sum(emulator.LongShortLong(), emulator.Ours, 8).Kinds["long"]
+		largest := float64(long.LargeServed) / float64(long.LargeAsked)
+		Expect(largest).To(BeNumerically(">=", float64(long.OnTime+long.Late)/float64(long.Asked)/2))
+	})
+})
+
+var _ = Describe("the emulator", func() {
+	// Guards against runs that cannot be compared.
+	It("plays the same seed alike", func() {
+		play := func() emulator.Result { return emulator.Play(emulator.ShortLongShort().Options(emulator.Ours, 3)) }
+		Expect(play()).To(Equal(play()))
+	})
+
+	// Guards against requests that are lost without an outcome.
+	It("gives every request an outcome", func() {
+		for name, k := range emulator.Play(emulator.DomainOut().Options(emulator.Ours, 1)).Kinds {
+			Expect(k.OnTime+k.Late+k.Refused).To(Equal(k.Asked), name)
+		}
+	})
+})
+
+func plays(pattern emulator.Pattern) int {
+	if pattern.Instances > 20 {
+		return 1
+	}
+	return seeds
+}
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -11,7 +11,11 @@
 	Name      string
 	Endpoints int
 	Instances int
-	Load      Load
+	// Slots is the number of requests that an engine runs at once; the default is that of StandardEngine.
+	Slots int
+	// ShareInterval is the pause between two load messages of an instance; the default is 60 ms.
+	ShareInterval time.Duration
+	Load          Load
 }
 
 // StandardEngine is the engine of both deployments: 405,000 tokens of memory, 154 prompt tokens read in a millisecond.
@@ -86,13 +90,32 @@
 	return p
 }
 
+// LargeFleet is LongShortLong on 78 endpoints behind 79 instances, whose messages take the way through hubs.
+func LargeFleet() Pattern {
+	p := LongShortLong()
+	p.Name, p.Endpoints, p.Instances = "large-fleet", 78, 79
+	p.Slots, p.ShareInterval = 12, 120*time.Millisecond
+	p.Load.Kinds = kinds(124, 8.68, 2.17)
+	for i := range p.Load.Kinds {
+		p.Load.Kinds[i].Prompt.Mean *= largeFleetPrompts[p.Load.Kinds[i].Name]
+	}
+	return p
+}
+
+// largeFleetPrompts holds how much longer the prompts of the large fleet are.
+var largeFleetPrompts = map[string]float64{"short": 1, "middle": 1, "long": 1.43}
+
 // Patterns lists the patterns of the experiments.
-func Patterns() []Pattern { return []Pattern{LongShortLong(), ShortLongShort(), DomainOut()} }
+func Patterns() []Pattern { return []Pattern{LongShortLong(), ShortLongShort(), DomainOut(), LargeFleet()} }
 
 // Options returns a run of the pattern.
 func (p Pattern) Options(policy Policy, seed uint64) Options {
+	engine := StandardEngine()
+	if p.Slots > 0 {
+		engine.Slots = p.Slots
+	}
 	return Options{
-		Engine: StandardEngine(), Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
-		Load: p.Load, Policy: policy, Seed: seed,
+		Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
+		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed,
 	}
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -76,6 +76,16 @@
 	p.conns[address] = append(p.conns[address], c)
 }
 
+func (p *idlePool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	for _, conns := range p.conns {
+		size += len(conns)
+	}
+	return size
+}
+
 // expire closes the connections whose time is over.
 func (p *idlePool) expire(now time.Time) {
 	p.mu.Lock()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -51,6 +51,7 @@
 
 // Source keeps the view of the fleet in step with the platform.
 type Source interface {
+	loadshare.Feed
 	// Serve follows what operators and endpoints publish until the context ends.
 	Serve(ctx context.Context) error
 }
@@ -145,7 +146,7 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Book: book, Health: tracker, Log: p.log,
+		Book: book, Health: tracker, Feed: p.options.Source, Log: p.log,
 	})
 	return err
 }
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestFleet(t *testing.T) { testkit.RunSpecs(t, "fleet") }
+
+// Guards against a catalog that reverts, whatever the order in which versions arrive.
+func TestCatalogNeverReverts(t *testing.T) {
+	testkit.FixRapidSeed()
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleet.NewState()
+		highest := int64(0)
+		for _, version := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "versions") {
+			accepted := s.SetCatalog(fleet.NewCatalog(fleet.Catalog{Version: version}))
+			if accepted != (version > highest) {
+				t.Fatalf("version %d after %d: accepted %t", version, highest, accepted)
+			}
+			highest = max(highest, version)
+			if s.Snapshot().Catalog.Version != highest {
+				t.Fatalf("version %d is in force instead of %d", s.Snapshot().Catalog.Version, highest)
+			}
+		}
+	})
+}
+
+var _ = Describe("a catalog", func() {
+	// Guards against a request that is served by another profile than the longest prefix names.
+	It("matches host and longest prefix", func() {
+		c := fleet.NewCatalog(fleet.Catalog{Profiles: []fleet.Profile{
+			{Name: "short", Host: "a", PathPrefix: "/x/"}, {Name: "long", Host: "a", PathPrefix: "/x/y/"}, {Name: "other", Host: "b", PathPrefix: "/"},
+		}})
+		Expect(c.Match("a", "/x/y/z").Name).To(Equal("long"))
+		Expect(c.Match("a", "/x/z").Name).To(Equal("short"))
+		Expect(c.Match("a", "/x")).To(BeNil())
+		Expect(c.Match("b", "/x/y/").Name).To(Equal("other"))
+		Expect(c.Match("c", "/x/")).To(BeNil())
+	})
+})
+
+var _ = Describe("the view of the fleet", func() {
+	// Guards against instances that see the endpoints in different orders.
+	It("has one order of endpoints, however they arrive", func() {
+		a, b := fleet.NewState(), fleet.NewState()
+		var endpoints []*fleet.Endpoint
+		for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5"} {
+			endpoints = append(endpoints, &fleet.Endpoint{ID: id, Service: "s"})
+			a.PutEndpoint(endpoints[len(endpoints)-1])
+		}
+		for i := range endpoints {
+			b.PutEndpoint(endpoints[len(endpoints)-1-i])
+		}
+		Expect(b.Snapshot().Endpoints["s"]).To(Equal(a.Snapshot().Endpoints["s"]))
+	})
+
+	// Guards against an incarnation that is taken for its predecessor under the same id.
+	It("tells incarnations apart", func() {
+		Expect((&fleet.Endpoint{ID: "i", Started: 1}).Key()).NotTo(Equal((&fleet.Endpoint{ID: "i", Started: 2}).Key()))
+	})
+
+	// Guards against a confirmation that goes back.
+	It("keeps the latest confirmation", func() {
+		s := fleet.NewState()
+		s.Confirm(2 * time.Second)
+		s.Confirm(time.Second)
+		Expect(s.ConfirmedAt()).To(Equal(2 * time.Second))
+	})
+})
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -178,18 +178,42 @@
 
 // Totals returns the work of all instances for each endpoint that has some, and the number of instances heard of.
 func (b *Book) Totals(now time.Time) (totals map[uint64]Entry, instances int) {
+	return b.Sum(now, func(string) bool { return true })
+}
+
+// Sum returns the work of this instance and of those others that are included, and their number.
+func (b *Book) Sum(now time.Time, includes func(instance string) bool) (sum map[uint64]Entry, instances int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	totals = b.own(now)
+	sum = b.own(now)
 	for name, s := range b.shares {
 		if now.Sub(s.received) > shareLifetime {
 			delete(b.shares, name)
 			continue
 		}
+		if !includes(name) {
+			continue
+		}
 		instances++
 		for _, e := range s.entries {
-			addTo(totals, e)
+			addTo(sum, e)
 		}
 	}
-	return totals, instances
+	return sum, instances
+}
+
+// Share returns the last counts of another instance.
+func (b *Book) Share(instance string) []Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.shares[instance].entries
+}
+
+// Less returns the entry without the counts of another one. Pause and Suspect stay: what set them is not known.
+func (e Entry) Less(other Entry) Entry {
+	e.Streams = max(e.Streams-other.Streams, 0)
+	e.Context = max(e.Context-other.Context, 0)
+	e.Unread = max(e.Unread-other.Unread, 0)
+	e.OwnUnread = max(e.OwnUnread-other.OwnUnread, 0)
+	return e
 }
--- /dev/null
+++ b/internal/load/book_test.go
@@ -0,0 +1,69 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestLoad(t *testing.T) { testkit.RunSpecs(t, "load") }
+
+var _ = Describe("a book", func() {
+	start := time.Unix(1_000_000, 0)
+	a, b := &fleet.Endpoint{ID: "a"}, &fleet.Endpoint{ID: "b"}
+	work := load.Work{
+		First: a, Helpers: []*fleet.Endpoint{b}, Held: map[*fleet.Endpoint]int64{b: 300},
+		Tokens: 700, Part: time.Second, Predicted: 3 * time.Second, MaxPause: time.Minute,
+	}
+
+	// Guards against work that is counted at the wrong endpoint or after its end.
+	It("counts a request at its endpoints from placement to end", func() {
+		book := load.NewBook()
+		h := book.Place(work, start)
+		own := book.Own(start)
+		Expect(own[a.Key()]).To(Equal(load.Entry{
+			Endpoint: a.Key(), Streams: 1, Context: 700, Unread: time.Second, OwnUnread: time.Second, Pause: time.Minute,
+		}))
+		Expect(own[b.Key()]).To(Equal(load.Entry{Endpoint: b.Key(), Context: 300, Unread: time.Second}))
+		h.Read()
+		Expect(book.Own(start)[a.Key()].Unread).To(BeZero())
+		Expect(book.Own(start)[b.Key()]).To(Equal(load.Entry{Endpoint: b.Key(), Context: 300}))
+		h.End()
+		h.End()
+		Expect(book.Own(start)).To(BeEmpty())
+	})
+
+	// Guards against predictions that fall short: queued prompts are read in turn, so that none of them shrinks before
+	// its own turn.
+	It("counts an unread part in full until its turn", func() {
+		book := load.NewBook()
+		book.Place(work, start)
+		unread := func(after time.Duration) time.Duration { return book.Own(start.Add(after))[a.Key()].Unread }
+		Expect(unread(1900 * time.Millisecond)).To(Equal(time.Second))
+		Expect(unread(2500 * time.Millisecond)).To(Equal(500 * time.Millisecond))
+		Expect(unread(time.Minute)).To(Equal(250 * time.Millisecond))
+	})
+
+	// Guards against counts of an instance that has died, and against an instance that is counted twice.
+	It("adds the latest counts of other instances while they are fresh", func() {
+		book := load.NewBook()
+		book.Place(work, start)
+		theirs := []load.Entry{{Endpoint: a.Key(), Streams: 2, Context: 100, Pause: time.Second, Suspect: true}}
+		book.Merge("other", theirs, start)
+		book.Merge("other", theirs, start)
+		totals, instances := book.Totals(start)
+		Expect(instances).To(Equal(1))
+		Expect(totals[a.Key()].Streams).To(Equal(3))
+		Expect(totals[a.Key()].Pause).To(Equal(time.Second))
+		Expect(totals[a.Key()].Suspect).To(BeTrue())
+		totals, instances = book.Totals(start.Add(2 * time.Second))
+		Expect(instances).To(BeZero())
+		Expect(totals[a.Key()].Streams).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,221 @@
+package loadshare_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/loadshare"
+	"github.com/acacialift/acacialift/internal/published"
+	"github.com/acacialift/acacialift/internal/testkit"
+)
+
+func TestLoadshare(t *testing.T) { testkit.RunSpecs(t, "loadshare") }
+
+const eventLimit = 20 * time.Second
+
+// instance is one sharer with what it knows.
+type instance struct {
+	address string
+	book    *load.Book
+	health  *health.Tracker
+	sharer  *loadshare.Sharer
+	stop    context.CancelFunc
+}
+
+func freeAddress() string { return freeAddresses(1)[0] }
+
+// freeAddresses returns distinct addresses.
+func freeAddresses(n int) []string {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+func start(name, address, key string, seeds ...string) *instance {
+	return startWithFeed(name, address, key, nil, seeds...)
+}
+
+func startWithFeed(name, address, key string, feed loadshare.Feed, seeds ...string) *instance {
+	i := &instance{address: address, book: load.NewBook(), health: health.NewTracker()}
+	var err error
+	i.sharer, err = loadshare.New(loadshare.Options{
+		Address: address, Seeds: seeds, Key: key, Instance: name, Book: i.book, Health: i.health, Feed: feed, Log: zerolog.Nop(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = i.sharer.Serve(ctx)
+	}()
+	i.stop = func() {
+		cancel()
+		<-ended
+	}
+	DeferCleanup(i.stop)
+	return i
+}
+
+func (i *instance) streamsAt(e *fleet.Endpoint) func() int {
+	return func() int {
+		totals, _ := i.book.Totals(time.Now())
+		return totals[e.Key()].Streams
+	}
+}
+
+var _ = Describe("instances", func() {
+	const key = "a-key-of-sixteen-bytes"
+	endpoint := &fleet.Endpoint{ID: "i-1"}
+
+	// Guards against instances that do not find each other because a seed is down or stale.
+	It("find each other through one live seed of several, and share their work", func() {
+		dead, first := freeAddress(), freeAddress()
+		a := start("a", first, key, dead, first)
+		b := start("b", freeAddress(), key, dead, first)
+		c := start("c", freeAddress(), key, dead, first)
+		a.book.Place(load.Work{First: endpoint}, time.Now())
+		b.book.Place(load.Work{First: endpoint}, time.Now())
+		for _, i := range []*instance{a, b, c} {
+			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(2))
+			Eventually(func() int { return i.sharer.Live(time.Now()) }, eventLimit).Should(Equal(2))
+		}
+	})
+
+	// Guards against the work of a dead instance that keeps endpoints busy for ever.
+	It("forget the work of an instance that ends", func() {
+		first := freeAddress()
+		a := start("a", first, key, first)
+		b := start("b", freeAddress(), key, first)
+		b.book.Place(load.Work{First: endpoint}, time.Now())
+		Eventually(a.streamsAt(endpoint), eventLimit).Should(Equal(1))
+		b.stop()
+		Eventually(a.streamsAt(endpoint), eventLimit).Should(BeZero())
+	})
+
+	// Guards against processes of another deployment that share this one's counts.
+	It("refuse a wrong key", func() {
+		first := freeAddress()
+		a := start("a", first, key, first)
+		b := start("b", freeAddress(), "another-key-of-16-bytes", first)
+		b.book.Place(load.Work{First: endpoint}, time.Now())
+		Consistently(a.streamsAt(endpoint), 300*time.Millisecond).Should(BeZero())
+	})
+
+	// Guards against a failing endpoint that each instance has to find out for itself.
+	It("tell each other which endpoints fail", func() {
+		first := freeAddress()
+		a := start("a", first, key, first)
+		b := start("b", freeAddress(), key, first)
+		Eventually(func() int { return a.sharer.Live(time.Now()) }, eventLimit).Should(Equal(1))
+		b.health.Unreachable(endpoint.Key(), time.Now())
+		Eventually(func() bool {
+			totals, _ := a.book.Totals(time.Now())
+			return totals[endpoint.Key()].Suspect
+		}, eventLimit).Should(BeTrue())
+	})
+})
+
+// fakeFeed is a feed at a position.
+type fakeFeed struct {
+	mu        sync.Mutex
+	asOf      int64
+	confirmed time.Duration
+	accepted  []published.Item
+}
+
+func (f *fakeFeed) Position() (int64, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asOf, f.confirmed
+}
+
+func (f *fakeFeed) Since(after int64) ([]published.Item, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if after >= f.asOf {
+		return nil, true
+	}
+	return []published.Item{{Key: "op/config", Value: []byte("new"), Revision: f.asOf}}, true
+}
+
+func (f *fakeFeed) Accept(items []published.Item, asOf int64, confirmed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.accepted = append(f.accepted, items...)
+	f.asOf = max(f.asOf, asOf)
+	f.confirmed = max(f.confirmed, confirmed)
+}
+
+var _ = Describe("a larger fleet", func() {
+	const key = "a-key-of-sixteen-bytes"
+	const size = 18
+	endpoint := &fleet.Endpoint{ID: "i-1"}
+
+	startFleet := func(feeds ...*fakeFeed) []*instance {
+		addresses := freeAddresses(size)
+		var all []*instance
+		for i, address := range addresses {
+			var feed loadshare.Feed
+			if feeds != nil {
+				feed = feeds[i]
+			}
+			all = append(all, startWithFeed(fmt.Sprintf("i-%d", i), address, key, feed, addresses[:3]...))
+		}
+		return all
+	}
+
+	// Guards against instances that never learn of the fleet because a hub waits for them to ask first, and against work
+	// that is counted twice or not at all on its way through hubs.
+	It("shares its work through hubs, also after one of them has died", func() {
+		all := startFleet()
+		for _, i := range all {
+			i.book.Place(load.Work{First: endpoint}, time.Now())
+		}
+		for _, i := range all {
+			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(size))
+			Eventually(func() int { return i.sharer.Live(time.Now()) }, eventLimit).Should(Equal(size - 1))
+		}
+		all[0].stop()
+		for _, i := range all[1:] {
+			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(size - 1))
+		}
+	})
+
+	// Guards against members that count a state as confirmed later than it was, and against changes that do not arrive.
+	It("passes on what the platform has published, with its age", func() {
+		feeds := make([]*fakeFeed, size)
+		for i := range feeds {
+			feeds[i] = &fakeFeed{asOf: 1}
+		}
+		startFleet(feeds...)
+		confirmed := clock.Boot()
+		for _, f := range feeds[:3] {
+			f.Accept(nil, 7, confirmed)
+		}
+		for _, f := range feeds[3:] {
+			Eventually(func() int64 {
+				asOf, _ := f.Position()
+				return asOf
+			}, eventLimit).Should(BeEquivalentTo(7))
+			_, at := f.Position()
+			Expect(at).To(BeNumerically("<=", confirmed))
+		}
+	})
+})
--- /dev/null
+++ b/internal/loadshare/sharer.go
@@ -0,0 +1,401 @@
+// Package loadshare tells the entry instances what each of them has placed on endpoints and what the platform has
+// published. Up to a dozen instances tell each other directly; in a larger fleet a few of them act as hubs. An instance
+// that hears from no other one goes on with its own counts.
+package loadshare
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/published"
+)
+
+const (
+	// sendInterval is the pause between two messages while the own work changes, idleInterval while it does not, and
+	// hubInterval between two messages of and to a hub.
+	sendInterval = 60 * time.Millisecond
+	idleInterval = 400 * time.Millisecond
+	hubInterval  = 60 * time.Millisecond
+	// knownInterval is the pause between two lists of the live instances.
+	knownInterval = time.Second
+	// sendTimeout bounds one message. A connection that is being opened is ready for the next one.
+	sendTimeout = 2 * time.Millisecond
+	// memberLifetime is how long a hub answers an instance without a further message.
+	memberLifetime = 1500 * time.Millisecond
+	// hubShare is the name under which a member keeps the totals of its hub, whichever that is.
+	hubShare = "hub"
+	// groupShare is the prefix of the name under which a hub keeps the counts of another hub.
+	groupShare = "group:"
+)
+
+// Options configures a Sharer.
+type Options struct {
+	// Address is the own peers' address, which this process listens on.
+	Address string
+	// Seeds are addresses of instances that may be up; the own address may be among them.
+	Seeds []string
+	// Key is the shared secret of the peers' port.
+	Key string
+	// Instance is the name of this instance.
+	Instance string
+	Book     *load.Book
+	Health   *health.Tracker
+	// Feed takes and gives what the platform has published.
+	Feed Feed
+	Log  zerolog.Logger
+}
+
+// Feed is what this instance knows of the platform's publications. Its methods must not block.
+type Feed interface {
+	// Position returns the revision up to which all changes are known, and the boot-time at which that was confirmed.
+	Position() (asOf int64, confirmed time.Duration)
+	// Since returns the changes after a revision, and false if some may not be known any more.
+	Since(after int64) ([]published.Item, bool)
+	// Accept takes over changes up to a revision, confirmed at a boot-time of this instance.
+	Accept(items []published.Item, asOf int64, confirmed time.Duration)
+}
+
+// acquaintances are the live instances that this one has met, and those that others have.
+type acquaintances struct {
+	met, vouched []string
+}
+
+func (a acquaintances) all() []string { return append(slices.Clone(a.met), a.vouched...) }
+
+// groupMember is an instance whose counts this one adds up.
+type groupMember struct {
+	received time.Time
+	stamp    int64
+	position int64
+}
+
+// Sharer sends and receives the messages.
+type Sharer struct {
+	options Options
+	node    *peer.Node
+
+	mu     sync.Mutex
+	roster *roster
+	group  map[string]*groupMember
+
+	sentChanges uint64
+	sentAt      time.Time
+	knownAt     time.Time
+}
+
+// New starts listening on the peers' port.
+func New(options Options) (*Sharer, error) {
+	s := &Sharer{options: options, roster: newRoster(options.Address), group: make(map[string]*groupMember)}
+	s.AddSeeds(options.Seeds)
+	node, err := peer.NewNode(peer.Options{
+		Listen: options.Address,
+		Self: peer.Hello{
+			Key: options.Key, Name: options.Instance, Incarnation: time.Now().UnixMilli(), Role: peer.RoleEntry,
+		},
+		Handler: s,
+		Events:  s,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.node = node
+	return s, nil
+}
+
+// AddSeeds adds addresses of instances that may be up.
+func (s *Sharer) AddSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, seed := range seeds {
+		s.roster.addSeed(seed)
+	}
+}
+
+// Live returns the number of other instances that were heard of lately.
+func (s *Sharer) Live(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.roster.live(now))
+}
+
+// Refused implements peer.Events.
+func (s *Sharer) Refused(remote, reason string) {
+	s.options.Log.Warn().Str("remote", remote).Str("reason", reason).Msg("peer_refused")
+}
+
+// Handle implements peer.Handler.
+func (s *Sharer) Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
+	if envelope.Kind != peer.KindLoadShare {
+		return 0, nil
+	}
+	var message peer.LoadShare
+	if err := envelope.Decode(&message); err != nil {
+		s.options.Log.Warn().Str("peer", from.Name).Err(err).Msg("load_share_malformed")
+		return 0, nil
+	}
+	s.receive(&message, time.Now())
+	return 0, nil
+}
+
+func (s *Sharer) receive(m *peer.LoadShare, now time.Time) {
+	name := m.Address
+	switch m.Scope {
+	case peer.ScopeTotals:
+		name = hubShare
+		s.acceptPublished(m)
+	case peer.ScopeGroup:
+		name = groupShare + m.Address
+	}
+	s.options.Book.Merge(name, entriesOf(m.Loads), now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Scope == peer.ScopeMember || m.Scope == peer.ScopeOwn {
+		// An instance that knows no other one tells its seeds directly; their answer shows it the fleet.
+		s.group[m.Address] = &groupMember{received: now, stamp: m.Stamp, position: m.Position}
+	}
+	if s.roster.noteMet(m.Address, now) {
+		s.options.Log.Info().Str("dependency", "peer").Str("address", m.Address).Msg("dependency_back")
+	}
+	if m.Scope == peer.ScopeTotals {
+		s.roster.noteTold(m.Known, now)
+		return
+	}
+	s.roster.noteVouched(m.Known, now)
+}
+
+// acceptPublished takes over the changes in a hub's message. The hub sent it after it had received the echoed stamp, so
+// that its state is not older than that moment less the age that it states.
+func (s *Sharer) acceptPublished(m *peer.LoadShare) {
+	if s.options.Feed == nil || m.Echo == 0 || m.AgeMS < 0 {
+		return
+	}
+	items := make([]published.Item, 0, len(m.Published))
+	for _, p := range m.Published {
+		items = append(items, published.Item(p))
+	}
+	confirmed := time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond
+	s.options.Feed.Accept(items, m.Position, confirmed)
+}
+
+// Serve sends messages until the context ends.
+func (s *Sharer) Serve(ctx context.Context) error {
+	defer s.node.Close()
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.tick(ctx, now)
+		}
+	}
+}
+
+func (s *Sharer) tick(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	s.cleanRoster(now)
+	direct := s.roster.isDirect(now)
+	var known acquaintances
+	if now.Sub(s.knownAt) >= knownInterval {
+		s.knownAt = now
+		known.met, known.vouched = s.roster.known(now)
+	}
+	s.mu.Unlock()
+	changes := s.options.Book.Changes()
+	due := sendInterval
+	switch {
+	case !direct:
+		due = hubInterval
+	case changes == s.sentChanges:
+		due = idleInterval
+	}
+	if now.Sub(s.sentAt) < due-sendInterval/2 {
+		return
+	}
+	s.sentChanges, s.sentAt = changes, now
+	if direct {
+		s.sendDirect(ctx, known, now)
+		return
+	}
+	s.sendThroughHubs(ctx, known, now)
+}
+
+// cleanRoster must be called with the mutex held.
+func (s *Sharer) cleanRoster(now time.Time) {
+	for _, address := range s.roster.newlyLost(now) {
+		s.options.Log.Warn().Str("dependency", "peer").Str("address", address).Msg("dependency_lost")
+		s.node.Disconnect(address)
+	}
+	for _, address := range s.roster.forgetSilent(now) {
+		s.node.Disconnect(address)
+	}
+	for address, m := range s.group {
+		if now.Sub(m.received) > memberLifetime {
+			delete(s.group, address)
+		}
+	}
+}
+
+// sendDirect tells all instances.
+func (s *Sharer) sendDirect(ctx context.Context, known acquaintances, now time.Time) {
+	s.mu.Lock()
+	live, retried := s.roster.reachable(now)
+	s.mu.Unlock()
+	for _, address := range retried {
+		s.node.Disconnect(address)
+	}
+	message := s.message(peer.ScopeOwn, known.met, s.ownLoads(now))
+	s.send(ctx, append(live, retried...), message)
+}
+
+// sendThroughHubs tells the own hub, and as a hub the members and the other hubs.
+func (s *Sharer) sendThroughHubs(ctx context.Context, known acquaintances, now time.Time) {
+	s.mu.Lock()
+	hubs := s.roster.hubs(now)
+	isHub := slices.Contains(hubs, s.options.Address)
+	ownHub := ""
+	if !isHub {
+		ownHub = s.roster.ownHub(now)
+		s.roster.noteAsked(ownHub, now)
+	}
+	group := make(map[string]groupMember, len(s.group))
+	for address, m := range s.group {
+		group[address] = *m
+	}
+	s.mu.Unlock()
+	if ownHub != "" {
+		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
+		s.send(ctx, []string{ownHub}, message)
+	}
+	if !isHub && len(group) == 0 {
+		return
+	}
+	others := slices.DeleteFunc(hubs, func(address string) bool { return address == s.options.Address })
+	s.sendGroup(ctx, others, group, known, now)
+	s.sendTotals(ctx, group, known, now)
+}
+
+// sendGroup tells the other hubs the sum of this hub and its members.
+func (s *Sharer) sendGroup(ctx context.Context, hubs []string, group map[string]groupMember, known acquaintances, now time.Time) {
+	sum, _ := s.options.Book.Sum(now, func(name string) bool {
+		_, isMember := group[name]
+		return isMember
+	})
+	s.addSuspects(sum, now)
+	s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, loadsOf(sum)))
+}
+
+// sendTotals tells each member the work of all others, and what it lacks of the platform's publications.
+func (s *Sharer) sendTotals(ctx context.Context, group map[string]groupMember, known acquaintances, now time.Time) {
+	totals, _ := s.options.Book.Sum(now, func(name string) bool { return name != hubShare })
+	s.addSuspects(totals, now)
+	for address, m := range group {
+		rest := make(map[uint64]load.Entry, len(totals))
+		for endpoint, e := range totals {
+			rest[endpoint] = e
+		}
+		for _, e := range s.options.Book.Share(address) {
+			rest[e.Endpoint] = rest[e.Endpoint].Less(e)
+		}
+		message := s.message(peer.ScopeTotals, known.all(), loadsOf(rest))
+		message.Echo = m.stamp
+		s.addPublished(&message, m.position)
+		s.send(ctx, []string{address}, message)
+	}
+}
+
+// addPublished adds the changes after a member's position.
+func (s *Sharer) addPublished(message *peer.LoadShare, position int64) {
+	message.AgeMS = -1
+	if s.options.Feed == nil {
+		return
+	}
+	asOf, confirmed := s.options.Feed.Position()
+	items, whole := s.options.Feed.Since(position)
+	if !whole || confirmed == 0 {
+		return
+	}
+	message.Position = asOf
+	// The state may be confirmed until the end of the current millisecond.
+	message.AgeMS = (clock.Boot() - confirmed).Milliseconds() + 1
+	for _, it := range items {
+		message.Published = append(message.Published, peer.PublishedItem(it))
+	}
+}
+
+func (s *Sharer) message(scope peer.ShareScope, known []string, loads []peer.EndpointLoad) peer.LoadShare {
+	m := peer.LoadShare{
+		Scope: scope, Address: s.options.Address, Known: known, Loads: loads, Stamp: int64(clock.Boot()), AgeMS: -1,
+	}
+	if s.options.Feed != nil {
+		m.Position, _ = s.options.Feed.Position()
+	}
+	return m
+}
+
+// send sends a message to several instances. One that cannot be reached gets the next one, and is reported when it has
+// been silent for long.
+func (s *Sharer) send(ctx context.Context, addresses []string, message peer.LoadShare) {
+	frame, err := peer.EncodeFrame(peer.KindLoadShare, 0, false, message)
+	if err != nil {
+		s.options.Log.Error().Err(err).Msg("load_share_not_encoded")
+		return
+	}
+	for _, address := range addresses {
+		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		if err := s.node.SendFrame(callCtx, address, frame); err != nil {
+			s.options.Log.Debug().Str("address", address).Err(err).Msg("load_share_not_sent")
+		}
+		cancel()
+	}
+}
+
+func (s *Sharer) ownLoads(now time.Time) []peer.EndpointLoad {
+	own := s.options.Book.Own(now)
+	s.addSuspects(own, now)
+	return loadsOf(own)
+}
+
+// addSuspects marks the endpoints that this instance avoids.
+func (s *Sharer) addSuspects(entries map[uint64]load.Entry, now time.Time) {
+	for _, endpoint := range s.options.Health.Suspected(now) {
+		e := entries[endpoint]
+		e.Endpoint, e.Suspect = endpoint, true
+		entries[endpoint] = e
+	}
+}
+
+func loadsOf(entries map[uint64]load.Entry) []peer.EndpointLoad {
+	loads := make([]peer.EndpointLoad, 0, len(entries))
+	for _, e := range entries {
+		loads = append(loads, peer.EndpointLoad{
+			Endpoint: e.Endpoint, Streams: e.Streams, Context: e.Context,
+			UnreadMS: e.Unread.Milliseconds(), OwnUnreadMS: e.OwnUnread.Milliseconds(), PauseMS: e.Pause.Milliseconds(),
+			Suspect: e.Suspect,
+		})
+	}
+	return loads
+}
+
+func entriesOf(loads []peer.EndpointLoad) []load.Entry {
+	entries := make([]load.Entry, 0, len(loads))
+	for _, l := range loads {
+		entries = append(entries, load.Entry{
+			Endpoint: l.Endpoint, Streams: l.Streams, Context: l.Context,
+			Unread:    time.Duration(l.UnreadMS) * time.Millisecond,
+			OwnUnread: time.Duration(l.OwnUnreadMS) * time.Millisecond,
+			Pause:     time.Duration(l.PauseMS) * time.Millisecond,
+			Suspect:   l.Suspect,
+		})
+	}
+	return entries
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -391,17 +391,50 @@
 	Gone []string
 }
 
-// LoadShare tells another entry instance what the sender has placed on endpoints.
+// ShareScope states whose work a LoadShare counts.
+type ShareScope uint8
+
+// The scopes of a LoadShare.
+const (
+	// ScopeOwn counts the sender's own work.
+	ScopeOwn ShareScope = iota
+	// ScopeMember counts the sender's own work and asks the receiver, a hub, for the totals.
+	ScopeMember
+	// ScopeGroup counts the work of a hub and its members.
+	ScopeGroup
+	// ScopeTotals counts the work of all instances but the receiver.
+	ScopeTotals
+)
+
+// LoadShare tells another entry instance what has been placed on endpoints.
 type LoadShare struct {
+	Scope ShareScope
 	// Address is the peers' address of the sender.
 	Address string
-	// Known lists the peers' addresses of the live instances that the sender knows.
+	// Known lists the peers' addresses of the live instances that the sender knows. It is sent now and then.
 	Known []string
-	// Loads lists the endpoints on which the sender has placed something.
+	// Loads lists the endpoints on which something is placed.
 	Loads []EndpointLoad
+	// Stamp is the sender's boot-time in nanoseconds; Echo is the last Stamp that the sender has received from the
+	// receiver. A state that the sender confirms in the same message is not older than that moment, less its age.
+	Stamp, Echo int64
+	// Position is the revision up to which the sender knows what the platform has published.
+	Position int64
+	// AgeMS is the time since the sender's state was confirmed; it holds in messages with ScopeTotals.
+	AgeMS int64
+	// Published lists the changes after the receiver's Position.
+	Published []PublishedItem
+}
+
+// PublishedItem is the latest state of a key that the platform has published.
+type PublishedItem struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
 }
 
-// EndpointLoad is the work that one instance has placed on one endpoint.
+// EndpointLoad is the work that was placed on one endpoint.
 type EndpointLoad struct {
 	// Endpoint identifies the incarnation of the endpoint.
 	Endpoint uint64
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -13,7 +13,7 @@
 	readerOverhead = 4 * time.Millisecond
 	// sizeShare is the extra time, as a part of its reading, that a prompt must have left: what a prompt is worth grows
 	// with its size and what it costs with the square, so that large ones give way first when engines are short.
-	sizeShare = 0.5
+	sizeShare = 0.15
 	// readerStreamCost is the time that a first endpoint in the short group may cost more than one among the readers, where
 	// its stream bounds the reading beside it.
 	readerStreamCost = 150 * time.Millisecond
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,8 +12,8 @@
 const (
 	// shortReading is the longest reading time of a prompt that may share an endpoint with short streams.
 	shortReading = 160 * time.Millisecond
-	// shortStreams is the number of short streams at which an endpoint's passes stay well within their pauses.
-	shortStreams = 13
+	// shortSlots is the part of an endpoint's slots that short streams take while its passes stay well within their pauses.
+	shortSlots = 0.7
 	// pauseShare is the part of a stream's longest pause that reading on its endpoint may use.
 	pauseShare = 0.85
 	// objectiveShare is the part of the objective that a prediction may use, as margin for its error.
@@ -22,7 +22,7 @@
 	idlePass = 15 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advised delay of a refusal.
 	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
+	maxRetryAfter = 4500 * time.Millisecond
 )
 
 // Planner places requests.
@@ -110,7 +110,7 @@
 	if need.Tokens+need.Output > int64(len(candidates))*e.Memory {
 		return Choice{}, &Refusal{Reason: TooLarge}
 	}
-	group := shortGroup(candidates)
+	group := shortGroup(e, candidates)
 	if IsShort(e, need) {
 		return p.placeShort(e, candidates, group, need)
 	}
@@ -119,7 +119,7 @@
 
 // retryAfter returns the advised delay if room is expected after the given time.
 func (p Planner) retryAfter(excess time.Duration) time.Duration {
-	return p.spread(min(max(excess, minRetryAfter), maxRetryAfter/2), maxRetryAfter)
+	return p.spread(min(max(excess, minRetryAfter), maxRetryAfter*2/3), maxRetryAfter)
 }
 
 // spread returns a random time between the bounds, near the lower one, so that callers do not return together.
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -1,20 +1,22 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
 )
 
 // shortGroup returns the number of endpoints, from the start of the order, that short streams need.
-func shortGroup(candidates []Candidate) int {
+func shortGroup(e *fleet.Engine, candidates []Candidate) int {
 	streams := 0
 	for i := range candidates {
 		if candidates[i].Pause > 0 && candidates[i].Pause <= shortPause {
 			streams += candidates[i].Streams
 		}
 	}
-	return min(1+streams/shortStreams, len(candidates))
+	perEndpoint := max(int(shortSlots*float64(e.Slots)), 1)
+	return min(1+streams/perEndpoint, len(candidates))
 }
 
 // shortPause is the longest pause of streams that count as short.
@@ -29,7 +31,7 @@
 	reading := e.PromptTime(need.Tokens)
 	readers := 1 + int(reading/maxShortPart)
 	limit := time.Duration(objectiveShare * float64(need.Objective))
-	for _, part := range [][]Candidate{preferred(candidates[:group]), preferred(candidates[group:]), candidates} {
+	for _, part := range [][]Candidate{preferred(candidates[:group]), preferred(candidates[group:]), slices.Clone(candidates)} {
 		for k := readers; k >= 1; k-- {
 			choice, ok := p.shortChoice(e, part, need, reading, k)
 			if ok && choice.Predicted <= limit {
@@ -37,7 +39,7 @@
 			}
 		}
 	}
-	best, predicted := p.earliest(e, candidates, need, reading)
+	best, predicted := p.earliest(e, slices.Clone(candidates), need, reading)
 	if best == nil {
 		return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.spread(minRetryAfter, 2*need.Objective)}
 	}
@@ -76,33 +78,34 @@
 	return kept
 }
 
-// earliest returns the candidate with room and the earliest first event. Near-equal ones have the same chance, so that
-// instances that decide at the same moment spread their choices.
+// earliest returns the candidate with room and the earliest first event of a few random ones. The best one of all would
+// draw the requests of all instances until their next messages.
 func (p Planner) earliest(e *fleet.Engine, candidates []Candidate, need Need, reading time.Duration) (*Candidate, time.Duration) {
-	const nearEqual = 12 * time.Millisecond
 	var best *Candidate
 	var bestTime time.Duration
-	ties := 0
-	for i := range candidates {
-		c := &candidates[i]
+	left := sampled
+	for at := range candidates {
+		// Draws the candidates without repetition, in random order.
+		other := at + p.IntN(len(candidates)-at)
+		candidates[at], candidates[other] = candidates[other], candidates[at]
+		c := &candidates[at]
 		if !hasRoom(e, c, need) {
 			continue
 		}
 		predicted := firstEvent(e, c, reading) + time.Duration(c.Streams)*time.Millisecond
-		switch {
-		case best == nil || predicted < bestTime-nearEqual:
-			best, bestTime, ties = c, predicted, 1
-		case predicted <= bestTime+nearEqual:
-			ties++
-			if p.IntN(ties) == 0 {
-				best = c
-			}
-			bestTime = min(bestTime, predicted)
+		if best == nil || predicted < bestTime {
+			best, bestTime = c, predicted
+		}
+		if left--; left == 0 {
+			break
 		}
 	}
 	return best, bestTime
 }
 
+// sampled is the number of endpoints that are compared for a short prompt.
+const sampled = 3
+
 // hasRoom reports whether the engine can take the request as its first endpoint without queueing it.
 func hasRoom(e *fleet.Engine, c *Candidate, need Need) bool {
 	return c.Streams < e.Slots && c.Context+need.Tokens+need.Output <= e.Memory
--- /dev/null
+++ b/internal/published/log.go
@@ -0,0 +1,144 @@
+// Package published keeps what the platform has published, as opaque items with revisions, so that an instance can pass
+// on the changes that it has read to another one.
+package published
+
+import (
+	"sync"
+	"time"
+)
+
+// removalTime is how long removals are kept. An instance that is further behind reads the platform itself.
+const removalTime = time.Minute
+
+// Item is the latest state of one key.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	// Removed is true if the key is gone since Revision.
+	Removed bool
+}
+
+// removal is a key that is gone.
+type removal struct {
+	item Item
+	at   time.Time
+}
+
+// Log holds the latest state of each key. It is safe for concurrent use.
+type Log struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	removals []removal
+	asOf     int64
+	// from is the least revision after which all changes are known, removals included.
+	from int64
+	// confirmed is the boot-time at which a read began whose result is asOf.
+	confirmed time.Duration
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{items: make(map[string]Item)} }
+
+// Put takes over items that are newer than what is known, and returns those.
+func (l *Log) Put(items []Item, now time.Time) []Item {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	var newer []Item
+	for _, it := range items {
+		if known, ok := l.items[it.Key]; ok && known.Revision >= it.Revision {
+			continue
+		}
+		if l.isRemovedSince(it.Key, it.Revision) {
+			continue
+		}
+		newer = append(newer, it)
+		if !it.Removed {
+			l.items[it.Key] = it
+			continue
+		}
+		delete(l.items, it.Key)
+		l.removals = append(l.removals, removal{item: it, at: now})
+	}
+	return newer
+}
+
+func (l *Log) isRemovedSince(key string, revision int64) bool {
+	for i := range l.removals {
+		if r := l.removals[i].item; r.Key == key && r.Revision >= revision {
+			return true
+		}
+	}
+	return false
+}
+
+// expire drops old removals.
+func (l *Log) expire(now time.Time) {
+	gone := 0
+	for gone < len(l.removals) && now.Sub(l.removals[gone].at) > removalTime {
+		l.from = max(l.from, l.removals[gone].item.Revision)
+		gone++
+	}
+	l.removals = l.removals[gone:]
+}
+
+// Advance states that all changes up to a revision are known, by a read that began at a boot-time.
+func (l *Log) Advance(asOf int64, confirmed time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asOf = max(l.asOf, asOf)
+	l.confirmed = max(l.confirmed, confirmed)
+}
+
+// Listed states that everything was read at a revision; removals before it are not known.
+func (l *Log) Listed(asOf int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.from = max(l.from, asOf)
+	l.asOf = max(l.asOf, asOf)
+}
+
+// Position returns the revision up to which all changes are known, and when that was confirmed.
+func (l *Log) Position() (asOf int64, confirmed time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asOf, l.confirmed
+}
+
+// Keys returns the keys whose last change is not after a revision.
+func (l *Log) Keys(until int64) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var keys []string
+	for key, it := range l.items {
+		if it.Revision <= until {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Since returns the changes after a revision. It reports false if some may not be known any more.
+func (l *Log) Since(after int64) ([]Item, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if after < l.from {
+		return nil, false
+	}
+	if after >= l.asOf {
+		return nil, true
+	}
+	var items []Item
+	for _, it := range l.items {
+		if it.Revision > after {
+			items = append(items, it)
+		}
+	}
+	for _, r := range l.removals {
+		if r.item.Revision > after {
+			items = append(items, r.item)
+		}
+	}
+	return items, true
+}
