--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -37,8 +37,8 @@
 	// ShareInterval is the pause between two load messages of an instance; the default is 60 ms.
 	ShareInterval time.Duration
 	Load          Load
-	Policy    Policy
-	Seed      uint64
+	Policy        Policy
+	Seed          uint64
 }
 
 // Result sums what callers got.
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -106,7 +106,9 @@
 var largeFleetPrompts = map[string]float64{"short": 1, "middle": 1, "long": 1.43}
 
 // Patterns lists the patterns of the experiments.
-func Patterns() []Pattern { return []Pattern{LongShortLong(), ShortLongShort(), DomainOut(), LargeFleet()} }
+func Patterns() []Pattern {
+	return []Pattern{LongShortLong(), ShortLongShort(), DomainOut(), LargeFleet()}
+}
 
 // Options returns a run of the pattern.
 func (p Pattern) Options(policy Policy, seed uint64) Options {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,7 +13,7 @@
 	// shortReading is the longest reading time of a prompt that may share an endpoint with short streams.
 	shortReading = 160 * time.Millisecond
 	// shortSlots is the part of an endpoint's slots that short streams take while its passes stay well within their pauses.
-	shortSlots = 0.7
+	shortSlots = 0.75
 	// pauseShare is the part of a stream's longest pause that reading on its endpoint may use.
 	pauseShare = 0.85
 	// objectiveShare is the part of the objective that a prediction may use, as margin for its error.
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -104,7 +104,7 @@
 }
 
 // sampled is the number of endpoints that are compared for a short prompt.
-const sampled = 3
+const sampled = 4
 
 // hasRoom reports whether the engine can take the request as its first endpoint without queueing it.
 func hasRoom(e *fleet.Engine, c *Candidate, need Need) bool {
