--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -165,37 +165,73 @@
 
 var _ = Describe("a larger fleet", func() {
 	const key = "a-key-of-sixteen-bytes"
-	const size = 18
+	const size = 40
 	endpoint := &fleet.Endpoint{ID: "i-1"}
 
-	startFleet := func(feeds ...*fakeFeed) []*instance {
-		addresses := freeAddresses(size)
+	startInstances := func(prefix string, addresses, seeds []string, feeds ...*fakeFeed) []*instance {
 		var all []*instance
 		for i, address := range addresses {
 			var feed loadshare.Feed
 			if feeds != nil {
 				feed = feeds[i]
 			}
-			all = append(all, startWithFeed(fmt.Sprintf("i-%d", i), address, key, feed, addresses[:3]...))
+			all = append(all, startWithFeed(fmt.Sprintf("%s-%d", prefix, i), address, key, feed, seeds...))
 		}
 		return all
 	}
+	startFleet := func(feeds ...*fakeFeed) []*instance {
+		addresses := freeAddresses(size)
+		return startInstances("i", addresses, addresses[:3], feeds...)
+	}
+	placeEverywhere := func(all []*instance) {
+		for _, i := range all {
+			i.book.Place(load.Work{First: endpoint}, time.Now())
+		}
+	}
+	expectStreams := func(all []*instance, want int) {
+		for _, i := range all {
+			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(want))
+		}
+	}
+
+	// Guards against a fleet that does not form because only one of its seeds is up.
+	It("shares its work with one live seed", func() {
+		addresses := freeAddresses(size + 2)
+		all := startInstances("i", addresses[2:], addresses[:3])
+		placeEverywhere(all)
+		expectStreams(all, size)
+	})
+
+	// Guards against two halves that go on apart: the one has formed before the seed was restarted, the other after it.
+	It("becomes one again when its seed has been away", func() {
+		const half = 15
+		addresses := freeAddresses(2*half + 1)
+		seed, first, second := addresses[0], addresses[1:half+1], addresses[half+1:]
+		before := startInstances("seed", []string{seed}, []string{seed})
+		all := startInstances("a", first, []string{seed})
+		placeEverywhere(all)
+		expectStreams(all, half)
+		before[0].stop()
+		for _, i := range all {
+			Eventually(func() int { return i.sharer.Live(time.Now()) }, eventLimit).Should(Equal(half - 1))
+		}
+		startInstances("again", []string{seed}, []string{seed})
+		later := startInstances("b", second, []string{seed})
+		placeEverywhere(later)
+		expectStreams(append(all, later...), 2*half)
+	})
 
 	// Guards against instances that never learn of the fleet because a hub waits for them to ask first, and against work
 	// that is counted twice or not at all on its way through hubs.
 	It("shares its work through hubs, also after one of them has died", func() {
 		all := startFleet()
+		placeEverywhere(all)
+		expectStreams(all, size)
 		for _, i := range all {
-			i.book.Place(load.Work{First: endpoint}, time.Now())
-		}
-		for _, i := range all {
-			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(size))
 			Eventually(func() int { return i.sharer.Live(time.Now()) }, eventLimit).Should(Equal(size - 1))
 		}
 		all[0].stop()
-		for _, i := range all[1:] {
-			Eventually(i.streamsAt(endpoint), eventLimit).Should(Equal(size - 1))
-		}
+		expectStreams(all[1:], size-1)
 	})
 
 	// Guards against members that count a state as confirmed later than it was, and against changes that do not arrive.
--- a/internal/loadshare/roster.go
+++ b/internal/loadshare/roster.go
@@ -220,6 +220,19 @@
 	return lost
 }
 
+// silentSeeds returns the seeds without a sign of life for which a new attempt is due. A part of the fleet that has
+// formed without them finds the others through them again.
+func (r *roster) silentSeeds(now time.Time) []string {
+	var due []string
+	for address, m := range r.members {
+		if m.seed && !m.isLive(now) && now.Sub(m.tried) >= reconnectEvery {
+			m.tried = now
+			due = append(due, address)
+		}
+	}
+	return due
+}
+
 // reachable returns the instances to tell directly: the live ones, and now and then silent ones, for which a new
 // connection is due.
 func (r *roster) reachable(now time.Time) (live, retried []string) {
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -267,11 +267,16 @@
 		ownHub = s.roster.ownHub(now)
 		s.roster.noteAsked(ownHub, now)
 	}
+	seeds := s.roster.silentSeeds(now)
 	group := make(map[string]groupMember, len(s.group))
 	for address, m := range s.group {
 		group[address] = *m
 	}
 	s.mu.Unlock()
+	for _, address := range seeds {
+		s.node.Disconnect(address)
+	}
+	s.send(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
 	if ownHub != "" {
 		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
 		s.send(ctx, []string{ownHub}, message)
