--- a/cmd/acacia-entry/main.go
+++ b/cmd/acacia-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/acacialift/acacialift/internal/daemon"
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/logging"
 	"github.com/acacialift/acacialift/internal/settings"
 	"github.com/acacialift/acacialift/platform"
 )
@@ -40,7 +41,9 @@
 	if err != nil || command.Bool("check") {
 		return err
 	}
-	log, err := daemon.NewLogger(&s.Common, "entry")
+	output := logging.NewQueue(os.Stdout)
+	defer output.Close()
+	log, err := daemon.NewLoggerTo(output, &s.Common, "entry")
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -30,11 +31,16 @@
 
 // NewLogger returns the logger of a process, which writes to standard error, and sends nbio's log to it.
 func NewLogger(s *settings.Common, role string) (zerolog.Logger, error) {
+	return NewLoggerTo(os.Stderr, s, role)
+}
+
+// NewLoggerTo is NewLogger for another writer.
+func NewLoggerTo(w io.Writer, s *settings.Common, role string) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return zerolog.Logger{}, err
 	}
-	log := logging.New(os.Stderr, level, s.Instance, role)
+	log := logging.New(w, level, s.Instance, role)
 	logging.RouteNbio(log)
 	return log, nil
 }
