--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -71,6 +71,8 @@
 		got := r.call("/safe/x")
 		Expect(got.status).To(Equal(http.StatusOK))
 		Expect(got.closes).To(BeTrue())
+		r.handler.StartStop(4 * time.Second)
+		Expect(r.call("/stream/x").status).To(Equal(http.StatusServiceUnavailable))
 		r.handler.StartStop(time.Second)
 		Expect(r.call("/safe/x").status).To(Equal(http.StatusServiceUnavailable))
 		Expect(total(e)).To(Equal(1))
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -10,9 +10,12 @@
 	"github.com/acacialift/acacialift/internal/outcome"
 )
 
-// minStopTime is the least time that a request to a model engine may need; during a planned stop, requests with less
-// than their objective and this left are refused, so that another instance serves them whole.
-const minStopTime = 2 * time.Second
+// answerTime and streamTime are what a request may need beyond its objective. During a planned stop, requests with less
+// time left are refused, so that another instance serves them whole.
+const (
+	answerTime = 2 * time.Second
+	streamTime = 5 * time.Second
+)
 
 // admit finds the profile, the team and the time of a call, or refuses it.
 func (x *exchange) admit() *outcome.Error {
@@ -33,7 +36,7 @@
 		x.limit = x.call.Budget
 	}
 	left, stopping := x.handler.untilStop()
-	if stopping && left < x.profile.Objective+minStopTime {
+	if stopping && left < x.profile.Objective+timeAfterObjective(x.profile.Kind) {
 		return refuseUnavailable(outcome.StageAdmission, codeStopping, "the instance is stopping", stoppingRetryAfter)
 	}
 	x.service = catalog.Services[chooseService(x.profile.Shares)]
@@ -43,6 +46,13 @@
 	return nil
 }
 
+func timeAfterObjective(kind fleet.Kind) time.Duration {
+	if kind == fleet.Streaming {
+		return streamTime
+	}
+	return answerTime
+}
+
 // admitTeam checks the caller's key. A key is accepted only while the catalog is known to be recent, because a key that
 // was taken away must not be accepted for long, however the instance lost touch with the platform.
 func (x *exchange) admitTeam() *outcome.Error {
