Avoid the endpoint that a refusal names as the one at fault

The endpoint named in a refusal is now avoided and not tried again for the request. attempt_failed names its endpoint.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -170,6 +170,27 @@
 		Expect(got.status).To(Equal(http.StatusBadGateway))
 	})
 
+	// Guards against a second attempt with the helper that failed the first one.
+	It("that names another endpoint as the one at fault keeps that one from the next attempt", func() {
+		var endpoints []*fakeEndpoint
+		var atFault *fakeEndpoint
+		either := func(conn net.Conn, a arrival) {
+			if atFault != nil {
+				text(whole("answer"))(conn, a)
+				return
+			}
+			for _, e := range endpoints {
+				if e.listener.Addr().String() != conn.LocalAddr().String() {
+					atFault = e
+				}
+			}
+			text("HTTP/1.1 503 X\r\nAcacialift-Not-Executed: 1\r\nAt-Server: "+atFault.listener.Addr().String()+"\r\nContent-Length: 0\r\n\r\n")(conn, a)
+		}
+		endpoints = []*fakeEndpoint{newEndpoint(either), newEndpoint(either), newEndpoint(either)}
+		Expect(newRig(endpoints).call("/safe/").body).To(Equal("answer"))
+		Expect(total(atFault)).To(BeZero())
+	})
+
 	// Guards against a request that is lost because one address is dead: nothing was sent there.
 	It("is not needed where no connection can be opened", func() {
 		dead := newEndpoint(silent)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -121,7 +121,7 @@
 	for _, h := range choice.Holdings {
 		x.tried[h.Endpoint.ID] = true
 	}
-	x.logRepeat(err.Error(), true)
+	x.logRepeat(choice.First, err.Error(), true)
 	x.unreachable++
 	switch {
 	case ctx.Err() != nil:
@@ -218,7 +218,7 @@
 	if x.handler.options.Health.Failure(e.Key(), time.Now()) {
 		x.logSuspect(e, reason)
 	}
-	if x.profile.Repeatable() && x.mayRepeat(reason) {
+	if x.profile.Repeatable() && x.mayRepeat(e, reason) {
 		return true
 	}
 	x.finishFailed()
@@ -227,16 +227,36 @@
 
 // judgeNotRun handles a typed refusal of an endpoint.
 func (x *exchange) judgeNotRun(e *fleet.Endpoint, r *relay) bool {
-	if r.judgement.Verdict == Misdirected && x.handler.options.Health.Unreachable(e.Key(), time.Now()) {
-		x.logSuspect(e, r.judgement.Reason)
+	culprit := x.culprit(r.judgement.Culprit)
+	if culprit == nil && r.judgement.Verdict == Misdirected {
+		culprit = e
 	}
-	if x.mayRepeat(r.judgement.Reason) {
+	if culprit != nil {
+		x.tried[culprit.ID] = true
+		if x.handler.options.Health.Unreachable(culprit.Key(), time.Now()) {
+			x.logSuspect(culprit, r.judgement.Reason)
+		}
+	}
+	if x.mayRepeat(e, r.judgement.Reason) {
 		return true
 	}
 	x.finishFailed()
 	return false
 }
 
+// culprit returns the endpoint at an address that another endpoint names as the one at fault, or nil.
+func (x *exchange) culprit(address string) *fleet.Endpoint {
+	if address == "" {
+		return nil
+	}
+	for _, e := range x.handler.options.State.Snapshot().Endpoints[x.service.Name] {
+		if e.Address == address {
+			return e
+		}
+	}
+	return nil
+}
+
 // judgeWhole handles a whole answer that was held.
 func (x *exchange) judgeWhole(e *fleet.Endpoint, r *relay) bool {
 	now := time.Now()
@@ -250,7 +270,7 @@
 	if x.handler.options.Health.Failure(e.Key(), now) {
 		x.logSuspect(e, "status "+strconv.Itoa(r.status))
 	}
-	if x.profile.Repeatable() && x.mayRepeat("status "+strconv.Itoa(r.status)) {
+	if x.profile.Repeatable() && x.mayRepeat(e, "status "+strconv.Itoa(r.status)) {
 		return true
 	}
 	x.finishFailed()
@@ -258,9 +278,9 @@
 }
 
 // mayRepeat reports whether the profile and the retry budget allow another attempt.
-func (x *exchange) mayRepeat(reason string) bool {
+func (x *exchange) mayRepeat(e *fleet.Endpoint, reason string) bool {
 	allowed := x.sent < x.profile.Attempts && x.handler.options.Retries.Take(x.service.Name, time.Now())
-	x.logRepeat(reason, allowed)
+	x.logRepeat(e, reason, allowed)
 	return allowed
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -42,9 +42,10 @@
 }
 
 // logRepeat records whether a failed attempt is followed by another one.
-func (x *exchange) logRepeat(reason string, allowed bool) {
+func (x *exchange) logRepeat(e *fleet.Endpoint, reason string, allowed bool) {
 	x.handler.options.Log.Info().
 		Str("request", x.call.ID).
+		Str("endpoint", e.ID).
 		Str("reason", reason).
 		Int("attempts", x.sent).
 		Int("max_attempts", x.profile.Attempts).
