--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -36,6 +36,7 @@
 func (x *exchange) objectiveLeft(now time.Time) time.Duration {
 	return placement.ObjectiveLeft(placement.Timing{
 		Objective: x.profile.Objective, TimeLimit: x.profile.TimeLimit, Budget: x.call.Budget, Waited: now.Sub(x.received),
+		Resumed: x.started,
 	})
 }
 
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -27,12 +27,18 @@
 	Budget time.Duration
 	// Waited is the time since the arrival of this attempt.
 	Waited time.Duration
+	// Resumed is true for a stream that goes on at another endpoint. Its caller has a part of the answer already and
+	// waits longer for the next event.
+	Resumed bool
 }
 
 // ObjectiveLeft returns the time to the first event that a placement aims at. A caller that comes back has used up a
 // part of its objective, which shows in its budget. A request that cannot be on time any more is taken only if it is
 // answered soon, because it is worth less than the ones that can.
 func ObjectiveLeft(t Timing) time.Duration {
+	if t.Resumed {
+		return resumeFactor * t.Objective
+	}
 	used := t.Waited
 	if t.Budget > 0 && float64(t.Budget) < returnedShare*float64(t.TimeLimit) {
 		used += t.TimeLimit - t.Budget
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -327,6 +327,12 @@
 		Expect(left(0, 0)).To(Equal(3 * time.Second))
 	})
 
+	// Guards against a stream that is broken off for good because no endpoint would be on time for a new request.
+	It("is longer for a stream that goes on elsewhere", func() {
+		Expect(placement.ObjectiveLeft(placement.Timing{Objective: 3 * time.Second, Waited: 10 * time.Second, Resumed: true})).
+			To(Equal(6 * time.Second))
+	})
+
 	// Guards against late work that is placed as if it could be on time.
 	It("is short for a caller that has come back too late", func() {
 		Expect(left(7*time.Second, 0)).To(Equal(1500 * time.Millisecond))
