--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -11,10 +11,10 @@
 	// maxLate bounds the time to the first event within which a late request is still taken.
 	maxLate = 1500 * time.Millisecond
 	minLate = 500 * time.Millisecond
-	// waitShare and roomWaitShare bound how long a request waits to be placed, as parts of its objective. Full slots empty
-	// as streams end, so that more waiting pays there; a queue that is too long only gets room for others.
-	waitShare     = 0.125
-	roomWaitShare = 0.6
+	// waitShare bounds how long a request waits to be placed, as a part of its objective.
+	waitShare = 0.125
+	// resumeFactor is the time to the next event of a resumed stream, in objectives. Callers leave after four.
+	resumeFactor = 2
 )
 
 // Timing holds the times of a request.
