Give connections to silent instances time to open

The 18 instances of carcelen never met the seeds and drew to one endpoint (666 of 1,250 requests; 676 shed).

--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -28,6 +28,9 @@
 	knownInterval = time.Second
 	// sendTimeout bounds one message. A connection that is being opened is ready for the next one.
 	sendTimeout = 2 * time.Millisecond
+	// reconnectTimeout bounds a message on a connection that is opened anew to a silent instance; the next attempt would
+	// close the connection again.
+	reconnectTimeout = 600 * time.Millisecond
 	// memberLifetime is how long a hub answers an instance without a further message.
 	memberLifetime = 1500 * time.Millisecond
 	// hubShare is the name under which a member keeps the totals of its hub, whichever that is.
@@ -250,11 +253,9 @@
 	s.mu.Lock()
 	live, retried := s.roster.reachable(now)
 	s.mu.Unlock()
-	for _, address := range retried {
-		s.node.Disconnect(address)
-	}
 	message := s.message(peer.ScopeOwn, known.met, s.ownLoads(now))
-	s.send(ctx, append(live, retried...), message)
+	s.send(ctx, live, message, sendTimeout)
+	s.reconnect(ctx, retried, message)
 }
 
 // sendThroughHubs tells the own hub, and as a hub the members and the other hubs.
@@ -273,13 +274,10 @@
 		group[address] = *m
 	}
 	s.mu.Unlock()
-	for _, address := range seeds {
-		s.node.Disconnect(address)
-	}
-	s.send(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
+	s.reconnect(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
 	if ownHub != "" {
 		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
-		s.send(ctx, []string{ownHub}, message)
+		s.send(ctx, []string{ownHub}, message, sendTimeout)
 	}
 	if !isHub && len(group) == 0 {
 		return
@@ -296,7 +294,7 @@
 		return isMember
 	})
 	s.addSuspects(sum, now)
-	s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, loadsOf(sum)))
+	s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, loadsOf(sum)), sendTimeout)
 }
 
 // sendTotals tells each member the work of all others, and what it lacks of the platform's publications.
@@ -314,7 +312,7 @@
 		message := s.message(peer.ScopeTotals, known.all(), loadsOf(rest))
 		message.Echo = m.stamp
 		s.addPublished(&message, m.position)
-		s.send(ctx, []string{address}, message)
+		s.send(ctx, []string{address}, message, sendTimeout)
 	}
 }
 
@@ -349,14 +347,14 @@
 
 // send sends a message to several instances. One that cannot be reached gets the next one, and is reported when it has
 // been silent for long.
-func (s *Sharer) send(ctx context.Context, addresses []string, message peer.LoadShare) {
+func (s *Sharer) send(ctx context.Context, addresses []string, message peer.LoadShare, timeout time.Duration) {
 	frame, err := peer.EncodeFrame(peer.KindLoadShare, 0, false, message)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("load_share_not_encoded")
 		return
 	}
 	for _, address := range addresses {
-		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		if err := s.node.SendFrame(callCtx, address, frame); err != nil {
 			s.options.Log.Debug().Str("address", address).Err(err).Msg("load_share_not_sent")
 		}
@@ -364,6 +362,14 @@
 	}
 }
 
+// reconnect sends a message to silent instances on new connections, without holding up the others.
+func (s *Sharer) reconnect(ctx context.Context, addresses []string, message peer.LoadShare) {
+	for _, address := range addresses {
+		s.node.Disconnect(address)
+		go s.send(ctx, []string{address}, message, reconnectTimeout)
+	}
+}
+
 func (s *Sharer) ownLoads(now time.Time) []peer.EndpointLoad {
 	own := s.options.Book.Own(now)
 	s.addSuspects(own, now)
