--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -164,8 +164,8 @@
 // Dials returns the number of connections opened so far.
 func (c *Client) Dials() int64 { return c.dials.Load() }
 
-// IdleConnections returns the number of connections that wait for their next request.
-func (c *Client) IdleConnections() int { return c.idle.size() }
+// CloseIdle closes all idle connections.
+func (c *Client) CloseIdle() { c.idle.closeAll() }
 
 // ExpireIdle closes idle connections whose time is over. It is to be called now and then if connections are reused.
 func (c *Client) ExpireIdle() { c.idle.expire(time.Now()) }
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -37,6 +37,18 @@
 	"Upgrade":           true,
 }
 
+// RemoveHopHeaders removes the headers that concern one connection only, and those that it names itself.
+func RemoveHopHeaders(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
 // encodeHead returns the request line and header. It refuses whatever would change the structure of the message.
 func encodeHead(req Request, keep bool) ([]byte, error) {
 	switch {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -76,24 +76,21 @@
 	p.conns[address] = append(p.conns[address], c)
 }
 
-func (p *idlePool) size() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	size := 0
-	for _, conns := range p.conns {
-		size += len(conns)
-	}
-	return size
-}
+// closeAll closes all connections.
+func (p *idlePool) closeAll() { p.closeIf(func(*idleConn) bool { return true }) }
 
 // expire closes the connections whose time is over.
 func (p *idlePool) expire(now time.Time) {
+	p.closeIf(func(c *idleConn) bool { return !now.Before(c.until) })
+}
+
+func (p *idlePool) closeIf(closes func(*idleConn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.conns {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.until) {
+			if !closes(c) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -379,7 +379,7 @@
 func (x *exchange) end(e *outcome.Error) {
 	e.RequestID = x.call.ID
 	x.handler.options.Dialect.MarkCall(x.call.ID, x.w.Header())
-	writeError(x.w, e)
+	e.WriteMillisecondsTo(x.w)
 	x.logEnd(string(e.Outcome), e.Status, e.Code)
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -71,7 +71,7 @@
 		refusal := outcome.Refusal(http.StatusBadRequest, outcome.StageAdmission, codeMalformed, err.Error(), 0)
 		h.options.Log.Info().Str("code", refusal.Code).Str("reason", err.Error()).Msg("request_refused")
 		h.options.Metrics.Answered(refusal.Code)
-		writeError(w, refusal)
+		refusal.WriteMillisecondsTo(w)
 		return
 	}
 	x := &exchange{handler: h, call: call, w: w, received: received}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -10,7 +10,7 @@
 // logPlaced records where a request goes and by which figures.
 func (x *exchange) logPlaced(choice placement.Choice) {
 	x.handler.options.Log.Info().
-		Str("request", x.call.ID).
+		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("team", x.team.Name).
 		Int64("catalog", x.catalog.Version).
@@ -29,7 +29,7 @@
 // logUnplaced records why no endpoint was chosen.
 func (x *exchange) logUnplaced(refusal *placement.Refusal) {
 	x.handler.options.Log.Info().
-		Str("request", x.call.ID).
+		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("reason", string(refusal.Reason)).
 		Int64("prompt_tokens", x.call.PromptTokens).
@@ -44,7 +44,7 @@
 // logRepeat records whether a failed attempt is followed by another one.
 func (x *exchange) logRepeat(e *fleet.Endpoint, reason string, allowed bool) {
 	x.handler.options.Log.Info().
-		Str("request", x.call.ID).
+		Str("request_id", x.call.ID).
 		Str("endpoint", e.ID).
 		Str("reason", reason).
 		Int("attempts", x.sent).
@@ -56,7 +56,7 @@
 // logSuspect records that an endpoint is avoided from now on.
 func (x *exchange) logSuspect(e *fleet.Endpoint, reason string) {
 	x.handler.options.Log.Warn().
-		Str("request", x.call.ID).
+		Str("request_id", x.call.ID).
 		Str("endpoint", e.ID).
 		Str("reason", reason).
 		Msg("endpoint_suspected")
@@ -68,7 +68,7 @@
 	m := x.handler.options.Metrics
 	m.Ended(result, code, now.Sub(x.received))
 	line := x.handler.options.Log.Info().
-		Str("request", x.call.ID).
+		Str("request_id", x.call.ID).
 		Str("result", result).
 		Int("status", status).
 		Str("code", code).
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -100,7 +100,7 @@
 				return r.x.order(ctx, t.Endpoint, r.x.handler.options.Dialect.Reserve(t, holdTime))
 			})
 			if err != nil && ctx.Err() == nil {
-				r.x.handler.options.Log.Warn().Str("request", r.x.call.ID).Err(err).Msg("reservation_not_renewed")
+				r.x.handler.options.Log.Warn().Str("request_id", r.x.call.ID).Err(err).Msg("reservation_not_renewed")
 			}
 		}
 	}
@@ -117,7 +117,7 @@
 	defer cancel()
 	err := r.each(func(t Ticket) error { return r.x.order(ctx, t.Endpoint, r.x.handler.options.Dialect.Release(t)) })
 	if err != nil {
-		r.x.handler.options.Log.Warn().Str("request", r.x.call.ID).Err(err).Msg("reservation_not_released")
+		r.x.handler.options.Log.Warn().Str("request_id", r.x.call.ID).Err(err).Msg("reservation_not_released")
 	}
 }
 
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/outcome"
@@ -41,18 +40,3 @@
 func refuseUnavailable(stage outcome.Stage, code, message string, retryAfter time.Duration) *outcome.Error {
 	return outcome.Refusal(http.StatusServiceUnavailable, stage, code, message, retryAfter)
 }
-
-// writeError sends an answer of this instance.
-func writeError(w http.ResponseWriter, e *outcome.Error) {
-	body := e.JSON()
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	header.Set(outcome.HeaderName, string(e.Outcome))
-	if e.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(e.Status)
-	// A caller that has left needs no answer; the server closes its connection.
-	_, _ = w.Write(body)
-}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -78,17 +78,12 @@
 	return nil
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // copyHeader copies what concerns the answer itself.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
+	engine.RemoveHopHeaders(to)
 }
 
 // sendWhole passes a held answer on.
--- a/internal/fleet/catalog.go
+++ b/internal/fleet/catalog.go
@@ -74,8 +74,6 @@
 	ReadRate float64
 	// PairsTime is the time for a million pairs of a token and an earlier token.
 	PairsTime time.Duration
-	// ReportLag is the age of an engine's report on itself.
-	ReportLag time.Duration
 }
 
 // PromptTime returns how long one engine reads a prompt that it reads alone.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -98,17 +98,27 @@
 	return encoded
 }
 
-// WriteTo sends the final answer as a whole HTTP response.
+// WriteTo sends the final answer as a whole HTTP response. Retry-After is in whole seconds, rounded up.
 func (e *Error) WriteTo(w http.ResponseWriter) {
+	e.write(w, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+}
+
+// WriteMillisecondsTo is WriteTo with a Retry-After in thousandths of a second, for callers that read fractions.
+func (e *Error) WriteMillisecondsTo(w http.ResponseWriter) {
+	e.write(w, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+}
+
+func (e *Error) write(w http.ResponseWriter, retryAfter string) {
 	body := e.JSON()
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(HeaderName, string(e.Outcome))
 	if e.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		header.Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(e.Status)
+	// A caller that has left needs no answer; the server closes its connection.
 	_, _ = w.Write(body)
 }
 
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -46,14 +46,14 @@
 	spread bool
 }
 
-// newLongPool sorts the candidates. Cold, suspected and reserve endpoints are left out: one of them would stall all
+// newLongPool sorts the candidates. Cold and suspected endpoints are left out: one of them would stall all
 // readers of the prompt.
 func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
 	pool := &longPool{engine: e, need: need, spread: need.Tokens+need.Output > e.Memory}
 	for i := len(candidates) - 1; i >= 0; i-- {
 		c := candidates[i]
 		switch {
-		case c.Cold || c.Reserve || c.Suspect:
+		case c.Cold || c.Suspect:
 		case i < group && (!pool.spread || c.Streams > 0):
 			pool.guests = append(pool.guests, c)
 		default:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,8 +37,6 @@
 	load.Entry
 	// Cold endpoints get requests only if there is no other one, and never parts of prompts.
 	Cold bool
-	// Reserve endpoints are used only if no other one can serve the request.
-	Reserve bool
 }
 
 // Need describes a request.
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -28,7 +28,7 @@
 	if c.Endpoint.Domain != domain {
 		cost += 0.5
 	}
-	if c.Cold || c.Reserve || c.Suspect {
+	if c.Cold || c.Suspect {
 		cost += 2
 	}
 	return cost
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -67,11 +67,11 @@
 	return choice, true
 }
 
-// preferred returns the candidates that are neither cold nor a reserve.
+// preferred returns the candidates that are neither cold nor suspected.
 func preferred(candidates []Candidate) []Candidate {
 	var kept []Candidate
 	for _, c := range candidates {
-		if !c.Cold && !c.Reserve && !c.Suspect {
+		if !c.Cold && !c.Suspect {
 			kept = append(kept, c)
 		}
 	}
