--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -58,41 +58,6 @@
 	LargeAsked, LargeServed int
 }
 
-// request is one call in the emulator.
-type request struct {
-	arrival
-	instance  int
-	returned  bool
-	arrived   time.Duration
-	holding   *load.Holding
-	first     *endpoint
-	held      map[*fleet.Endpoint]int64
-	ownPart   *part
-	partsLeft int
-	written   int
-	firstAt   time.Duration
-	lastAt    time.Duration
-	paused    bool
-	// place tells how the request was placed, for a trace.
-	place placement.Choice
-}
-
-func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
-
-// heldTokens returns the memory of the request at other endpoints than the first.
-func (r *request) heldTokens() int64 {
-	var held int64
-	for _, tokens := range r.held {
-		held += tokens
-	}
-	return min(held, r.memory())
-}
-
-// worth returns the credit of the request: it grows with the size of the prompt.
-func (r *request) worth(of float64) float64 {
-	return min(of*(0.3+0.7*float64(r.tokens)/r.kind.Prompt.Mean), 4*of)
-}
-
 // event is an action at a time.
 type event struct {
 	at  time.Duration
@@ -199,13 +164,6 @@
 	}
 }
 
-// isLarge reports a prompt of about the largest tenth of its kind.
-func (r *request) isLarge() bool {
-	const ninthDecile = 1.28
-	s := r.kind.Prompt
-	return float64(r.tokens) > quantile(s, ninthDecile)
-}
-
 func (r *run) kindResult(kind *Kind) *KindResult {
 	result := r.result.Kinds[kind.Name]
 	if result == nil {
@@ -335,24 +293,6 @@
 	r.account(call)
 }
 
-func (r *run) account(call *request) {
-	kind := r.kindResult(call.kind)
-	switch {
-	case r.now-call.at > call.kind.Deadline:
-		kind.Refused++
-		return
-	case call.paused || call.firstAt-call.at+networkTime > call.kind.Objective:
-		kind.Late++
-		kind.Earned += call.worth(call.kind.LateWorth)
-	default:
-		kind.OnTime++
-		kind.Earned += call.worth(call.kind.Worth)
-	}
-	if call.isLarge() {
-		kind.LargeServed++
-	}
-}
-
 func (r *run) summary() Result {
 	var earned, owed float64
 	for _, kind := range r.result.Kinds {
@@ -369,31 +309,3 @@
 	r.result.Reading = float64(read) / float64(r.options.Load.Length*time.Duration(len(r.endpoints)))
 	return r.result
 }
-
-// Sum plays a pattern with several seeds and adds up the results.
-func Sum(pattern Pattern, policy Policy, seeds int) Result {
-	sum := Result{Kinds: make(map[string]*KindResult)}
-	for seed := range seeds {
-		result := Play(pattern.Options(policy, uint64(seed)+1))
-		sum.Worth += result.Worth / float64(seeds)
-		sum.Reading += result.Reading / float64(seeds)
-		for name, k := range result.Kinds {
-			if sum.Kinds[name] == nil {
-				sum.Kinds[name] = &KindResult{}
-			}
-			sum.Kinds[name].add(k)
-		}
-	}
-	return sum
-}
-
-func (k *KindResult) add(other *KindResult) {
-	k.Asked += other.Asked
-	k.OnTime += other.OnTime
-	k.Late += other.Late
-	k.Refused += other.Refused
-	k.Earned += other.Earned
-	k.Owed += other.Owed
-	k.LargeAsked += other.LargeAsked
-	k.LargeServed += other.LargeServed
-}
--- /dev/null
+++ b/internal/emulator/request.go
@@ -0,0 +1,51 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
+// request is one call in the emulator.
+type request struct {
+	arrival
+	instance  int
+	returned  bool
+	arrived   time.Duration
+	holding   *load.Holding
+	first     *endpoint
+	held      map[*fleet.Endpoint]int64
+	ownPart   *part
+	partsLeft int
+	written   int
+	firstAt   time.Duration
+	lastAt    time.Duration
+	paused    bool
+	// place tells how the request was placed, for a trace.
+	place placement.Choice
+}
+
+func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
+
+// heldTokens returns the memory of the request at other endpoints than the first.
+func (r *request) heldTokens() int64 {
+	var held int64
+	for _, tokens := range r.held {
+		held += tokens
+	}
+	return min(held, r.memory())
+}
+
+// worth returns the credit of the request: it grows with the size of the prompt.
+func (r *request) worth(of float64) float64 {
+	return min(of*(0.3+0.7*float64(r.tokens)/r.kind.Prompt.Mean), 4*of)
+}
+
+// isLarge reports a prompt of about the largest tenth of its kind.
+func (r *request) isLarge() bool {
+	const ninthDecile = 1.28
+	s := r.kind.Prompt
+	return float64(r.tokens) > quantile(s, ninthDecile)
+}
--- /dev/null
+++ b/internal/loadshare/hub.go
@@ -0,0 +1,110 @@
+package loadshare
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/published"
+)
+
+// groupMember is an instance whose counts this one adds up.
+type groupMember struct {
+	received time.Time
+	stamp    int64
+	position int64
+}
+
+// sendThroughHubs tells the own hub, and as a hub the members and the other hubs.
+func (s *Sharer) sendThroughHubs(ctx context.Context, known acquaintances, now time.Time) {
+	s.mu.Lock()
+	hubs := s.roster.hubs(now)
+	isHub := slices.Contains(hubs, s.options.Address)
+	ownHub := ""
+	if !isHub {
+		ownHub = s.roster.ownHub(now)
+		s.roster.noteAsked(ownHub, now)
+	}
+	seeds := s.roster.silentSeeds(now)
+	group := make(map[string]groupMember, len(s.group))
+	for address, m := range s.group {
+		group[address] = *m
+	}
+	s.mu.Unlock()
+	s.reconnect(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
+	if ownHub != "" {
+		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
+		s.send(ctx, []string{ownHub}, message, sendTimeout)
+	}
+	if !isHub && len(group) == 0 {
+		return
+	}
+	others := slices.DeleteFunc(hubs, func(address string) bool { return address == s.options.Address })
+	s.sendGroup(ctx, others, group, known, now)
+	s.sendTotals(ctx, group, known, now)
+}
+
+// sendGroup tells the other hubs the sum of this hub and its members.
+func (s *Sharer) sendGroup(ctx context.Context, hubs []string, group map[string]groupMember, known acquaintances, now time.Time) {
+	sum, _ := s.options.Book.Sum(now, func(name string) bool {
+		_, isMember := group[name]
+		return isMember
+	})
+	s.addSuspects(sum, now)
+	s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, loadsOf(sum)), sendTimeout)
+}
+
+// sendTotals tells each member the work of all others, and what it lacks of the platform's publications.
+func (s *Sharer) sendTotals(ctx context.Context, group map[string]groupMember, known acquaintances, now time.Time) {
+	totals, _ := s.options.Book.Sum(now, func(name string) bool { return name != hubShare })
+	s.addSuspects(totals, now)
+	for address, m := range group {
+		rest := make(map[uint64]load.Entry, len(totals))
+		for endpoint, e := range totals {
+			rest[endpoint] = e
+		}
+		for _, e := range s.options.Book.Share(address) {
+			rest[e.Endpoint] = rest[e.Endpoint].Less(e)
+		}
+		message := s.message(peer.ScopeTotals, known.all(), loadsOf(rest))
+		message.Echo = m.stamp
+		s.addPublished(&message, m.position)
+		s.send(ctx, []string{address}, message, sendTimeout)
+	}
+}
+
+// addPublished adds the changes after a member's position.
+func (s *Sharer) addPublished(message *peer.LoadShare, position int64) {
+	message.AgeMS = -1
+	if s.options.Feed == nil {
+		return
+	}
+	asOf, confirmed := s.options.Feed.Position()
+	items, whole := s.options.Feed.Since(position)
+	if !whole || confirmed == 0 {
+		return
+	}
+	message.Position = asOf
+	// The state may be confirmed until the end of the current millisecond.
+	message.AgeMS = (clock.Boot() - confirmed).Milliseconds() + 1
+	for _, it := range items {
+		message.Published = append(message.Published, peer.PublishedItem(it))
+	}
+}
+
+// acceptPublished takes over the changes in a hub's message. The hub sent it after it had received the echoed stamp, so
+// that its state is not older than that moment less the age that it states.
+func (s *Sharer) acceptPublished(m *peer.LoadShare) {
+	if s.options.Feed == nil || m.Echo == 0 || m.AgeMS < 0 {
+		return
+	}
+	items := make([]published.Item, 0, len(m.Published))
+	for _, p := range m.Published {
+		items = append(items, published.Item(p))
+	}
+	confirmed := time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond
+	s.options.Feed.Accept(items, m.Position, confirmed)
+}
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -73,13 +73,6 @@
 
 func (a acquaintances) all() []string { return append(slices.Clone(a.met), a.vouched...) }
 
-// groupMember is an instance whose counts this one adds up.
-type groupMember struct {
-	received time.Time
-	stamp    int64
-	position int64
-}
-
 // Sharer sends and receives the messages.
 type Sharer struct {
 	options Options
@@ -174,20 +167,6 @@
 	s.roster.noteVouched(m.Known, now)
 }
 
-// acceptPublished takes over the changes in a hub's message. The hub sent it after it had received the echoed stamp, so
-// that its state is not older than that moment less the age that it states.
-func (s *Sharer) acceptPublished(m *peer.LoadShare) {
-	if s.options.Feed == nil || m.Echo == 0 || m.AgeMS < 0 {
-		return
-	}
-	items := make([]published.Item, 0, len(m.Published))
-	for _, p := range m.Published {
-		items = append(items, published.Item(p))
-	}
-	confirmed := time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond
-	s.options.Feed.Accept(items, m.Position, confirmed)
-}
-
 // Serve sends messages until the context ends.
 func (s *Sharer) Serve(ctx context.Context) error {
 	defer s.node.Close()
@@ -258,83 +237,6 @@
 	s.reconnect(ctx, retried, message)
 }
 
-// sendThroughHubs tells the own hub, and as a hub the members and the other hubs.
-func (s *Sharer) sendThroughHubs(ctx context.Context, known acquaintances, now time.Time) {
-	s.mu.Lock()
-	hubs := s.roster.hubs(now)
-	isHub := slices.Contains(hubs, s.options.Address)
-	ownHub := ""
-	if !isHub {
-		ownHub = s.roster.ownHub(now)
-		s.roster.noteAsked(ownHub, now)
-	}
-	seeds := s.roster.silentSeeds(now)
-	group := make(map[string]groupMember, len(s.group))
-	for address, m := range s.group {
-		group[address] = *m
-	}
-	s.mu.Unlock()
-	s.reconnect(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
-	if ownHub != "" {
-		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
-		s.send(ctx, []string{ownHub}, message, sendTimeout)
-	}
-	if !isHub && len(group) == 0 {
-		return
-	}
-	others := slices.DeleteFunc(hubs, func(address string) bool { return address == s.options.Address })
-	s.sendGroup(ctx, others, group, known, now)
-	s.sendTotals(ctx, group, known, now)
-}
-
-// sendGroup tells the other hubs the sum of this hub and its members.
-func (s *Sharer) sendGroup(ctx context.Context, hubs []string, group map[string]groupMember, known acquaintances, now time.Time) {
-	sum, _ := s.options.Book.Sum(now, func(name string) bool {
-		_, isMember := group[name]
-		return isMember
-	})
-	s.addSuspects(sum, now)
-	s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, loadsOf(sum)), sendTimeout)
-}
-
-// sendTotals tells each member the work of all others, and what it lacks of the platform's publications.
-func (s *Sharer) sendTotals(ctx context.Context, group map[string]groupMember, known acquaintances, now time.Time) {
-	totals, _ := s.options.Book.Sum(now, func(name string) bool { return name != hubShare })
-	s.addSuspects(totals, now)
-	for address, m := range group {
-		rest := make(map[uint64]load.Entry, len(totals))
-		for endpoint, e := range totals {
-			rest[endpoint] = e
-		}
-		for _, e := range s.options.Book.Share(address) {
-			rest[e.Endpoint] = rest[e.Endpoint].Less(e)
-		}
-		message := s.message(peer.ScopeTotals, known.all(), loadsOf(rest))
-		message.Echo = m.stamp
-		s.addPublished(&message, m.position)
-		s.send(ctx, []string{address}, message, sendTimeout)
-	}
-}
-
-// addPublished adds the changes after a member's position.
-func (s *Sharer) addPublished(message *peer.LoadShare, position int64) {
-	message.AgeMS = -1
-	if s.options.Feed == nil {
-		return
-	}
-	asOf, confirmed := s.options.Feed.Position()
-	items, whole := s.options.Feed.Since(position)
-	if !whole || confirmed == 0 {
-		return
-	}
-	message.Position = asOf
-	// The state may be confirmed until the end of the current millisecond.
-	message.AgeMS = (clock.Boot() - confirmed).Milliseconds() + 1
-	for _, it := range items {
-		message.Published = append(message.Published, peer.PublishedItem(it))
-	}
-}
-
 func (s *Sharer) message(scope peer.ShareScope, known []string, loads []peer.EndpointLoad) peer.LoadShare {
 	m := peer.LoadShare{
 		Scope: scope, Address: s.options.Address, Known: known, Loads: loads, Stamp: int64(clock.Boot()), AgeMS: -1,
@@ -369,44 +271,3 @@
 		go s.send(ctx, []string{address}, message, reconnectTimeout)
 	}
 }
-
-func (s *Sharer) ownLoads(now time.Time) []peer.EndpointLoad {
-	own := s.options.Book.Own(now)
-	s.addSuspects(own, now)
-	return loadsOf(own)
-}
-
-// addSuspects marks the endpoints that this instance avoids.
-func (s *Sharer) addSuspects(entries map[uint64]load.Entry, now time.Time) {
-	for _, endpoint := range s.options.Health.Suspected(now) {
-		e := entries[endpoint]
-		e.Endpoint, e.Suspect = endpoint, true
-		entries[endpoint] = e
-	}
-}
-
-func loadsOf(entries map[uint64]load.Entry) []peer.EndpointLoad {
-	loads := make([]peer.EndpointLoad, 0, len(entries))
-	for _, e := range entries {
-		loads = append(loads, peer.EndpointLoad{
-			Endpoint: e.Endpoint, Streams: e.Streams, Context: e.Context,
-			UnreadMS: e.Unread.Milliseconds(), OwnUnreadMS: e.OwnUnread.Milliseconds(), PauseMS: e.Pause.Milliseconds(),
-			Suspect: e.Suspect,
-		})
-	}
-	return loads
-}
-
-func entriesOf(loads []peer.EndpointLoad) []load.Entry {
-	entries := make([]load.Entry, 0, len(loads))
-	for _, l := range loads {
-		entries = append(entries, load.Entry{
-			Endpoint: l.Endpoint, Streams: l.Streams, Context: l.Context,
-			Unread:    time.Duration(l.UnreadMS) * time.Millisecond,
-			OwnUnread: time.Duration(l.OwnUnreadMS) * time.Millisecond,
-			Pause:     time.Duration(l.PauseMS) * time.Millisecond,
-			Suspect:   l.Suspect,
-		})
-	}
-	return entries
-}
