--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -26,6 +26,8 @@
 	ownHub := ""
 	if !isHub {
 		ownHub = s.roster.ownHub(now)
+	}
+	if ownHub != "" {
 		s.roster.noteAsked(ownHub, now)
 	}
 	seeds := s.roster.silentSeeds(now)
@@ -34,9 +36,9 @@
 		group[address] = *m
 	}
 	s.mu.Unlock()
-	s.reconnect(ctx, seeds, s.message(peer.ScopeMember, known.met, s.ownLoads(now)))
+	message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
+	s.reconnect(ctx, seeds, message)
 	if ownHub != "" {
-		message := s.message(peer.ScopeMember, known.met, s.ownLoads(now))
 		s.send(ctx, []string{ownHub}, message, sendTimeout)
 	}
 	if !isHub && len(group) == 0 {
