Refuse at once what is too late

A queue gets shorter no faster than the objective, so that waiting gains nothing and moves later work back.

--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -50,9 +50,10 @@
 	return left
 }
 
-// WaitLimit returns how long a request that was refused for the reason may wait for a place.
+// WaitLimit returns how long a request that was refused for the reason may wait for a place. Slots may empty at any
+// moment, but a queue gets shorter no faster than the objective does, so that a request that is too late is refused at once.
 func WaitLimit(reason Reason, objective time.Duration) time.Duration {
-	if reason == TooLarge {
+	if reason != SlotsFull && reason != NoEndpoint {
 		return 0
 	}
 	return time.Duration(waitShare * float64(objective))
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -326,6 +326,12 @@
 		Expect(left(0, 0)).To(Equal(3 * time.Second))
 	})
 
+	// Guards against requests that are held back although they cannot be placed in time.
+	It("is not spent on waiting for a queue", func() {
+		Expect(placement.WaitLimit(placement.TooLate, 3*time.Second)).To(BeZero())
+		Expect(placement.WaitLimit(placement.SlotsFull, 3*time.Second)).To(Equal(375 * time.Millisecond))
+	})
+
 	// Guards against a stream that is broken off for good because no endpoint would be on time for a new request.
 	It("is longer for a stream that goes on elsewhere", func() {
 		Expect(placement.ObjectiveLeft(placement.Timing{Objective: 3 * time.Second, Waited: 10 * time.Second, Resumed: true})).
