Keep a connection whose answer is read before its sender goroutine ends

Cause: Client.keep asked whether the goroutine that sends the request had ended. On a busy machine the answer is read before that goroutine runs again, so the connection was closed and the next request dialled anew. Ruled out: a fault of the stand-ins, whose answers were whole in each failed run.

Requests up to 8 KiB are written before the answer is read, since an empty send buffer takes them at once. For larger ones the connection enters the pool when the send ends, unless the last piece was not begun at the answer's end.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,6 +22,9 @@
 	defaultMaxHeadBytes = 16 << 10
 	readBufferBytes     = 16 << 10
 
+	// sendEndLimit is how long the end of a request's send is awaited after its answer, before the connection is closed.
+	sendEndLimit = 250 * time.Millisecond
+
 	// maxInterimAnswers bounds the 1xx answers before the final one.
 	maxInterimAnswers = 16
 )
@@ -164,6 +167,9 @@
 // Dials returns the number of connections opened so far.
 func (c *Client) Dials() int64 { return c.dials.Load() }
 
+// Idle returns the number of connections that wait for their next request.
+func (c *Client) Idle() int { return c.idle.size() }
+
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.idle.closeAll() }
 
@@ -197,7 +203,7 @@
 	}
 	l := newLink(conn.raw, c.options.IdleTimeout)
 	conn.reader.Reset(l)
-	go l.send(head, req.Body)
+	l.start(head, req.Body)
 	a := &answer{
 		receiver: receiver, bodyless: req.Method == http.MethodHead,
 		allowUnframed: c.options.AllowUnframed, maySkip: reused,
@@ -229,16 +235,32 @@
 	return &idleConn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, false, nil
 }
 
-// keep stores a connection for reuse and reports whether it did. The request must have been sent whole, because the
-// endpoint reads what is due of a body before the next request.
+// keep stores a connection for reuse and reports whether it did or will. The request must have been sent whole, because
+// the endpoint reads what is due of a body before the next request.
 func (c *Client) keep(address string, conn *idleConn, l *link, a *answer, stop func() bool) bool {
-	if !c.options.Reuse || a.reuse <= 0 || !l.sentWhole() || conn.reader.Buffered() > 0 || !stop() {
+	if !c.options.Reuse || a.reuse <= 0 || conn.reader.Buffered() > 0 || !stop() {
+		return false
+	}
+	if l.hasEnded() {
+		return c.store(address, conn, l, a.reuse)
+	}
+	if !l.lastBegun.Load() {
 		return false
 	}
-	if conn.raw.SetReadDeadline(time.Time{}) != nil {
+	go func() {
+		if !l.awaitEnd(sendEndLimit) || !c.store(address, conn, l, a.reuse) {
+			_ = conn.raw.Close()
+		}
+	}()
+	return true
+}
+
+// store puts a connection whose send has ended into the pool, and reports whether it did.
+func (c *Client) store(address string, conn *idleConn, l *link, reuse time.Duration) bool {
+	if l.sendErr != nil || conn.raw.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	conn.until = time.Now().Add(a.reuse)
+	conn.until = time.Now().Add(reuse)
 	c.idle.put(address, conn)
 	return true
 }
--- a/internal/engine/link.go
+++ b/internal/engine/link.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/wire"
@@ -18,6 +19,10 @@
 	// sendPieceBytes is the unit in which the progress of a request's body is observed.
 	sendPieceBytes = 64 << 10
 
+	// directSendBytes bounds a request that is written without a goroutine of its own. The send buffer of a connection
+	// without unsent bytes takes it at once.
+	directSendBytes = 8 << 10
+
 	// answerGrace is how long an answer is still read after the request could not be sent whole. An endpoint that refuses
 	// a request early may close its receiving side at once.
 	answerGrace = time.Second
@@ -102,6 +107,8 @@
 	idle time.Duration
 	// sendEnded is closed after sent and sendErr have their final values.
 	sendEnded chan struct{}
+	// lastBegun is set before the last piece is written.
+	lastBegun atomic.Bool
 	sent      int64
 	sendErr   error
 
@@ -116,12 +123,22 @@
 	return &link{raw: raw, idle: idle, sendEnded: make(chan struct{}), active: time.Now()}
 }
 
+// start sends the request, a large one while the answer is read.
+func (l *link) start(head, body []byte) {
+	if len(head)+len(body) <= directSendBytes {
+		l.send(head, body)
+		return
+	}
+	go l.send(head, body)
+}
+
 // send writes the request. It counts the bytes that the kernel accepted.
 func (l *link) send(head, body []byte) {
 	defer close(l.sendEnded)
 	first := min(len(body), sendPieceBytes)
 	piece := append(head, body[:first]...)
 	for body = body[first:]; ; body = body[len(piece):] {
+		l.lastBegun.Store(len(body) == 0)
 		n, err := l.raw.Write(piece)
 		l.sent += int64(n)
 		if err != nil {
@@ -144,16 +161,28 @@
 	return l.sent, l.sendErr
 }
 
-// sentWhole reports whether the request was sent without an error.
-func (l *link) sentWhole() bool {
+// hasEnded reports whether the send has ended, with or without an error.
+func (l *link) hasEnded() bool {
 	select {
 	case <-l.sendEnded:
-		return l.sendErr == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// awaitEnd waits for the end of the send and reports whether it came within the given time.
+func (l *link) awaitEnd(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-l.sendEnded:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 func (l *link) progress() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -76,6 +76,17 @@
 	p.conns[address] = append(p.conns[address], c)
 }
 
+// size returns the number of idle connections.
+func (p *idlePool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, conns := range p.conns {
+		n += len(conns)
+	}
+	return n
+}
+
 // closeAll closes all connections.
 func (p *idlePool) closeAll() { p.closeIf(func(*idleConn) bool { return true }) }
 
--- a/internal/engine/reuse_test.go
+++ b/internal/engine/reuse_test.go
@@ -45,18 +45,27 @@
 		return r.body.String()
 	}
 
-	// Guards against a new connection for each request, which endpoints bound and charge for.
-	It("sends the next request on the same connection", func() {
+	// Guards against a new connection for each request, which endpoints bound and charge for. Many requests, because a
+	// connection was given up whenever the answer was read before the goroutine that had sent the request ended.
+	DescribeTable("sends the next request on the same connection", func(bodyBytes int, awaitIdle func(*engine.Client)) {
+		const requests = 2000
 		var connections atomic.Int64
 		client := newClient()
 		req := keepsAnswering(&connections, framed)
-		for range 5 {
+		req.Body = make([]byte, bodyBytes)
+		for range requests {
 			Expect(do(client, req)).To(Equal("hi"))
+			awaitIdle(client)
 		}
 		Expect(connections.Load()).To(BeEquivalentTo(1))
 		Expect(client.Dials()).To(BeEquivalentTo(1))
 		client.CloseIdle()
-	})
+	},
+		Entry("at once after small requests", 2, func(*engine.Client) {}),
+		Entry("soon after requests of several pieces", 100<<10, func(client *engine.Client) {
+			Eventually(client.Idle, eventLimit, "100us").Should(Equal(1))
+		}),
+	)
 
 	// Guards against requests on connections whose endpoint has ended or will end them.
 	DescribeTable("opens a new connection", func(first string) {
