Pass on no 408, 429 or 503 of an endpoint that does not say 'not run'

Cause: judgeWhole passed every whole answer below 500 on, and 503 to requests that may be repeated. Callers read 408, 421, 429 and 503 as 'not run, and never will be'; an endpoint states that only by its own header or by 421. Such an answer is now an attempt that may have run: it is repeated where the profile allows, else the caller gets 502. Spec: 'must say that it is one: a bare status is no promise', which failed for 429, 408 and the repeatable 503 before.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -155,6 +156,21 @@
 		Expect(total(a, b)).To(Equal(1))
 	})
 
+	// Guards against a status that callers read as "not run", passed on from an endpoint that did not say so.
+	DescribeTable("must say that it is one: a bare status is no promise", func(status int, path string, attempts int) {
+		bare := fmt.Sprintf("HTTP/1.1 %d X\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy", status)
+		a, b := newEndpoint(text(bare)), newEndpoint(text(bare))
+		got := newRig([]*fakeEndpoint{a, b}).call(path)
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+		Expect(total(a, b)).To(Equal(attempts))
+	},
+		Entry("429 to a request that must not run twice", http.StatusTooManyRequests, "/unsafe/", 1),
+		Entry("408 to a request that must not run twice", http.StatusRequestTimeout, "/unsafe/", 1),
+		Entry("503 to a request that must not run twice", http.StatusServiceUnavailable, "/unsafe/", 1),
+		Entry("429 to a request that may be repeated", http.StatusTooManyRequests, "/safe/", 2),
+		Entry("503 to a request that may be repeated", http.StatusServiceUnavailable, "/safe/", 2),
+	)
+
 	// Guards against "not run" after a refusal that followed an attempt that may have run.
 	It("does not make an earlier attempt unrun", func() {
 		used := false
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -36,7 +36,7 @@
 	switch {
 	case x.started:
 		x.abort("stream_cut")
-	case x.answer != nil && x.mayPass(x.answer.status):
+	case x.answer != nil:
 		if err := x.answer.sendWhole(x.w); err != nil {
 			x.abort("caller_write_failed")
 			return
@@ -49,12 +49,6 @@
 	}
 }
 
-// mayPass reports whether a failure status of an endpoint may be passed on. Callers read 503 as "not run", which holds
-// only if the endpoint said so.
-func (x *exchange) mayPass(status int) bool {
-	return status != http.StatusServiceUnavailable || x.profile.Repeatable()
-}
-
 // giveUp ends a call that could not be placed.
 func (x *exchange) giveUp(ctx context.Context, refusal *placement.Refusal) {
 	x.logUnplaced(refusal)
--- a/internal/entry/judge.go
+++ b/internal/entry/judge.go
@@ -30,10 +30,22 @@
 		return false
 	case r.streaming:
 		return x.judgeFailure(e, "stream_cut_in_event")
+	case promisesNotRun(r.status):
+		return x.judgeFailure(e, "unconfirmed_status_"+strconv.Itoa(r.status))
 	}
 	return x.judgeWhole(e, r)
 }
 
+// promisesNotRun reports whether callers read a status as "not run, and never will be". An endpoint that gives one without
+// its own word for that may have run the request, so such an answer is not passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // judgeError handles an attempt without a whole answer.
 func (x *exchange) judgeError(e *fleet.Endpoint, err error) bool {
 	var failure *engine.Error
