--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -416,6 +416,15 @@
 	return 0
 }
 
+// describeReports returns the status of the instances that answer, as evidence of a failed expectation.
+func (f *fleet) describeReports() string {
+	text, err := json.MarshalIndent(f.reports(), "", " ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 // liveOwner returns the owner that any answering instance names for an endpoint with fresh evidence, or "".
 func (f *fleet) liveOwner(endpoint string) string {
 	for _, report := range f.reports() {
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -91,7 +91,7 @@
 		f.signal(owner, syscall.SIGSTOP)
 		load(5)
 		Eventually(func() string { return f.liveOwner("turf-0") }, startLimit, "200ms").ShouldNot(BeElementOf("",
-			strings.TrimSuffix(owner, "-controller")))
+			strings.TrimSuffix(owner, "-controller")), f.describeReports)
 		f.signal(owner, syscall.SIGCONT)
 		load(10)
 		wait.Wait()
