--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -112,32 +112,28 @@
 	if first == nil {
 		return Choice{}, false
 	}
-	choice := Choice{First: first.Endpoint, Part: part, Predicted: firstEvent(l.engine, first, part)}
-	taken := map[*fleet.Endpoint]bool{first.Endpoint: true}
-	add := func(helper *Candidate) {
-		taken[helper.Endpoint] = true
-		choice.Helpers = append(choice.Helpers, helper.Endpoint)
-		choice.Predicted = max(choice.Predicted, firstEvent(l.engine, helper, part))
-	}
-	missing := l.need.Tokens + l.need.Output - (l.engine.Memory - first.Context)
+	a := newAssembly(l.engine, first, part, firstEvent(l.engine, first, part))
+	if !l.hold(a, l.need.Tokens+l.need.Output-(l.engine.Memory-first.Context)) {
+		return Choice{}, false
+	}
+	whole := a.fill(readers, func() *Candidate { return l.helper(a.taken, part) })
+	return a.choice, whole && len(a.choice.Helpers) == readers-1
+}
+
+// hold adds helpers that hold the tokens for which the first endpoint has no memory, and reports whether there were
+// enough of them.
+func (l *longPool) hold(a *assembly, missing int64) bool {
 	for missing > 0 {
-		holder := l.holder(taken, part)
+		holder := l.holder(a.taken, a.choice.Part)
 		if holder == nil {
-			return Choice{}, false
+			return false
 		}
 		tokens := min(missing+ticketSlack, holdable(l.engine, holder))
-		choice.Holdings = append(choice.Holdings, Holding{Endpoint: holder.Endpoint, Tokens: tokens})
+		a.choice.Holdings = append(a.choice.Holdings, Holding{Endpoint: holder.Endpoint, Tokens: tokens})
+		a.add(holder)
 		missing -= tokens
-		add(holder)
 	}
-	for len(choice.Helpers) < readers-1 {
-		helper := l.helper(taken, part)
-		if helper == nil {
-			return Choice{}, false
-		}
-		add(helper)
-	}
-	return choice, len(choice.Helpers) == readers-1
+	return true
 }
 
 // holdable returns the tokens that a prompt may take at an endpoint besides its streams.
@@ -238,18 +234,3 @@
 	}
 	return earliestReader(l.engine, l.guests, taken, part)
 }
-
-// earliestReader returns the untaken candidate that can read the part first without breaking a pause.
-func earliestReader(e *fleet.Engine, candidates []Candidate, taken map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
-	var best *Candidate
-	for i := range candidates {
-		c := &candidates[i]
-		if taken[c.Endpoint] || !fitsPause(e, c, part) || c.OwnUnread > maxOvertaken {
-			continue
-		}
-		if best == nil || firstEvent(e, c, part) < firstEvent(e, best, part) {
-			best = c
-		}
-	}
-	return best
-}
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -53,18 +53,9 @@
 	if first == nil {
 		return Choice{}, false
 	}
-	choice := Choice{First: first.Endpoint, Part: part, Predicted: predicted}
-	taken := map[*fleet.Endpoint]bool{first.Endpoint: true}
-	for len(choice.Helpers) < readers-1 {
-		helper := earliestReader(e, candidates, taken, part)
-		if helper == nil {
-			return Choice{}, false
-		}
-		taken[helper.Endpoint] = true
-		choice.Helpers = append(choice.Helpers, helper.Endpoint)
-		choice.Predicted = max(choice.Predicted, firstEvent(e, helper, part))
-	}
-	return choice, true
+	a := newAssembly(e, first, part, predicted)
+	whole := a.fill(readers, func() *Candidate { return earliestReader(e, candidates, a.taken, part) })
+	return a.choice, whole
 }
 
 // preferred returns the candidates that are neither cold nor suspected.
