--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -16,9 +16,13 @@
 		}
 	}
 	perEndpoint := max(int(shortSlots*float64(e.Slots)), 1)
-	return min(1+streams/perEndpoint, len(candidates))
+	return min(1+streams/perEndpoint+len(candidates)/groupReserve, len(candidates))
 }
 
+// groupReserve gives one more endpoint to the short group for each so many: when short prompts set in, all instances
+// place them at the same few endpoints until the first counts of the others arrive.
+const groupReserve = 20
+
 // shortPause is the longest pause of streams that count as short.
 const shortPause = 400 * time.Millisecond
 
