--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -42,10 +42,14 @@
 	options HandlerOptions
 	// stopAt is the boot-time at which requests still running will be cut; zero unless a planned stop has begun.
 	stopAt atomic.Int64
+	// started is the time at which the instance began to get acquainted with the others.
+	started time.Time
 }
 
 // NewHandler returns a handler.
-func NewHandler(options HandlerOptions) *Handler { return &Handler{options: options} }
+func NewHandler(options HandlerOptions) *Handler {
+	return &Handler{options: options, started: time.Now()}
+}
 
 // StartStop begins a planned stop, at whose end the requests still running are cut. Answers close their connections
 // from now on, and requests that would not end in time are refused.
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -11,6 +11,9 @@
 const (
 	// placeInterval is the pause between two tries to place a waiting request.
 	placeInterval = 10 * time.Millisecond
+	// acquaintTime is how long after its start an instance expects to hear from others. One that hears from none later on
+	// takes its own work for all.
+	acquaintTime = 3 * time.Second
 )
 
 // place chooses endpoints, and waits a moment for room. It returns a refusal if there is none.
@@ -41,7 +44,8 @@
 }
 
 func (x *exchange) placeNow(objective time.Duration) (placement.Choice, *placement.Refusal) {
-	candidates := x.candidates(time.Now())
+	now := time.Now()
+	candidates, instances := x.candidates(now)
 	e := x.service.Engine
 	if e == nil {
 		return x.handler.options.Planner.Plain(candidates, x.handler.options.Domain)
@@ -51,14 +55,16 @@
 		Output:    x.call.MaxOutput,
 		Objective: objective,
 		MaxPause:  x.profile.MaxPause,
+		Blind:     instances == 0 && now.Sub(x.handler.started) < acquaintTime,
 	})
 }
 
-// candidates returns the endpoints of the service that may get the request.
-func (x *exchange) candidates(now time.Time) []placement.Candidate {
+// candidates returns the endpoints of the service that may get the request, and the number of other instances whose work
+// is known.
+func (x *exchange) candidates(now time.Time) ([]placement.Candidate, int) {
 	h := x.handler
 	snapshot := h.options.State.Snapshot()
-	totals, _ := h.options.Book.Totals(now)
+	totals, instances := h.options.Book.Totals(now)
 	var candidates []placement.Candidate
 	for _, e := range snapshot.Endpoints[x.service.Name] {
 		if e.Leaving || snapshot.OutOfService[e.Domain] || x.tried[e.ID] {
@@ -72,7 +78,7 @@
 		}
 		candidates = append(candidates, c)
 	}
-	return candidates
+	return candidates, instances
 }
 
 // takeCold counts a request against the cold start of its endpoint and reports whether it may be sent.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,6 +48,8 @@
 	Objective time.Duration
 	// MaxPause is the longest pause between two events of a stream on time.
 	MaxPause time.Duration
+	// Blind is true while the work of the other instances is not known.
+	Blind bool
 }
 
 // Choice is the result of a placement.
@@ -112,6 +114,10 @@
 	}
 	group := shortGroup(e, candidates)
 	if IsShort(e, need) {
+		if need.Blind {
+			// All instances start at once after a loss of power, and would fill the same few endpoints.
+			group = len(candidates)
+		}
 		return p.placeShort(e, candidates, group, need)
 	}
 	return p.placeLong(e, candidates, group, need)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -103,6 +103,20 @@
 		Expect(choice.Part).To(BeNumerically("<", 90*time.Millisecond))
 	})
 
+	// Guards against a fleet whose instances all start at once, know nothing of each other and fill the first endpoints
+	// (alba-pedidos-grown, inc-9f11: 422 refusals by the first four of 60 endpoints).
+	It("spread over all endpoints while the work of others is not known", func() {
+		p := planner()
+		need := shortNeed
+		need.Blind = true
+		picked := make(map[string]bool)
+		for range 200 {
+			choice, _ := p.Model(&standard, idle(20), need)
+			picked[choice.First.ID] = true
+		}
+		Expect(len(picked)).To(BeNumerically(">=", 18))
+	})
+
 	// Guards against instances that pick the same endpoint at the same moment.
 	It("spread over near-equal endpoints", func() {
 		p := planner()
