--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -94,13 +94,14 @@
 	return Choice{}, &Refusal{Reason: TooLate, RetryAfter: p.retryAfter(best.Predicted - limit), Predicted: best.Predicted}
 }
 
-// leastUnread returns the time until the first reader with room has nothing to read.
+// leastUnread returns the time until the first reader with room has nothing to read; zero if one has nothing or none has
+// room.
 func (l *longPool) leastUnread() time.Duration {
-	least := time.Duration(0)
+	least, found := time.Duration(0), false
 	for i := range l.readers {
 		c := &l.readers[i]
-		if l.hasRoom(c) && (least == 0 || c.Unread < least) {
-			least = c.Unread
+		if l.hasRoom(c) && (!found || c.Unread < least) {
+			least, found = c.Unread, true
 		}
 	}
 	return least
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -54,7 +54,7 @@
 func (p Planner) shortChoice(e *fleet.Engine, candidates []Candidate, need Need, reading time.Duration, readers int) (Choice, bool) {
 	part := reading / time.Duration(readers)
 	first, predicted := p.earliest(e, candidates, need, part)
-	if first == nil {
+	if first == nil || readers > 1 && !fitsShared(e, first, part, dueShare) {
 		return Choice{}, false
 	}
 	a := newAssembly(e, first, part, predicted)
