--- /dev/null
+++ b/internal/testkit/process.go
@@ -0,0 +1,70 @@
+package testkit
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// BuildBinaries builds the programs of the repository into a new directory, which the caller removes.
+func BuildBinaries() (dir string, err error) {
+	if dir, err = os.MkdirTemp("", "acacialift-bin"); err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "github.com/acacialift/acacialift/cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		return dir, fmt.Errorf("build: %w: %s", err, output)
+	}
+	return dir, nil
+}
+
+// FreeAddresses returns loopback addresses on which nothing listens.
+func FreeAddresses(count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
+
+// EntrySettings describes an instance of acacia-entry on loopback.
+type EntrySettings struct {
+	Instance string
+	Domain   string
+	// Store is the address of the platform's store.
+	Store string
+	Seeds []string
+	// Callers, Readiness, Peers and Metrics are listening addresses.
+	Callers, Readiness, Peers, Metrics string
+}
+
+// Write writes the settings file, in one step for a process that reads it meanwhile.
+func (s *EntrySettings) Write(path string) error {
+	seeds := make([]string, len(s.Seeds))
+	for i, seed := range s.Seeds {
+		seeds[i] = fmt.Sprintf("%q", seed)
+	}
+	text := fmt.Sprintf(`instance: %s
+domain: %s
+region: west
+addresses: {callers: %q, readiness: %q, peers: %q, metrics: %q}
+platform: %q
+seeds: [%s]
+peers_key: a-key-of-sixteen-bytes
+bounds: {stop_grace: 8s, strict_revocation: true, revocation_time: 5s, retry_ratio: 0.2, retry_slack: 100,
+  retry_window: 10s, cold_factor: 1.5, cold_slack: 5, least_instances: 1, max_connections: 100}
+`, s.Instance, s.Domain, s.Callers, s.Readiness, s.Peers, s.Metrics, s.Store, strings.Join(seeds, ", "))
+	written := filepath.Join(filepath.Dir(path), "."+filepath.Base(path))
+	if err := os.WriteFile(written, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(written, path)
+}
--- a/test/process/entry_test.go
+++ b/test/process/entry_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,12 +11,14 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/testkit"
+	"github.com/acacialift/acacialift/platform/platformtest"
 )
 
 // entryLimit bounds the wait for a state of acacia-entry; no verdict depends on how much of it is used.
@@ -34,45 +34,16 @@
 	return listener.Addr().String()
 }
 
-// platformStore is a store with one configuration and the given endpoint, which never changes. It answers only while up.
-type platformStore struct {
-	mu       sync.Mutex
-	up       bool
-	endpoint string
-}
+// unavailable is the fault of a store that answers no call.
+var unavailable = platformtest.Fault{Status: http.StatusServiceUnavailable}
 
-func (s *platformStore) setUp(up bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.up = up
-}
-
-func (s *platformStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	up := s.up
-	s.mu.Unlock()
-	if !up {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if strings.HasSuffix(r.URL.Path, "watch") {
-		select {
-		case <-r.Context().Done():
-		case <-time.After(200 * time.Millisecond):
-		}
-		_, _ = io.WriteString(w, `{"events":[],"as-of":3}`)
-		return
-	}
-	type item struct {
-		Key      string `json:"key"`
-		Value    []byte `json:"value"`
-		Revision int64  `json:"revision"`
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"as-of": 3, "items": []item{
-		{Key: "op/config", Revision: 2, Value: []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","path-prefix":"/p/",` +
-			`"kind":"idempotent","timeout-ms":9000,"target-latency-ms":100,"service":"s","attempts":1}],"services":[{"name":"s"}]}`)},
-		{Key: "servers/i-1", Revision: 3, Value: []byte(`{"service":"s","address":"` + s.endpoint + `","zone":"yard-1","slots":4,"state":"ready"}`)},
-	}})
+// newPlatformStore returns a store with one configuration and one endpoint.
+func newPlatformStore(endpoint string) *platformtest.Store {
+	s := platformtest.NewStore()
+	s.Put("op/config", `{"version":1,"routes":[{"name":"r","host":"h.example","path-prefix":"/p/",`+
+		`"kind":"idempotent","timeout-ms":9000,"target-latency-ms":100,"service":"s","attempts":1}],"services":[{"name":"s"}]}`)
+	s.Put("servers/i-1", `{"service":"s","address":"`+endpoint+`","zone":"yard-1","slots":4,"state":"ready"}`)
+	return s
 }
 
 // entryProcess is a running acacia-entry.
@@ -87,17 +58,11 @@
 	addresses := freeAddresses(4)
 	p := &entryProcess{output: &bytes.Buffer{}, callers: addresses[0], readiness: addresses[1], metrics: addresses[3]}
 	p.settings = filepath.Join(GinkgoT().TempDir(), "entry.yaml")
-	text := fmt.Sprintf(`instance: entry-1
-domain: yard-1
-region: west
-addresses: {callers: %q, readiness: %q, peers: %q, metrics: %q}
-platform: %q
-seeds: [%q]
-peers_key: a-key-of-sixteen-bytes
-bounds: {stop_grace: 8s, strict_revocation: true, revocation_time: 5s, retry_ratio: 0.2, retry_slack: 100,
-  retry_window: 10s, cold_factor: 1.5, cold_slack: 5, least_instances: 1, max_connections: 100}
-`, addresses[0], addresses[1], addresses[2], addresses[3], store, addresses[2])
-	Expect(os.WriteFile(p.settings, []byte(text), 0o600)).To(Succeed())
+	settings := testkit.EntrySettings{
+		Instance: "entry-1", Domain: "yard-1", Store: store, Seeds: []string{addresses[2]},
+		Callers: addresses[0], Readiness: addresses[1], Peers: addresses[2], Metrics: addresses[3],
+	}
+	Expect(settings.Write(p.settings)).To(Succeed())
 	p.command = exec.Command(filepath.Join(binaries, "acacia-entry"), "--settings", p.settings)
 	p.command.Stdout = p.output
 	Expect(p.command.Start()).To(Succeed())
@@ -148,11 +113,12 @@
 	// and against a process that says it is ready before it can serve.
 	It("serves, reloads its settings and stops without cutting a request", func() {
 		arrived := make(chan struct{}, 1)
-		store := &platformStore{endpoint: slowEndpoint(arrived)}
+		store := newPlatformStore(slowEndpoint(arrived))
+		store.SetFault(unavailable)
 		p := startEntry(serveHTTP(store.ServeHTTP))
 		Consistently(p.isReady, 500*time.Millisecond).Should(BeFalse())
 		Eventually(func() int { status, _ := p.get("early"); return status }, entryLimit).Should(Equal(http.StatusServiceUnavailable))
-		store.setUp(true)
+		store.SetFault(platformtest.Fault{})
 		Eventually(p.isReady, entryLimit).Should(BeTrue())
 
 		Expect(p.command.Process.Signal(syscall.SIGHUP)).To(Succeed())
@@ -183,7 +149,7 @@
 
 	// Guards against counters that cannot be read while the process serves, and against wrong settings that start.
 	It("shows its counters and refuses wrong settings", func() {
-		store := &platformStore{endpoint: "127.0.0.1:1", up: true}
+		store := newPlatformStore("127.0.0.1:1")
 		p := startEntry(serveHTTP(store.ServeHTTP))
 		Eventually(p.isReady, entryLimit).Should(BeTrue())
 		status, _ := p.get("no-endpoint-listens")
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -45,11 +44,8 @@
 
 var _ = BeforeSuite(func() {
 	var err error
-	binaries, err = os.MkdirTemp("", "acacialift-bin")
+	binaries, err = testkit.BuildBinaries()
 	Expect(err).NotTo(HaveOccurred())
-	build := exec.Command("go", "build", "-o", binaries+"/", "github.com/acacialift/acacialift/cmd/...")
-	output, err := build.CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(output))
 })
 
 var _ = AfterSuite(func() { _ = os.RemoveAll(binaries) })
@@ -79,13 +75,9 @@
 }
 
 func freeAddresses(count int) []string {
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
-		addresses[i] = listener.Addr().String()
-	}
+	GinkgoHelper()
+	addresses, err := testkit.FreeAddresses(count)
+	Expect(err).NotTo(HaveOccurred())
 	return addresses
 }
 
