Give each test process its own loopback address

A process that is restarted listens on the same ports again. Each test process now takes addresses that only it listens on.

--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -21,11 +21,19 @@
 	return dir, nil
 }
 
+// ownHost is a loopback address that only this test process listens on. Outgoing connections and other test processes,
+// which use other addresses, cannot take the port of a process that is being restarted.
+func ownHost() string {
+	const idBits = 22
+	id := os.Getpid() & (1<<idBits - 1)
+	return net.IPv4(127, byte(1+id>>16), byte(id>>8), byte(id)).String()
+}
+
 // FreeAddresses returns loopback addresses on which nothing listens.
 func FreeAddresses(count int) ([]string, error) {
 	addresses := make([]string, count)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ownHost(), "0"))
 		if err != nil {
 			return nil, err
 		}
