--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -187,7 +187,7 @@
 	need := placement.Need{
 		Tokens: call.tokens, Output: int64(call.events * eventTokens), MaxPause: call.kind.MaxPause,
 		Lot:    call.lot,
-		Unseen: r.books[call.instance].Others(r.clock()).Demand[service] * r.options.ShareInterval.Seconds(),
+		Unseen: r.books[call.instance].OthersDemand(service, r.clock()) * r.options.ShareInterval.Seconds(),
 		Objective: placement.ObjectiveLeft(placement.Timing{
 			Objective: call.kind.Objective, TimeLimit: call.kind.Deadline,
 			Budget: call.kind.Deadline - (call.arrived - call.at), Waited: r.now - call.arrived,
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -49,6 +49,9 @@
 		Dur("retry_after_ms", refusal.RetryAfter).
 		Dur("waited_ms", time.Since(x.received)).
 		Int("endpoints", refusal.Candidates).
+		Float64("number", x.lot).
+		Float64("unseen", x.unseen(time.Now())).
+		Dur("counts_age_ms", x.handler.options.CountsAge(time.Now())).
 		Msg("request_not_placed")
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -78,7 +78,7 @@
 // unseen returns how many short prompts the other instances place while their counts are on the way.
 func (x *exchange) unseen(now time.Time) float64 {
 	h := x.handler
-	return h.options.Book.Others(now).Demand[x.service.Key()] * h.options.CountsAge(now).Seconds()
+	return h.options.Book.OthersDemand(x.service.Key(), now) * h.options.CountsAge(now).Seconds()
 }
 
 // candidates returns the endpoints of the service that may get the request, and the number of other instances whose work
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -191,20 +191,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sum = b.own(now)
-	instances = b.addShares(&sum, now, includes)
-	return sum, instances
-}
-
-// Others returns the counts of the other instances alone.
-func (b *Book) Others(now time.Time) Counts {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	sum := newCounts()
-	b.addShares(&sum, now, func(string) bool { return true })
-	return sum
-}
-
-func (b *Book) addShares(sum *Counts, now time.Time, includes func(instance string) bool) (instances int) {
 	for name, s := range b.shares {
 		if now.Sub(s.received) > shareLifetime {
 			delete(b.shares, name)
@@ -215,7 +201,20 @@
 			sum.add(s.counts)
 		}
 	}
-	return instances
+	return sum, instances
+}
+
+// OthersDemand returns the short prompts for a service that arrive at the other instances in a second.
+func (b *Book) OthersDemand(service uint32, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var perSecond float64
+	for _, s := range b.shares {
+		if now.Sub(s.received) <= shareLifetime {
+			perSecond += s.counts.Demand[service]
+		}
+	}
+	return perSecond
 }
 
 // Share returns the last counts of another instance.
--- a/internal/load/book_test.go
+++ b/internal/load/book_test.go
@@ -83,7 +83,7 @@
 		own := book.Own(now)
 		Expect(own.Demand[service]).To(BeNumerically("~", 20, 1))
 		book.Merge("other", load.Counts{Demand: map[uint32]float64{service: 30}}, now)
-		Expect(book.Others(now).Demand[service]).To(BeNumerically("==", 30))
+		Expect(book.OthersDemand(service, now)).To(BeNumerically("==", 30))
 		totals, _ := book.Totals(now)
 		Expect(totals.Demand[service]).To(BeNumerically("~", 50, 1))
 		Expect(totals.Less(book.Share("other")).Demand[service]).To(BeNumerically("~", own.Demand[service], 0.001))
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -258,7 +258,7 @@
 			}()
 		}
 		for _, i := range all {
-			Eventually(func() float64 { return i.book.Others(time.Now()).Demand[service] }, eventLimit).
+			Eventually(func() float64 { return i.book.OthersDemand(service, time.Now()) }, eventLimit).
 				Should(BeNumerically("~", demand*(size-1), demand*size/10))
 		}
 	})
