Take free addresses and the readiness question from one place in tests

Three packages had their own search for free loopback addresses beside testkit.FreeAddresses, and two asked an instance whether it is ready by their own code (platformtest.IsReady now). The soak loses a parameter that was always nil and a map used as a condition. Tests only; no assertion changed.

--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
@@ -159,7 +160,7 @@
 		d := newEndpoint("d1", "desk", answering(wholeAnswer(201, "{}")))
 		r := newRig(d)
 		reachable := r.address
-		r.locked(func() { r.moveKeys(freeAddress()) })
+		r.locked(func() { r.moveKeys(testkit.FreeAddresses(1)[0]) })
 		Eventually(func() string { return r.do(booking(newKey(), shortBudget)).error.Code }, eventLimit).
 			Should(Equal("key_home_unreachable"))
 		seen := d.seen()
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -37,15 +37,6 @@
 	fence      = 77
 )
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() string {
-	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // controller is a scripted controller: the gateway's own one, the owner of all endpoints and the home of all keys.
 // Scripts run on the read loop, one at a time; a nil reply stands for a lost one.
 type controller struct {
@@ -90,7 +81,7 @@
 	}
 	// Another process may take the address between its choice and its use.
 	Eventually(func() error {
-		c.address = freeAddress()
+		c.address = testkit.FreeAddresses(1)[0]
 		return c.listen()
 	}, eventLimit).Should(Succeed())
 	DeferCleanup(func() { c.node.Close() })
@@ -370,7 +361,7 @@
 
 // closedEndpoint refuses connections.
 func closedEndpoint(name, service string) *endpoint {
-	return &endpoint{name: name, service: service, address: freeAddress()}
+	return &endpoint{name: name, service: service, address: testkit.FreeAddresses(1)[0]}
 }
 
 func answering(text string) func(*arrival) {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -34,20 +33,6 @@
 	stop    context.CancelFunc
 }
 
-func freeAddress() string { return freeAddresses(1)[0] }
-
-// freeAddresses returns distinct addresses.
-func freeAddresses(n int) []string {
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 func start(name, address, key string, seeds ...string) *instance {
 	return startWithFeed(name, address, key, nil, seeds...)
 }
@@ -86,10 +71,10 @@
 
 	// Guards against instances that do not find each other because a seed is down or stale.
 	It("find each other through one live seed of several, and share their work", func() {
-		dead, first := freeAddress(), freeAddress()
+		dead, first := testkit.FreeAddresses(1)[0], testkit.FreeAddresses(1)[0]
 		a := start("a", first, key, dead, first)
-		b := start("b", freeAddress(), key, dead, first)
-		c := start("c", freeAddress(), key, dead, first)
+		b := start("b", testkit.FreeAddresses(1)[0], key, dead, first)
+		c := start("c", testkit.FreeAddresses(1)[0], key, dead, first)
 		a.book.Place(load.Work{First: endpoint}, time.Now())
 		b.book.Place(load.Work{First: endpoint}, time.Now())
 		for _, i := range []*instance{a, b, c} {
@@ -100,9 +85,9 @@
 
 	// Guards against the work of a dead instance that keeps endpoints busy for ever.
 	It("forget the work of an instance that ends", func() {
-		first := freeAddress()
+		first := testkit.FreeAddresses(1)[0]
 		a := start("a", first, key, first)
-		b := start("b", freeAddress(), key, first)
+		b := start("b", testkit.FreeAddresses(1)[0], key, first)
 		b.book.Place(load.Work{First: endpoint}, time.Now())
 		Eventually(a.streamsAt(endpoint), eventLimit).Should(Equal(1))
 		b.stop()
@@ -111,18 +96,18 @@
 
 	// Guards against processes of another deployment that share this one's counts.
 	It("refuse a wrong key", func() {
-		first := freeAddress()
+		first := testkit.FreeAddresses(1)[0]
 		a := start("a", first, key, first)
-		b := start("b", freeAddress(), "another-key-of-16-bytes", first)
+		b := start("b", testkit.FreeAddresses(1)[0], "another-key-of-16-bytes", first)
 		b.book.Place(load.Work{First: endpoint}, time.Now())
 		Consistently(a.streamsAt(endpoint), 300*time.Millisecond).Should(BeZero())
 	})
 
 	// Guards against a failing endpoint that each instance has to find out for itself.
 	It("tell each other which endpoints fail", func() {
-		first := freeAddress()
+		first := testkit.FreeAddresses(1)[0]
 		a := start("a", first, key, first)
-		b := start("b", freeAddress(), key, first)
+		b := start("b", testkit.FreeAddresses(1)[0], key, first)
 		Eventually(func() int { return a.sharer.Live(time.Now()) }, eventLimit).Should(Equal(1))
 		b.health.Unreachable(endpoint.Key(), time.Now())
 		Eventually(func() bool {
@@ -183,7 +168,7 @@
 		return all
 	}
 	startFleet := func(feeds ...*fakeFeed) []*instance {
-		addresses := freeAddresses(size)
+		addresses := testkit.FreeAddresses(size)
 		return startInstances("i", addresses, addresses[:3], feeds...)
 	}
 	placeEverywhere := func(all []*instance) {
@@ -199,7 +184,7 @@
 
 	// Guards against a fleet that does not form because only one of its seeds is up.
 	It("shares its work with one live seed", func() {
-		addresses := freeAddresses(size + 2)
+		addresses := testkit.FreeAddresses(size + 2)
 		all := startInstances("i", addresses[2:], addresses[:3])
 		placeEverywhere(all)
 		expectStreams(all, size)
@@ -208,7 +193,7 @@
 	// Guards against two halves that go on apart: the one has formed before the seed was restarted, the other after it.
 	It("becomes one again when its seed has been away", func() {
 		const half = 15
-		addresses := freeAddresses(2*half + 1)
+		addresses := testkit.FreeAddresses(2*half + 1)
 		seed, first, second := addresses[0], addresses[1:half+1], addresses[half+1:]
 		before := startInstances("seed", []string{seed}, []string{seed})
 		all := startInstances("a", first, []string{seed})
@@ -270,7 +255,7 @@
 		for i := range feeds {
 			feeds[i] = &fakeFeed{asOf: 1, confirmed: clock.Boot()}
 		}
-		addresses := freeAddresses(members)
+		addresses := testkit.FreeAddresses(members)
 		all := startInstances("i", addresses, addresses[:1], feeds...)
 		for i := range endpoints {
 			all[0].book.Place(load.Work{First: &fleet.Endpoint{ID: fmt.Sprint(i)}}, time.Now())
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -7,6 +7,9 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
 )
 
 // BuildBinaries builds the programs of the repository into a new directory, which the caller removes.
@@ -29,18 +32,17 @@
 	return net.IPv4(127, byte(1+id>>16), byte(id>>8), byte(id)).String()
 }
 
-// FreeAddresses returns loopback addresses on which nothing listens.
-func FreeAddresses(count int) ([]string, error) {
+// FreeAddresses returns distinct loopback addresses on which nothing listens. The spec fails if there are none.
+func FreeAddresses(count int) []string {
+	ginkgo.GinkgoHelper()
 	addresses := make([]string, count)
 	for i := range addresses {
 		listener, err := net.Listen("tcp", net.JoinHostPort(ownHost(), "0"))
-		if err != nil {
-			return nil, err
-		}
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		defer listener.Close()
 		addresses[i] = listener.Addr().String()
 	}
-	return addresses, nil
+	return addresses
 }
 
 // EntrySettings describes an instance of acacia-entry on loopback.
--- a/test/process/entry_test.go
+++ b/test/process/entry_test.go
@@ -55,7 +55,7 @@
 }
 
 func startEntry(store string) *entryProcess {
-	addresses := freeAddresses(4)
+	addresses := testkit.FreeAddresses(4)
 	p := &entryProcess{output: &bytes.Buffer{}, callers: addresses[0], readiness: addresses[1], metrics: addresses[3]}
 	p.settings = filepath.Join(GinkgoT().TempDir(), "entry.yaml")
 	settings := testkit.EntrySettings{
@@ -70,14 +70,7 @@
 	return p
 }
 
-func (p *entryProcess) isReady() bool {
-	response, err := http.Get("http://" + p.readiness + "/v1/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
+func (p *entryProcess) isReady() bool { return platformtest.IsReady(p.readiness) }
 
 // get sends a request and returns the status and body; status 0 stands for no whole answer.
 func (p *entryProcess) get(id string) (int, string) {
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -74,13 +74,6 @@
 	platform  string
 }
 
-func freeAddresses(count int) []string {
-	GinkgoHelper()
-	addresses, err := testkit.FreeAddresses(count)
-	Expect(err).NotTo(HaveOccurred())
-	return addresses
-}
-
 // startFleet starts all processes and waits until each endpoint has an owner that grants.
 func startFleet(options fleetOptions) *fleet {
 	f := &fleet{options: options, dir: GinkgoT().TempDir(), processes: make(map[string]*exec.Cmd)}
@@ -105,7 +98,7 @@
 }
 
 func (f *fleet) describe() {
-	addresses := freeAddresses(2 + 3*f.options.instances + f.options.engines + f.options.desks)
+	addresses := testkit.FreeAddresses(2 + 3*f.options.instances + f.options.engines + f.options.desks)
 	take := func() string {
 		address := addresses[0]
 		addresses = addresses[1:]
--- a/test/soak/endpoint_test.go
+++ b/test/soak/endpoint_test.go
@@ -74,12 +74,20 @@
 	w.Header().Set("Acacialift-Request-Id", id)
 	defer e.running.Add(-1)
 	full := e.running.Add(1) > endpointSlots
-	if other || full {
-		w.Header().Set("Acacialift-Not-Executed", "1")
-		w.WriteHeader(map[bool]int{true: http.StatusMisdirectedRequest, false: http.StatusServiceUnavailable}[other])
-		return
+	switch {
+	case other:
+		refuse(w, http.StatusMisdirectedRequest)
+	case full:
+		refuse(w, http.StatusServiceUnavailable)
+	default:
+		e.run(w, r, id, string(body))
 	}
-	e.run(w, r, id, string(body))
+}
+
+// refuse answers that the request has not run.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Acacialift-Not-Executed", "1")
+	w.WriteHeader(status)
 }
 
 func (e *endpoint) run(w http.ResponseWriter, r *http.Request, id, body string) {
--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/acacialift/acacialift/internal/testkit"
+	"github.com/acacialift/acacialift/platform/platformtest"
 )
 
 const (
@@ -120,16 +120,7 @@
 	}
 }
 
-// isReady asks the readiness address.
-func (e *entry) isReady() bool {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + e.settings.Readiness + "/v1/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
+func (e *entry) isReady() bool { return platformtest.IsReady(e.settings.Readiness) }
 
 // checkResources notes memory or descriptors above the limits.
 func (e *entry) checkResources() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -85,10 +85,8 @@
 }
 
 func (w *world) startEntries(dir, store string) error {
-	addresses, err := testkit.FreeAddresses(4 * entryCount)
-	if err != nil {
-		return err
-	}
+	var err error
+	addresses := testkit.FreeAddresses(4 * entryCount)
 	seeds := []string{addresses[2], addresses[6], "127.0.0.1:1"}
 	for i := range entryCount {
 		own := addresses[4*i : 4*i+4]
@@ -306,13 +304,13 @@
 	_ = e.server.Close()
 	time.Sleep(lapseTime)
 	w.store.Remove("servers/" + e.id)
-	w.replace(s.target, e, nil)
+	w.replace(s.target, e)
 }
 
 // drain ends an endpoint by plan: another one starts first, and an endpoint of another service takes over its address.
 func (w *world) drain(s step) {
 	e := w.endpointAt(s.target)
-	if !w.replace(s.target, e, nil) {
+	if !w.replace(s.target, e) {
 		return
 	}
 	w.enter(e, "draining", 0)
@@ -329,7 +327,7 @@
 }
 
 // replace puts a new endpoint into a place, unless another one has been put there already.
-func (w *world) replace(target int, old *endpoint, at *link) bool {
+func (w *world) replace(target int, old *endpoint) bool {
 	place := target % len(w.endpoints)
 	w.mu.Lock()
 	current := w.endpoints[place] == old
@@ -337,7 +335,7 @@
 	if !current {
 		return false
 	}
-	e, err := w.addEndpoint(old.service, old.domain, at, coldTime)
+	e, err := w.addEndpoint(old.service, old.domain, nil, coldTime)
 	if err != nil {
 		w.record.fault("endpoint: " + err.Error())
 		return false
