--- a/internal/limit/window.go
+++ b/internal/limit/window.go
@@ -40,7 +40,7 @@
 	// Ratio is the number of repeats that all instances together may send for each request.
 	Ratio float64
 	// Slack is the number of repeats in a window that all instances together may send besides.
-	Slack int
+	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
 	// Fleet tells among how many instances Slack is divided.
@@ -75,7 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	allowed := safety * r.options.Ratio * float64(r.window(r.requests, service).Count(now))
-	allowed += safety * float64(r.options.Slack) * r.options.Fleet.Share(now)
+	allowed += safety * r.options.Slack * r.options.Fleet.Share(now)
 	repeats := r.window(r.repeats, service)
 	if float64(repeats.Count(now)+1) > allowed {
 		return false
@@ -100,13 +100,13 @@
 type Cold struct {
 	mu     sync.Mutex
 	factor float64
-	slack  int
+	slack  float64
 	fleet  *Fleet
 	sent   map[uint32]*Window
 }
 
 // NewCold returns the limiter. An endpoint accepts rate x factor + slack requests a second from all instances.
-func NewCold(factor float64, slack int, fleet *Fleet) *Cold {
+func NewCold(factor, slack float64, fleet *Fleet) *Cold {
 	return &Cold{factor: factor, slack: slack, fleet: fleet, sent: make(map[uint32]*Window)}
 }
 
@@ -118,7 +118,7 @@
 }
 
 func (c *Cold) allows(endpoint uint32, rate float64, now time.Time) bool {
-	share := safety * (rate*c.factor + float64(c.slack)) * c.fleet.Share(now)
+	share := safety * (rate*c.factor + c.slack) * c.fleet.Share(now)
 	w := c.sent[endpoint]
 	return share >= 1 && (w == nil || float64(w.Count(now)+1) <= share)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/acacialift/acacialift/internal/strictyaml"
 )
@@ -17,6 +18,17 @@
 	// PeersKey is the key that all instances of a deployment present to each other.
 	PeersKey Key         `yaml:"peers_key"`
 	Bounds   EntryBounds `yaml:"bounds"`
+	Limits   EntryLimits `yaml:"limits"`
+}
+
+// EntryLimits holds what the process may use of its machine. A limit of zero is not known.
+type EntryLimits struct {
+	// ProcessorShare is a part of a core. Instances with more of it take on more of the common work.
+	ProcessorShare float64 `yaml:"processor_share"`
+	// MemoryMB is in MB of 2^20 bytes.
+	MemoryMB float64 `yaml:"memory_mb"`
+	// Descriptors is the number of open files and sockets.
+	Descriptors float64 `yaml:"descriptors"`
 }
 
 // EntryAddresses holds the listening addresses of acacia-entry; each is IP:port.
@@ -37,12 +49,12 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the repeats that all instances together send to a service: in a
 	// window, RetryRatio for each request and RetrySlack besides.
 	RetryRatio  float64             `yaml:"retry_ratio"`
-	RetrySlack  int                 `yaml:"retry_slack"`
+	RetrySlack  float64             `yaml:"retry_slack"`
 	RetryWindow strictyaml.Duration `yaml:"retry_window"`
 	// ColdFactor and ColdSlack bound the requests that all instances together send to an endpoint in cold start: in a
 	// second, ColdFactor times the rate of its service and ColdSlack besides.
 	ColdFactor float64 `yaml:"cold_factor"`
-	ColdSlack  int     `yaml:"cold_slack"`
+	ColdSlack  float64 `yaml:"cold_slack"`
 	// LeastInstances is the least number of instances among which the bounds are divided; more are counted as they are
 	// heard of.
 	LeastInstances int `yaml:"least_instances"`
@@ -50,6 +62,13 @@
 	MaxConnections int `yaml:"max_connections"`
 }
 
+// The times of a deployment that states none.
+const (
+	defaultStopGrace      = 8 * time.Second
+	defaultRevocationTime = 5 * time.Second
+	defaultRetryWindow    = 10 * time.Second
+)
+
 // LoadEntry reads and checks the settings file of acacia-entry. Faults of the content are returned as a *FindingsError.
 func LoadEntry(path string) (*Entry, error) {
 	data, err := os.ReadFile(path)
@@ -61,7 +80,7 @@
 
 // ParseEntry is LoadEntry for a file that was read already.
 func ParseEntry(path string, data []byte) (*Entry, error) {
-	s := &Entry{Common: defaultCommon()}
+	s := &Entry{Common: defaultCommon(), Bounds: defaultBounds()}
 	c := newChecker(path, data, s)
 	c.common(&s.Common)
 	c.address("addresses.callers", s.Addresses.Callers)
@@ -74,12 +93,34 @@
 	}
 	c.key("peers_key", &s.PeersKey, "")
 	c.bounds(&s.Bounds)
+	c.entryLimits(&s.Limits)
 	if err := c.report.Err(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
+// defaultBounds returns the bounds of a deployment that states none: no repeats beyond refusals, a cold start at the rate
+// that endpoints state, and the shortest usual times.
+func defaultBounds() EntryBounds {
+	return EntryBounds{
+		StopGrace:      strictyaml.Duration(defaultStopGrace),
+		RevocationTime: strictyaml.Duration(defaultRevocationTime),
+		RetryWindow:    strictyaml.Duration(defaultRetryWindow),
+		ColdFactor:     1,
+	}
+}
+
+func (c *checker) entryLimits(l *EntryLimits) {
+	for path, value := range map[string]float64{
+		"limits.processor_share": l.ProcessorShare, "limits.memory_mb": l.MemoryMB, "limits.descriptors": l.Descriptors,
+	} {
+		if value < 0 {
+			c.report.Add(path, "must not be negative")
+		}
+	}
+}
+
 func (c *checker) seed(seed string) {
 	if seed == "" {
 		c.report.Add("seeds", "a seed must not be empty")
