Heed endpoints that leave or ask for a rest, and bound held answers by memory

Now an incarnation that says that it leaves stays leaving, whatever the list says; a rest keeps all requests away and makes a refusal of all endpoints state its time; held answers share an eighth of the machine's memory, apart from their first 16 KB.

--- a/cmd/acacia-entry/main.go
+++ b/cmd/acacia-entry/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,6 +17,9 @@
 	"github.com/acacialift/acacialift/platform"
 )
 
+// memoryTarget is the part of the machine's memory from which the garbage collector works harder.
+const memoryTarget = 0.7
+
 func main() {
 	command := &cli.Command{
 		Name:  "acacia-entry",
@@ -47,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryTarget * s.Limits.MemoryMB * (1 << 20)))
+	}
 	state := fleet.NewState()
 	p, err := entry.New(entry.Options{
 		Settings:  s,
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -139,12 +139,12 @@
 
 // fetch returns the body of a 200 answer.
 func (c *Controller) fetch(ctx context.Context, req engine.Request) ([]byte, error) {
-	status, body, err := c.engines.Fetch(ctx, req, maxReportBytes)
+	answer, err := c.engines.Fetch(ctx, req, maxReportBytes)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("%s %s answered %d", req.Method, req.Target, status)
+	if answer.Status != http.StatusOK {
+		return nil, fmt.Errorf("%s %s answered %d", req.Method, req.Target, answer.Status)
 	}
-	return body, nil
+	return answer.Body, nil
 }
--- a/internal/engine/fetch.go
+++ b/internal/engine/fetch.go
@@ -9,33 +9,39 @@
 // ErrBodyTooLarge means that an answer is longer than the caller of Fetch accepts.
 var ErrBodyTooLarge = errors.New("answer is too large")
 
-// Fetch sends the request and returns the status and the whole body, of at most maxBytes.
-func (c *Client) Fetch(ctx context.Context, req Request, maxBytes int) (status int, body []byte, err error) {
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Fetch sends the request and returns the whole answer, with a body of at most maxBytes.
+func (c *Client) Fetch(ctx context.Context, req Request, maxBytes int) (*Answer, error) {
 	collected := collector{maxBytes: maxBytes}
 	if err := c.Do(ctx, req, nil, &collected); err != nil {
-		return 0, nil, err
+		return nil, err
 	}
-	return collected.status, collected.body, nil
+	return &collected.answer, nil
 }
 
 // collector is a Receiver that keeps a small body.
 type collector struct {
 	maxBytes int
-	status   int
-	body     []byte
+	answer   Answer
 }
 
 // OnHead implements Receiver.
-func (c *collector) OnHead(status int, _ http.Header) error {
-	c.status = status
+func (c *collector) OnHead(status int, header http.Header) error {
+	c.answer.Status, c.answer.Header = status, header
 	return nil
 }
 
 // OnBody implements Receiver.
 func (c *collector) OnBody(data []byte) error {
-	if len(c.body)+len(data) > c.maxBytes {
+	if len(c.answer.Body)+len(data) > c.maxBytes {
 		return ErrBodyTooLarge
 	}
-	c.body = append(c.body, data...)
+	c.answer.Body = append(c.answer.Body, data...)
 	return nil
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -70,6 +70,14 @@
 	Reason string
 }
 
+// Advice is what an endpoint says of itself in the head of an answer.
+type Advice struct {
+	// Leaving endpoints stop soon and must get no further requests.
+	Leaving bool
+	// Rest is how long the endpoint wants no requests of this instance; zero if it did not say.
+	Rest time.Duration
+}
+
 // Order is an order to an endpoint.
 type Order struct {
 	Method, Target string
@@ -87,6 +95,8 @@
 	Header(call *Call, d Delivery) http.Header
 	// Judge returns the meaning of the head of an answer.
 	Judge(call *Call, status int, header http.Header) Judgement
+	// Advice returns what an endpoint says of itself in the head of an answer of its own.
+	Advice(status int, header http.Header) Advice
 	// Reserve returns the order that reserves memory, or renews its reservation, for the given time.
 	Reserve(t Ticket, hold time.Duration) Order
 	// Release returns the order that gives memory back.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -20,7 +20,7 @@
 	notRunRetryAfter = 150 * time.Millisecond
 )
 
-// errWithdrawn means that an endpoint was withdrawn between placement and sending.
+// errWithdrawn means that an endpoint was withdrawn, or asked for a rest, between placement and sending.
 var errWithdrawn = errors.New("the endpoint was withdrawn")
 
 // exchange is one call from its arrival to its answer.
@@ -39,6 +39,8 @@
 	// placement.
 	counted bool
 	lot     float64
+	// leastRest is the shortest rest of the endpoints that were left out of the last placement for theirs; zero if none was.
+	leastRest time.Duration
 	// limit is the time of the call from its arrival.
 	limit time.Duration
 
@@ -50,6 +52,8 @@
 	mayHaveRun bool
 	// answer is a failure that an endpoint returned whole; it is passed on if no other attempt succeeds.
 	answer *relay
+	// relays are the answers of all attempts. Their memory is given back at the end.
+	relays []*relay
 	// events is the state of a stream across attempts; started is true once its head was sent to the caller.
 	events  events
 	started bool
@@ -67,11 +71,18 @@
 	x.handler.options.Retries.Request(x.service.Name, x.received)
 	ctx, cancel := context.WithDeadline(ctx, x.received.Add(x.limit))
 	defer cancel()
+	defer x.releaseAnswers()
 	for x.attempt(ctx) {
 		x.handler.options.Metrics.Repeated()
 	}
 }
 
+func (x *exchange) releaseAnswers() {
+	for _, r := range x.relays {
+		r.body.release()
+	}
+}
+
 // attempt places the call and sends it to an endpoint. It returns true if another attempt is to follow.
 func (x *exchange) attempt(ctx context.Context) bool {
 	choice, refusal := x.place(ctx)
@@ -93,7 +104,8 @@
 		return x.judgeNotReserved(ctx, choice, err)
 	}
 	defer reserved.release()
-	r := &relay{x: x}
+	r := &relay{x: x, endpoint: first, body: heldAnswer{memory: &x.handler.answers}}
+	x.relays = append(x.relays, r)
 	r.onFirst = func() {
 		holding.Read()
 		if x.firstAt.IsZero() {
@@ -147,6 +159,9 @@
 	if current == nil || current.Started != e.Started || current.Leaving || snapshot.OutOfService[e.Domain] {
 		return errWithdrawn
 	}
+	if x.handler.options.Health.RestLeft(e.Key(), time.Now()) > 0 {
+		return errWithdrawn
+	}
 	x.sent++
 	return nil
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -35,13 +35,19 @@
 	// MaxUnconfirmed is the longest time without confirmation of the catalog in which keys are accepted; zero means that
 	// keys are accepted however old the catalog is.
 	MaxUnconfirmed time.Duration
-	Log            zerolog.Logger
-	Metrics        *Metrics
+	// MaxHeldBytes bounds the memory of all answers that are held until they are whole; zero means the default.
+	MaxHeldBytes int64
+	Log          zerolog.Logger
+	Metrics      *Metrics
 }
 
+// defaultHeldBytes is the memory for held answers if the machine's memory is not known.
+const defaultHeldBytes = 32 << 20
+
 // Handler answers callers.
 type Handler struct {
 	options HandlerOptions
+	answers answerMemory
 	// stopAt is the boot-time at which requests still running will be cut; zero unless a planned stop has begun.
 	stopAt atomic.Int64
 	// started is the time at which the instance began to get acquainted with the others.
@@ -50,7 +56,10 @@
 
 // NewHandler returns a handler.
 func NewHandler(options HandlerOptions) *Handler {
-	return &Handler{options: options, started: time.Now()}
+	if options.MaxHeldBytes == 0 {
+		options.MaxHeldBytes = defaultHeldBytes
+	}
+	return &Handler{options: options, answers: answerMemory{most: options.MaxHeldBytes}, started: time.Now()}
 }
 
 // StartStop begins a planned stop, at whose end the requests still running are cut. Answers close their connections
--- a/internal/entry/judge.go
+++ b/internal/entry/judge.go
@@ -102,6 +102,18 @@
 	return false
 }
 
+// heed takes over what an endpoint says of itself.
+func (x *exchange) heed(e *fleet.Endpoint, advice Advice) {
+	if advice.Leaving && x.handler.options.State.MarkLeaving(e) {
+		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Msg("endpoint_leaving")
+	}
+	if advice.Rest > 0 {
+		x.handler.options.Health.Rest(e.Key(), time.Now().Add(advice.Rest))
+		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Dur("rest_ms", advice.Rest).
+			Msg("endpoint_rests")
+	}
+}
+
 // culprit returns the endpoint at an address that another endpoint names as the one at fault, or nil.
 func (x *exchange) culprit(address string) *fleet.Endpoint {
 	if address == "" {
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -126,14 +126,15 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	x.handler.options.Metrics.Ordered()
-	status, _, err := x.handler.options.Client.Fetch(ctx, engine.Request{
+	answer, err := x.handler.options.Client.Fetch(ctx, engine.Request{
 		Method: o.Method, Target: o.Target, Address: e.Address, Header: o.Header, Body: o.Body,
 	}, maxOrderReplyBytes)
 	if err != nil {
 		return err
 	}
-	if status != o.Done {
-		return &OrderError{Endpoint: e.ID, Status: status}
+	x.heed(e, x.handler.options.Dialect.Advice(answer.Status, answer.Header))
+	if answer.Status != o.Done {
+		return &OrderError{Endpoint: e.ID, Status: answer.Status}
 	}
 	return nil
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -46,7 +46,17 @@
 	})
 }
 
+// placeNow places the call or refuses it. If all endpoints in question have asked for a rest, the caller may come back when
+// the first rest is over.
 func (x *exchange) placeNow(objective time.Duration) (placement.Choice, *placement.Refusal) {
+	choice, refusal := x.placeOnCandidates(objective)
+	if refusal != nil && refusal.Reason == placement.NoEndpoint && x.leastRest > 0 {
+		refusal.Reason, refusal.RetryAfter = placement.EndpointsRest, x.leastRest
+	}
+	return choice, refusal
+}
+
+func (x *exchange) placeOnCandidates(objective time.Duration) (placement.Choice, *placement.Refusal) {
 	now := time.Now()
 	candidates, instances := x.candidates(now)
 	e := x.service.Engine
@@ -85,6 +95,7 @@
 // is known.
 func (x *exchange) candidates(now time.Time) ([]placement.Candidate, int) {
 	h := x.handler
+	x.leastRest = 0
 	snapshot := h.options.State.Snapshot()
 	totals, instances := h.options.Book.Totals(now)
 	var candidates []placement.Candidate
@@ -92,6 +103,10 @@
 		if e.Leaving || snapshot.OutOfService[e.Domain] || x.tried[e.ID] {
 			continue
 		}
+		if rest := h.options.Health.RestLeft(e.Key(), now); rest > 0 {
+			x.leastRest = shorterRest(x.leastRest, rest)
+			continue
+		}
 		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[e.Key()]}
 		c.Suspect = c.Suspect || h.options.Health.Suspects(e.Key(), now)
 		c.Cold = x.service.ColdRate > 0 && e.IsCold(now)
@@ -103,6 +118,14 @@
 	return candidates, instances
 }
 
+// shorterRest returns the shorter of two times, of which the first may be zero for none.
+func shorterRest(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
 // takeCold counts a request against the cold start of its endpoint and reports whether it may be sent.
 func (x *exchange) takeCold(e *fleet.Endpoint, now time.Time) bool {
 	if x.service.ColdRate <= 0 || !e.IsCold(now) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -29,8 +29,14 @@
 	dialTimeout = 600 * time.Millisecond
 	// endpointSilence is how long an endpoint's kernel may leave sent bytes unacknowledged.
 	endpointSilence = 2 * time.Second
-	// maxBufferedBytes bounds the bodies that the process holds.
+	// maxBufferedBytes bounds the callers' bodies that the process holds.
 	maxBufferedBytes = 64 << 20
+	// bodyMemoryShare and answerMemoryPart are the parts of the machine's memory for callers' bodies and for held answers.
+	bodyMemoryShare  = 4
+	answerMemoryPart = 8
+	// connectionDescriptors is the part of the descriptors that callers' connections may take; each request needs more for
+	// endpoints, and files have some.
+	connectionDescriptors = 0.6
 	maxBodyBytes     = 5 << 20
 	maxHeaderBytes   = 24 << 10
 	headTimeout      = 5 * time.Second
@@ -113,6 +119,9 @@
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleet,
 		}),
 	}
+	if memory := memoryBytes(s); memory > 0 {
+		handlerOptions.MaxHeldBytes = min(memory/answerMemoryPart, defaultHeldBytes)
+	}
 	if b.StrictRevocation {
 		handlerOptions.MaxUnconfirmed = b.RevocationTime.Std() - revocationMargin
 	}
@@ -120,15 +129,34 @@
 	return p, p.listen(book, tracker)
 }
 
+// memoryBytes returns the machine's memory; zero if it is not known.
+func memoryBytes(s *settings.Entry) int64 { return int64(s.Limits.MemoryMB * (1 << 20)) }
+
+// bodyBytes returns the memory for callers' bodies.
+func bodyBytes(s *settings.Entry) int64 {
+	if memory := memoryBytes(s); memory > 0 {
+		return min(memory/bodyMemoryShare, maxBufferedBytes)
+	}
+	return maxBufferedBytes
+}
+
+// maxConnections returns the number of callers' connections that the settings and the descriptors allow.
+func maxConnections(s *settings.Entry) int {
+	if s.Limits.Descriptors == 0 {
+		return s.Bounds.MaxConnections
+	}
+	return min(s.Bounds.MaxConnections, max(int(connectionDescriptors*s.Limits.Descriptors), 1))
+}
+
 // listen opens the listeners.
 func (p *Process) listen(book *load.Book, tracker *health.Tracker) error {
 	s := p.options.Settings
 	var err error
 	if p.callers, err = httpserver.New(httpserver.Options{
 		Address: s.Addresses.Callers, Handler: p.handler,
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: bodyBytes(s),
 		HeadTimeout: headTimeout, RequestTimeout: requestTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
-		MaxConnections: s.Bounds.MaxConnections,
+		MaxConnections: maxConnections(s),
 		OnRefusal: func(e *outcome.Error) {
 			p.metrics.Answered(e.Code)
 			p.log.Info().Str("code", e.Code).Int("status", e.Status).Msg("request_unreadable")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -10,9 +10,6 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 )
 
-// maxAnswerBytes bounds an answer that is held until it is whole.
-const maxAnswerBytes = 8 << 20
-
 var (
 	errAnswerSize  = errors.New("the endpoint's answer is too large")
 	errCallerWrite = errors.New("the caller's connection broke")
@@ -22,12 +19,14 @@
 // whole, so that a cut one never looks complete.
 type relay struct {
 	x *exchange
+	// endpoint is the one that answers.
+	endpoint *fleet.Endpoint
 	// judgement is set with the head.
 	judgement Judgement
 	judged    bool
 	status    int
 	header    http.Header
-	body      []byte
+	body      heldAnswer
 	streaming bool
 	// onFirst is called with the first event or the end of another answer.
 	onFirst func()
@@ -41,6 +40,9 @@
 		return engine.ErrForeignAnswer
 	}
 	r.judgement, r.judged = judgement, true
+	if judgement.Verdict == Accepted || judgement.Verdict == NotRun {
+		r.x.heed(r.endpoint, r.x.handler.options.Dialect.Advice(status, header))
+	}
 	r.status, r.header = status, header
 	if judgement.Verdict != Accepted {
 		return nil
@@ -58,11 +60,7 @@
 	if r.streaming {
 		return r.passEvents(data)
 	}
-	if len(r.body)+len(data) > maxAnswerBytes {
-		return errAnswerSize
-	}
-	r.body = append(r.body, data...)
-	return nil
+	return r.body.add(data)
 }
 
 // passEvents sends the whole events to the caller.
@@ -89,8 +87,7 @@
 // sendWhole passes a held answer on.
 func (r *relay) sendWhole(w http.ResponseWriter) error {
 	copyHeader(w.Header(), r.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	w.Header().Set("Content-Length", strconv.Itoa(r.body.size))
 	w.WriteHeader(r.status)
-	_, err := w.Write(r.body)
-	return err
+	return r.body.writeTo(w)
 }
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -25,6 +25,13 @@
 // IsCold reports whether the endpoint is in cold start.
 func (e *Endpoint) IsCold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
+// leaving returns the endpoint with Leaving set.
+func (e *Endpoint) leaving() *Endpoint {
+	copied := *e
+	copied.Leaving = true
+	return &copied
+}
+
 // Key identifies the incarnation in messages between instances. Two endpoints of the largest fleets have the same key once
 // in 25,000 fleets; their counts are added up then.
 func (e *Endpoint) Key() uint32 {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -22,16 +22,31 @@
 	mu        sync.Mutex
 	snapshot  *Snapshot
 	endpoints map[string]*Endpoint
+	// left holds the incarnations that have said themselves that they leave, by the time of that. The list of endpoints
+	// may name them for some time, or again after an outage.
+	left map[incarnation]time.Time
 	// confirmed is the latest time, on the boot-time clock, at which the catalog is known to have been the newest.
 	confirmed time.Duration
 	changed   chan struct{}
 }
 
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	id      string
+	started int64
+}
+
+func (e *Endpoint) incarnation() incarnation { return incarnation{id: e.ID, started: e.Started} }
+
+// leftMemory is how long an incarnation that has said that it leaves is remembered while it is not listed.
+const leftMemory = time.Hour
+
 // NewState returns an empty view.
 func NewState() *State {
 	return &State{
 		snapshot:  &Snapshot{Endpoints: map[string][]*Endpoint{}, OutOfService: map[string]bool{}},
 		endpoints: make(map[string]*Endpoint),
+		left:      make(map[incarnation]time.Time),
 		changed:   make(chan struct{}),
 	}
 }
@@ -94,14 +109,47 @@
 	return true
 }
 
-// PutEndpoint adds or replaces an endpoint.
+// PutEndpoint adds or replaces an endpoint. An incarnation that has said that it leaves stays leaving.
 func (s *State) PutEndpoint(e *Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endpoints[e.ID] = e
+	s.put(e)
 	s.publishEndpoints()
 }
 
+func (s *State) put(e *Endpoint) {
+	if _, left := s.left[e.incarnation()]; left && !e.Leaving {
+		e = e.leaving()
+	}
+	s.endpoints[e.ID] = e
+}
+
+// MarkLeaving notes that an incarnation has said itself that it leaves, and reports whether that was not known.
+func (s *State) MarkLeaving(e *Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.left[e.incarnation()]; known {
+		return false
+	}
+	now := time.Now()
+	s.forgetLeft(now)
+	s.left[e.incarnation()] = now
+	if current := s.endpoints[e.ID]; current != nil && current.Started == e.Started && !current.Leaving {
+		s.put(current)
+		s.publishEndpoints()
+	}
+	return true
+}
+
+// forgetLeft drops incarnations that have left long ago.
+func (s *State) forgetLeft(now time.Time) {
+	for in, at := range s.left {
+		if current := s.endpoints[in.id]; now.Sub(at) > leftMemory && (current == nil || current.Started != in.started) {
+			delete(s.left, in)
+		}
+	}
+}
+
 // RemoveEndpoint removes an endpoint and returns it, or nil if it was not known.
 func (s *State) RemoveEndpoint(id string) *Endpoint {
 	s.mu.Lock()
@@ -114,17 +162,6 @@
 	return e
 }
 
-// ReplaceEndpoints replaces all endpoints.
-func (s *State) ReplaceEndpoints(endpoints []*Endpoint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpoints = make(map[string]*Endpoint, len(endpoints))
-	for _, e := range endpoints {
-		s.endpoints[e.ID] = e
-	}
-	s.publishEndpoints()
-}
-
 // Endpoint returns the endpoint with an id, or nil.
 func (s *State) Endpoint(id string) *Endpoint {
 	s.mu.Lock()
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -29,10 +29,34 @@
 type Tracker struct {
 	mu      sync.Mutex
 	records map[uint32]*record
+	// rests holds the times until which endpoints have asked for no requests.
+	rests map[uint32]time.Time
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{records: make(map[uint32]*record)} }
+func NewTracker() *Tracker {
+	return &Tracker{records: make(map[uint32]*record), rests: make(map[uint32]time.Time)}
+}
+
+// Rest records that an endpoint wants no requests until a time. An earlier one does not shorten a later one.
+func (t *Tracker) Rest(endpoint uint32, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until.After(t.rests[endpoint]) {
+		t.rests[endpoint] = until
+	}
+}
+
+// RestLeft returns how long an endpoint still wants no requests; zero if it takes some.
+func (t *Tracker) RestLeft(endpoint uint32, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, rests := t.rests[endpoint]
+	if rests && !now.Before(until) {
+		delete(t.rests, endpoint)
+	}
+	return max(until.Sub(now), 0)
+}
 
 // Success records an answered request.
 func (t *Tracker) Success(endpoint uint32, now time.Time) {
@@ -93,10 +117,15 @@
 	return r != nil && now.Before(r.restUntil)
 }
 
-// Suspected returns the endpoints that are avoided, and forgets those without outcomes for a while.
+// Suspected returns the endpoints that are avoided, and forgets those without outcomes for a while and rests that are over.
 func (t *Tracker) Suspected(now time.Time) []uint32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for endpoint, until := range t.rests {
+		if !now.Before(until) {
+			delete(t.rests, endpoint)
+		}
+	}
 	var suspected []uint32
 	for endpoint, r := range t.records {
 		if now.Before(r.restUntil) {
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -91,12 +91,12 @@
 	defer cancel()
 	header := http.Header{"Authorization": {"Bearer " + c.key}}
 	request := engine.Request{Method: method, Target: target, Address: address, Header: header}
-	status, body, err := c.exchange.Fetch(ctx, request, maxAnswerBytes)
+	answer, err := c.exchange.Fetch(ctx, request, maxAnswerBytes)
 	if err != nil {
 		return nil, err
 	}
-	if status >= http.StatusMultipleChoices {
-		return nil, &StatusError{Address: address, Status: status, Body: string(body)}
+	if answer.Status >= http.StatusMultipleChoices {
+		return nil, &StatusError{Address: address, Status: answer.Status, Body: string(answer.Body)}
 	}
-	return body, nil
+	return answer.Body, nil
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -79,7 +79,9 @@
 const (
 	NoEndpoint Reason = "no_endpoint"
 	TooLarge   Reason = "prompt_too_large"
-	SlotsFull  Reason = "slots_full"
+	// EndpointsRest means that all endpoints have asked for no requests for a while.
+	EndpointsRest Reason = "endpoints_rest"
+	SlotsFull     Reason = "slots_full"
 	TooLate    Reason = "too_late"
 	// ReadersBusy means that the endpoints with room could not read the prompt without making earlier ones late.
 	ReadersBusy Reason = "readers_busy"
