--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -24,8 +24,8 @@
 	networkTime = 8 * time.Millisecond
 	// service is the key of the only service.
 	service = 1
-	// eventTokens is the number of tokens of an event.
-	eventTokens = 34
+	// askTime is the time of a question to a scheduler and its answer.
+	askTime = 4 * time.Millisecond
 )
 
 // Policy places requests.
@@ -40,9 +40,12 @@
 	Instances int
 	// ShareInterval is the pause between two load messages of an instance; the default is 60 ms.
 	ShareInterval time.Duration
-	Load          Load
-	Policy        Policy
-	Seed          uint64
+	// Shards is the number of parts of the endpoints on each of which one scheduler places all requests. With zero, each
+	// instance places by the counts that it has.
+	Shards int
+	Load   Load
+	Policy Policy
+	Seed   uint64
 }
 
 // Result sums what callers got.
@@ -94,7 +97,9 @@
 	endpoints []*endpoint
 	byID      map[*fleet.Endpoint]*endpoint
 	books     []*load.Book
-	result    Result
+	// ledgers are the books of the schedulers.
+	ledgers []*load.Book
+	result  Result
 }
 
 // Play runs a load and returns what callers got.
@@ -117,6 +122,9 @@
 		r.endpoints = append(r.endpoints, e)
 		r.byID[e.Endpoint] = e
 	}
+	for range options.Shards {
+		r.ledgers = append(r.ledgers, load.NewBook())
+	}
 	for i := range options.Instances {
 		r.books = append(r.books, load.NewBook())
 		r.after(time.Duration(i)*r.options.ShareInterval/time.Duration(options.Instances), func() { r.share(i) })
@@ -154,6 +162,7 @@
 func (r *run) schedule(arrivals []arrival) {
 	for _, a := range arrivals {
 		call := &request{arrival: a, instance: r.random.IntN(r.options.Instances)}
+		call.outputTokens = call.output(r.options.Engine.Stride)
 		kind := r.kindResult(a.kind)
 		kind.Asked++
 		kind.Owed += call.worth(a.kind.Worth)
@@ -179,20 +188,50 @@
 	if placement.IsShort(&r.options.Engine, placement.Need{Tokens: call.tokens}) {
 		r.books[call.instance].Arrive(service, r.clock())
 	}
+	if len(r.ledgers) > 0 {
+		call.shard = r.random.IntN(len(r.ledgers))
+		r.after(askTime, func() { r.ask(call, 1) })
+		return
+	}
 	r.tryPlace(call)
 }
 
-// tryPlace places a request, waits a moment for room, or refuses it.
-func (r *run) tryPlace(call *request) {
-	need := placement.Need{
-		Tokens: call.tokens, Output: int64(call.events * eventTokens), MaxPause: call.kind.MaxPause,
-		Lot:    call.lot,
-		Unseen: r.books[call.instance].OthersDemand(service, r.clock()) * r.options.ShareInterval.Seconds(),
+// ask lets the scheduler of the call's shard place it. A refused call asks one more scheduler.
+func (r *run) ask(call *request, asked int) {
+	need := r.need(call)
+	need.Exact = true
+	choice, refusal := r.options.Policy(r.planner, &r.options.Engine, r.shardCandidates(call.shard), need)
+	switch {
+	case refusal == nil:
+		r.send(call, choice)
+	case asked < min(asksPerCall, len(r.ledgers)):
+		call.shard = (call.shard + 1 + r.random.IntN(len(r.ledgers)-1)) % len(r.ledgers)
+		r.after(askTime, func() { r.ask(call, asked+1) })
+	case r.now+placeInterval <= call.arrived+placement.WaitLimit(refusal.Reason, call.kind.Objective):
+		r.after(placeInterval, func() { r.ask(call, asked) })
+	default:
+		r.refuse(call, refusal)
+	}
+}
+
+// asksPerCall is the number of schedulers that are asked before a call waits or is refused.
+const asksPerCall = 2
+
+// need describes a call at the present time.
+func (r *run) need(call *request) placement.Need {
+	return placement.Need{
+		Tokens: call.tokens, Output: call.output(r.options.Engine.Stride), MaxPause: call.kind.MaxPause, Lot: call.lot,
 		Objective: placement.ObjectiveLeft(placement.Timing{
 			Objective: call.kind.Objective, TimeLimit: call.kind.Deadline,
 			Budget: call.kind.Deadline - (call.arrived - call.at), Waited: r.now - call.arrived,
 		}),
 	}
+}
+
+// tryPlace places a request, waits a moment for room, or refuses it.
+func (r *run) tryPlace(call *request) {
+	need := r.need(call)
+	need.Unseen = r.books[call.instance].OthersDemand(service, r.clock()) * r.options.ShareInterval.Seconds()
 	choice, refusal := r.options.Policy(r.planner, &r.options.Engine, r.candidates(call.instance), need)
 	switch {
 	case refusal == nil:
@@ -217,9 +256,21 @@
 }
 
 func (r *run) candidates(instance int) []placement.Candidate {
-	totals, _ := r.books[instance].Totals(r.clock())
-	candidates := make([]placement.Candidate, 0, len(r.endpoints))
-	for _, e := range r.endpoints {
+	return r.candidatesOf(r.books[instance], r.endpoints)
+}
+
+func (r *run) shardCandidates(shard int) []placement.Candidate {
+	var part []*endpoint
+	for i := shard; i < len(r.endpoints); i += len(r.ledgers) {
+		part = append(part, r.endpoints[i])
+	}
+	return r.candidatesOf(r.ledgers[shard], part)
+}
+
+func (r *run) candidatesOf(book *load.Book, endpoints []*endpoint) []placement.Candidate {
+	totals, _ := book.Totals(r.clock())
+	candidates := make([]placement.Candidate, 0, len(endpoints))
+	for _, e := range endpoints {
 		candidates = append(candidates, placement.Candidate{Endpoint: e.Endpoint, Entry: totals.Entries[e.Key()]})
 	}
 	return candidates
@@ -233,7 +284,11 @@
 		call.held[h.Endpoint] = h.Tokens
 		r.byID[h.Endpoint].memory += h.Tokens
 	}
-	call.holding = r.books[call.instance].Place(load.Work{
+	book := r.books[call.instance]
+	if len(r.ledgers) > 0 {
+		book = r.ledgers[call.shard]
+	}
+	call.holding = book.Place(load.Work{
 		First: choice.First, Helpers: choice.Helpers, Tokens: call.memory() - call.heldTokens(), Held: call.held,
 		Part: choice.Part, Predicted: choice.Predicted, MaxPause: call.kind.MaxPause,
 		Objective: call.arrived + call.kind.Objective - r.now, Limit: call.at + call.kind.Deadline - r.now,
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -15,7 +16,11 @@
 	Slots int
 	// ShareInterval is the pause between two load messages of an instance; the default is 60 ms.
 	ShareInterval time.Duration
-	Load          Load
+	// Shards is the number of parts of the endpoints that have a scheduler each; zero if instances place by their counts.
+	Shards int
+	// Stride is the number of steps of a pass; the default is that of StandardEngine.
+	Stride int
+	Load   Load
 }
 
 // StandardEngine is the engine of both deployments: 405,000 tokens of memory, 154 prompt tokens read in a millisecond.
@@ -117,6 +122,35 @@
 
 const crowdedLength = 11 * time.Second
 
+// HugeFleet is LongShortLong on 195 endpoints behind 295 instances, each of which gets about one request a second.
+func HugeFleet() Pattern {
+	p := LongShortLong()
+	p.Name, p.Endpoints, p.Instances = "huge-fleet", 195, 295
+	p.Slots, p.Stride, p.ShareInterval = 10, 53, 180*time.Millisecond
+	p.Load.Kinds = hugeFleetKinds()
+	return p
+}
+
+func hugeFleetKinds() []Kind {
+	kinds := kinds(223, 18.2, 4.55)
+	for i, k := range []Kind{
+		{Objective: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond, Worth: 1.3, LateWorth: 0.34, Events: Sizes{Mean: 26.1, Spread: 0.7, Max: 65}},
+		{Objective: 1500 * time.Millisecond, MaxPause: 800 * time.Millisecond, Worth: 2.9, LateWorth: 0.72, Events: Sizes{Mean: 15.6, Spread: 0.6, Max: 39}},
+		{Objective: 4 * time.Second, MaxPause: 1200 * time.Millisecond, Worth: 30, LateWorth: 7.6, Events: Sizes{Mean: 13, Spread: 0.5, Max: 33}},
+	} {
+		kind := &kinds[i]
+		kind.Objective, kind.MaxPause, kind.Worth, kind.LateWorth, kind.Events = k.Objective, k.MaxPause, k.Worth, k.LateWorth, k.Events
+	}
+	kinds[2].Prompt.Mean = 260_000
+	return kinds
+}
+
+// Scheduled is a pattern whose requests are placed by one scheduler for each of the given number of shards.
+func Scheduled(p Pattern, shards int) Pattern {
+	p.Name, p.Shards = fmt.Sprintf("%s, %d shards", p.Name, shards), shards
+	return p
+}
+
 // Patterns lists the patterns of the experiments.
 func Patterns() []Pattern {
 	return []Pattern{LongShortLong(), ShortLongShort(), DomainOut(), LargeFleet(), CrowdedFleet()}
@@ -128,8 +162,11 @@
 	if p.Slots > 0 {
 		engine.Slots = p.Slots
 	}
+	if p.Stride > 0 {
+		engine.Stride = p.Stride
+	}
 	return Options{
-		Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
+		Shards: p.Shards, Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
 		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed,
 	}
 }
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -13,23 +13,30 @@
 	// lot is the random number that the request keeps for its placement.
 	lot float64
 	arrival
-	instance  int
-	returned  bool
-	arrived   time.Duration
-	holding   *load.Holding
-	first     *endpoint
-	held      map[*fleet.Endpoint]int64
-	ownPart   *part
-	partsLeft int
-	written   int
-	firstAt   time.Duration
-	lastAt    time.Duration
-	paused    bool
+	instance int
+	// shard is the part of the endpoints whose scheduler is asked.
+	shard int
+	// outputTokens is the memory of the answer.
+	outputTokens int64
+	returned     bool
+	arrived      time.Duration
+	holding      *load.Holding
+	first        *endpoint
+	held         map[*fleet.Endpoint]int64
+	ownPart      *part
+	partsLeft    int
+	written      int
+	firstAt      time.Duration
+	lastAt       time.Duration
+	paused       bool
 	// place tells how the request was placed, for a trace.
 	place placement.Choice
 }
 
-func (r *request) memory() int64 { return r.tokens + int64(r.events*eventTokens) }
+// output returns the tokens of the answer; each event has as many as a pass of the engine writes.
+func (r *request) output(stride int) int64 { return int64(r.events * stride) }
+
+func (r *request) memory() int64 { return r.tokens + r.outputTokens }
 
 // heldTokens returns the memory of the request at other endpoints than the first.
 func (r *request) heldTokens() int64 {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -39,6 +39,9 @@
 	// placement.
 	counted bool
 	lot     float64
+	// scheduled is true if schedulers have decided on the last placement; refusedBy is the last one that has refused.
+	scheduled bool
+	refusedBy string
 	// leastRest is the shortest rest of the endpoints that were left out of the last placement for theirs; zero if none was.
 	leastRest time.Duration
 	// limit is the time of the call from its arrival.
@@ -85,19 +88,20 @@
 
 // attempt places the call and sends it to an endpoint. It returns true if another attempt is to follow.
 func (x *exchange) attempt(ctx context.Context) bool {
-	choice, refusal := x.place(ctx)
+	p, refusal := x.place(ctx)
 	if refusal != nil {
 		x.giveUp(ctx, refusal)
 		return false
 	}
+	defer p.grant.End()
 	now := time.Now()
-	first := choice.First
-	if !x.takeCold(first, now) {
+	choice, first := p.Choice, p.First
+	if !x.takeCold(&p, now) {
 		x.tried[first.ID] = true
 		return true
 	}
-	x.logPlaced(choice)
-	holding := x.handler.options.Book.Place(x.work(choice, now), now)
+	x.logPlaced(&p)
+	holding := x.handler.options.Book.PlaceNumbered(p.number, x.work(choice, now), now)
 	defer holding.End()
 	reserved, err := x.reserve(ctx, choice.Holdings)
 	if err != nil {
@@ -107,28 +111,22 @@
 	r := &relay{x: x, endpoint: first, body: heldAnswer{memory: &x.handler.answers}}
 	x.relays = append(x.relays, r)
 	r.onFirst = func() {
-		holding.Read()
+		if holding.Read() {
+			p.grant.Read()
+		}
 		if x.firstAt.IsZero() {
 			x.firstAt = time.Now()
 		}
 	}
-	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.tickets), func() error { return x.stillUsable(first) }, r)
+	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.tickets), func() error { return x.stillUsable(&p) }, r)
 	return x.judge(ctx, first, r, err)
 }
 
 // work describes the placed call to the other instances.
 func (x *exchange) work(choice placement.Choice, now time.Time) load.Work {
-	w := load.Work{
-		First: choice.First, Helpers: choice.Helpers, Tokens: x.call.PromptTokens + x.call.MaxOutput,
-		Part: choice.Part, Predicted: choice.Predicted, MaxPause: x.profile.MaxPause,
-		Objective: x.objectiveLeft(now), Limit: x.limit - now.Sub(x.received),
-		Held: make(map[*fleet.Endpoint]int64, len(choice.Holdings)),
-	}
-	for _, h := range choice.Holdings {
-		w.Held[h.Endpoint] = h.Tokens
-		w.Tokens = max(w.Tokens-h.Tokens, 0)
-	}
-	return w
+	need := x.need()
+	need.Objective = x.objectiveLeft(now)
+	return choice.Work(need, x.limit-now.Sub(x.received))
 }
 
 // request builds the request to an endpoint. A request that must not run twice gets a connection of its own, because the
@@ -153,13 +151,14 @@
 }
 
 // stillUsable is the last check before the first byte is sent.
-func (x *exchange) stillUsable(e *fleet.Endpoint) error {
+func (x *exchange) stillUsable(p *placed) error {
+	e := p.First
 	snapshot := x.handler.options.State.Snapshot()
 	current := x.handler.options.State.Endpoint(e.ID)
 	if current == nil || current.Started != e.Started || current.Leaving || snapshot.OutOfService[e.Domain] {
 		return errWithdrawn
 	}
-	if x.handler.options.Health.RestLeft(e.Key(), time.Now()) > 0 {
+	if x.handler.options.Health.RestLeft(e.Key(), time.Now()) > 0 || x.isGrantOver(p) {
 		return errWithdrawn
 	}
 	x.sent++
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/scheduler"
 )
 
 // HandlerOptions configures a Handler.
@@ -28,6 +30,8 @@
 	Planner placement.Planner
 	Cold    *limit.Cold
 	Client  *engine.Client
+	// Schedulers places requests for model services in larger fleets; nil if this instance places all of its own.
+	Schedulers Schedulers
 	// CountsAge returns the greatest age of the other instances' counts in the book.
 	CountsAge func(now time.Time) time.Duration
 	// Domain is the failure domain of this instance.
@@ -44,6 +48,14 @@
 // defaultHeldBytes is the memory for held answers if the machine's memory is not known.
 const defaultHeldBytes = 32 << 20
 
+// Schedulers are the instances that place requests on the shards of a service.
+type Schedulers interface {
+	// Uses reports whether they place the requests at present.
+	Uses(now time.Time) bool
+	// Ask asks the scheduler of a shard. It reports false if there was no usable answer.
+	Ask(ctx context.Context, ask scheduler.Ask) (scheduler.Answer, bool)
+}
+
 // Handler answers callers.
 type Handler struct {
 	options HandlerOptions
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -9,7 +9,8 @@
 )
 
 // logPlaced records where a request goes and by which figures.
-func (x *exchange) logPlaced(choice placement.Choice) {
+func (x *exchange) logPlaced(p *placed) {
+	choice := p.Choice
 	x.handler.options.Log.Info().
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
@@ -25,6 +26,8 @@
 		Dur("time_limit_ms", x.profile.TimeLimit).
 		Int("attempt", x.sent+1).
 		Dur("waited_ms", time.Since(x.received)).
+		Str("scheduler", p.scheduler).
+		Dur("ask_ms", p.askTook).
 		Msg("request_placed")
 }
 
@@ -49,6 +52,7 @@
 		Dur("retry_after_ms", refusal.RetryAfter).
 		Dur("waited_ms", time.Since(x.received)).
 		Int("endpoints", refusal.Candidates).
+		Str("scheduler", x.refusedBy).
 		Float64("number", x.lot).
 		Float64("unseen", x.unseen(time.Now())).
 		Dur("counts_age_ms", x.handler.options.CountsAge(time.Now())).
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/scheduler"
 )
 
 const (
@@ -14,26 +17,46 @@
 	// acquaintTime is how long after its start an instance expects to hear from others. One that hears from none later on
 	// takes its own work for all.
 	acquaintTime = 3 * time.Second
+	// askInterval is the pause between two tries of a request that schedulers have no room for.
+	askInterval = 25 * time.Millisecond
+	// shardsAsked is the number of shards whose schedulers are asked in one try.
+	shardsAsked = 3
 	// lots is the number of different random numbers that a request may draw for its placement.
 	lots = 1 << 16
 )
 
+// placed is a place for one attempt.
+type placed struct {
+	placement.Choice
+	number load.Number
+	// grant is nil unless a scheduler has placed the attempt; scheduler names it then.
+	grant     *scheduler.Grant
+	scheduler string
+	// asked is the boot-time at which the scheduler was asked.
+	asked   time.Duration
+	askTook time.Duration
+}
+
 // place chooses endpoints, and waits a moment for room. It returns a refusal if there is none.
-func (x *exchange) place(ctx context.Context) (placement.Choice, *placement.Refusal) {
+func (x *exchange) place(ctx context.Context) (placed, *placement.Refusal) {
 	x.countArrival()
 	for {
-		choice, refusal := x.placeNow(x.objectiveLeft(time.Now()))
+		p, refusal := x.placeNow(ctx, x.objectiveLeft(time.Now()))
 		if refusal == nil {
-			return choice, nil
+			return p, nil
+		}
+		pause := placeInterval
+		if x.scheduled {
+			pause = askInterval
 		}
 		until := x.received.Add(placement.WaitLimit(refusal.Reason, x.profile.Objective))
-		if time.Now().Add(placeInterval).After(until) {
-			return choice, refusal
+		if time.Now().Add(pause).After(until) {
+			return p, refusal
 		}
 		select {
 		case <-ctx.Done():
-			return choice, refusal
-		case <-time.After(placeInterval):
+			return p, refusal
+		case <-time.After(pause):
 		}
 	}
 }
@@ -46,14 +69,65 @@
 	})
 }
 
-// placeNow places the call or refuses it. If all endpoints in question have asked for a rest, the caller may come back when
-// the first rest is over.
-func (x *exchange) placeNow(objective time.Duration) (placement.Choice, *placement.Refusal) {
+// placeNow places the call or refuses it: by a scheduler if there are some and one answers, otherwise by the counts that
+// this instance has.
+func (x *exchange) placeNow(ctx context.Context, objective time.Duration) (placed, *placement.Refusal) {
+	h := x.handler.options
+	x.scheduled = false
+	if x.service.Engine != nil && h.Schedulers != nil && h.Schedulers.Uses(time.Now()) {
+		if p, refusal, ok := x.askSchedulers(ctx, objective); ok {
+			x.scheduled = true
+			return p, refusal
+		}
+	}
 	choice, refusal := x.placeOnCandidates(objective)
 	if refusal != nil && refusal.Reason == placement.NoEndpoint && x.leastRest > 0 {
+		// The caller may come back when the first rest is over.
 		refusal.Reason, refusal.RetryAfter = placement.EndpointsRest, x.leastRest
 	}
-	return choice, refusal
+	return placed{Choice: choice, number: h.Book.NextNumber()}, refusal
+}
+
+// askSchedulers asks the scheduler of a random shard, and others if it refuses or does not answer. It reports false if none
+// has answered.
+func (x *exchange) askSchedulers(ctx context.Context, objective time.Duration) (placed, *placement.Refusal, bool) {
+	h := x.handler.options
+	ask := scheduler.Ask{Need: x.need(), Limit: x.limit - time.Since(x.received), Avoid: x.avoided(time.Now())}
+	ask.Need.Objective = objective
+	ask.Suspects = h.Health.Suspected(time.Now())
+	count := scheduler.ShardCount(len(h.State.Snapshot().Endpoints[x.service.Name]))
+	first := h.Planner.IntN(int(count))
+	var refused *placement.Refusal
+	for i := range min(int(count), shardsAsked) {
+		ask.Number = h.Book.NextNumber()
+		asked := clock.Boot()
+		ask.Shard = scheduler.Shard{Service: x.service.Key(), Index: uint8((first + i) % int(count)), Count: count}
+		answer, ok := h.Schedulers.Ask(ctx, ask)
+		switch {
+		case !ok:
+		case answer.Refusal != nil:
+			refused = answer.Refusal
+			x.refusedBy = answer.Scheduler
+		default:
+			return placed{
+				Choice: answer.Choice, number: ask.Number, grant: answer.Grant, scheduler: answer.Scheduler, asked: asked,
+				askTook: answer.Took,
+			}, nil, true
+		}
+	}
+	return placed{}, refused, refused != nil
+}
+
+// avoided returns the endpoints that must not be chosen for this call at this instance.
+func (x *exchange) avoided(now time.Time) []uint32 {
+	h := x.handler.options
+	var avoided []uint32
+	for _, e := range h.State.Snapshot().Endpoints[x.service.Name] {
+		if e.Leaving || x.tried[e.ID] || h.Health.RestLeft(e.Key(), now) > 0 {
+			avoided = append(avoided, e.Key())
+		}
+	}
+	return avoided
 }
 
 func (x *exchange) placeOnCandidates(objective time.Duration) (placement.Choice, *placement.Refusal) {
@@ -126,10 +200,18 @@
 	return min(a, b)
 }
 
-// takeCold counts a request against the cold start of its endpoint and reports whether it may be sent.
-func (x *exchange) takeCold(e *fleet.Endpoint, now time.Time) bool {
-	if x.service.ColdRate <= 0 || !e.IsCold(now) {
+// takeCold counts a request against the cold start of its endpoint and reports whether it may be sent. A scheduler has
+// counted those that it has placed.
+func (x *exchange) takeCold(p *placed, now time.Time) bool {
+	if x.service.ColdRate <= 0 || !p.First.IsCold(now) || p.grant != nil {
 		return true
 	}
-	return x.handler.options.Cold.Take(e.Key(), x.service.ColdRate, now)
+	return x.handler.options.Cold.Take(p.First.Key(), x.service.ColdRate, now)
+}
+
+// isGrantOver reports whether the scheduler's grant of a request to an endpoint in cold start is too old: it may belong to
+// another second than the one in which it was counted.
+func (x *exchange) isGrantOver(p *placed) bool {
+	isCold := x.service.ColdRate > 0 && p.First.IsCold(time.Now())
+	return isCold && p.grant != nil && clock.Boot()-p.asked > limit.GrantTime
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -21,6 +21,7 @@
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/scheduler"
 	"github.com/acacialift/acacialift/internal/settings"
 )
 
@@ -37,12 +38,12 @@
 	// connectionDescriptors is the part of the descriptors that callers' connections may take; each request needs more for
 	// endpoints, and files have some.
 	connectionDescriptors = 0.6
-	maxBodyBytes     = 5 << 20
-	maxHeaderBytes   = 24 << 10
-	headTimeout      = 5 * time.Second
-	requestTimeout   = 15 * time.Second
-	idleTimeout      = 30 * time.Second
-	writeTimeout     = 5 * time.Second
+	maxBodyBytes          = 5 << 20
+	maxHeaderBytes        = 24 << 10
+	headTimeout           = 5 * time.Second
+	requestTimeout        = 15 * time.Second
+	idleTimeout           = 30 * time.Second
+	writeTimeout          = 5 * time.Second
 	// revocationMargin is taken off the time in which keys may outlive their removal.
 	revocationMargin = 600 * time.Millisecond
 	// unreadyAfter is the part of the revocation time without confirmation after which the instance is not ready.
@@ -87,6 +88,9 @@
 	readiness *httpserver.Server
 	exporter  *httpserver.Server
 	sharer    *loadshare.Sharer
+	ledger    *scheduler.Ledger
+	// schedulers asks the schedulers of the fleet, this instance among them.
+	schedulers *scheduler.Client
 
 	stopOnce sync.Once
 	stopping chan struct{}
@@ -119,14 +123,22 @@
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleet,
 		}),
 	}
+	p.ledger = scheduler.NewLedger(scheduler.LedgerOptions{
+		Cold:  limit.NewColdGrants(b.ColdFactor, b.ColdSlack, func(now time.Time) bool { return p.sharer.HasMajority(now) }),
+		State: options.State, Suspects: tracker.Suspects, Planner: handlerOptions.Planner,
+	})
 	if memory := memoryBytes(s); memory > 0 {
 		handlerOptions.MaxHeldBytes = min(memory/answerMemoryPart, defaultHeldBytes)
 	}
 	if b.StrictRevocation {
 		handlerOptions.MaxUnconfirmed = b.RevocationTime.Std() - revocationMargin
 	}
+	if err := p.listen(book, tracker); err != nil {
+		return p, err
+	}
+	handlerOptions.Schedulers = p.schedulers
 	p.handler = NewHandler(handlerOptions)
-	return p, p.listen(book, tracker)
+	return p, nil
 }
 
 // memoryBytes returns the machine's memory; zero if it is not known.
@@ -153,7 +165,7 @@
 	s := p.options.Settings
 	var err error
 	if p.callers, err = httpserver.New(httpserver.Options{
-		Address: s.Addresses.Callers, Handler: p.handler,
+		Address: s.Addresses.Callers, Handler: http.HandlerFunc(p.serveCall),
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: bodyBytes(s),
 		HeadTimeout: headTimeout, RequestTimeout: requestTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 		MaxConnections: maxConnections(s),
@@ -175,17 +187,28 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Book: book, Health: tracker, Feed: p.options.Source, Log: p.log,
+		Book: book, Health: tracker, Feed: p.options.Source, Log: p.log, Capacity: s.Limits.ProcessorShare,
+		Places: &scheduler.Server{Ledger: p.ledger, State: p.options.State, Log: p.log},
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	p.schedulers = scheduler.NewClient(scheduler.ClientOptions{
+		Self: s.Addresses.Peers, Peers: p.sharer.Node(), Members: p.sharer, Ledger: p.ledger, Book: book,
+		State: p.options.State, Log: p.log,
+	})
+	return nil
 }
 
+func (p *Process) serveCall(w http.ResponseWriter, r *http.Request) { p.handler.ServeHTTP(w, r) }
+
 // Serve implements daemon.Process.
 func (p *Process) Serve(ctx context.Context) error {
 	tree := daemon.NewTree("acacia-entry", p.log)
 	for _, service := range []suture.Service{
 		daemon.Service{Name: "platform", Run: p.options.Source.Serve},
 		daemon.Service{Name: "peers", Run: p.sharer.Serve},
+		daemon.Service{Name: "schedulers", Run: p.schedulers.Serve},
 		daemon.Service{Name: "callers", Run: p.serveCallers},
 		daemon.Service{Name: "readiness", Run: p.readiness.Serve},
 		daemon.Service{Name: "metrics", Run: p.exporter.Serve},
--- a/internal/fleet/catalog.go
+++ b/internal/fleet/catalog.go
@@ -131,11 +131,16 @@
 	HasTeams bool
 
 	byHost map[string][]*Profile
+	byKey  map[uint32]*Service
 }
 
 // NewCatalog returns the catalog with its index of profiles.
 func NewCatalog(c Catalog) *Catalog {
 	c.byHost = make(map[string][]*Profile)
+	c.byKey = make(map[uint32]*Service, len(c.Services))
+	for _, s := range c.Services {
+		c.byKey[s.Key()] = s
+	}
 	for i := range c.Profiles {
 		p := &c.Profiles[i]
 		c.byHost[p.Host] = append(c.byHost[p.Host], p)
@@ -146,6 +151,9 @@
 	return &c
 }
 
+// ServiceByKey returns the service with a key, or nil.
+func (c *Catalog) ServiceByKey(key uint32) *Service { return c.byKey[key] }
+
 // Match returns the profile of the host with the longest prefix of the path, or nil.
 func (c *Catalog) Match(host, path string) *Profile {
 	for _, p := range c.byHost[host] {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -13,6 +13,8 @@
 	Catalog *Catalog
 	// Endpoints maps a service to its endpoints, ordered by key, so that all instances see one order.
 	Endpoints map[string][]*Endpoint
+	// ByKey maps the key of an endpoint to the endpoint.
+	ByKey map[uint32]*Endpoint
 	// OutOfService holds the failure domains that operators took out.
 	OutOfService map[string]bool
 }
@@ -172,8 +174,10 @@
 func (s *State) publishEndpoints() {
 	next := *s.snapshot
 	next.Endpoints = make(map[string][]*Endpoint)
+	next.ByKey = make(map[uint32]*Endpoint, len(s.endpoints))
 	for _, e := range s.endpoints {
 		next.Endpoints[e.Service] = append(next.Endpoints[e.Service], e)
+		next.ByKey[e.Key()] = e
 	}
 	for _, endpoints := range next.Endpoints {
 		slices.SortFunc(endpoints, func(a, b *Endpoint) int {
--- /dev/null
+++ b/internal/limit/coldgrants.go
@@ -0,0 +1,79 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// GrantTime is how long a granted request may take until its first byte is sent.
+	GrantTime = 250 * time.Millisecond
+	// grantWindow is the span in which grants are bounded: a second at the endpoint, and what lies between grant and send.
+	grantWindow = coldWindow + GrantTime + 50*time.Millisecond
+	// grantShare is the part of an endpoint's bound that one instance grants. While instances change their mind about
+	// which of them grants, two of them may do so at once.
+	grantShare = 0.5
+)
+
+// ColdGrants lets one instance decide for the whole fleet which requests go to an endpoint in cold start. In a fleet of
+// hundreds the fixed share of an instance is less than one request, so that nobody could send any. Only an instance that
+// is in touch with more than half of the fleet grants, of which there is one part at most under any split. It is safe for
+// concurrent use.
+type ColdGrants struct {
+	mu          sync.Mutex
+	factor      float64
+	slack       float64
+	hasMajority func(now time.Time) bool
+	granted     map[uint32]*Window
+}
+
+// NewColdGrants returns the grants of an instance. An endpoint accepts rate x factor + slack requests a second from all
+// instances. hasMajority reports whether this instance is in touch with more than half of the fleet.
+func NewColdGrants(factor, slack float64, hasMajority func(now time.Time) bool) *ColdGrants {
+	return &ColdGrants{factor: factor, slack: slack, hasMajority: hasMajority, granted: make(map[uint32]*Window)}
+}
+
+// Allows reports whether a request to the endpoint would be granted now.
+func (g *ColdGrants) Allows(endpoint uint32, rate float64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allows(endpoint, rate, now)
+}
+
+func (g *ColdGrants) allows(endpoint uint32, rate float64, now time.Time) bool {
+	if !g.hasMajority(now) {
+		return false
+	}
+	count := 0
+	if w := g.granted[endpoint]; w != nil {
+		count = w.Count(now)
+	}
+	return float64(count+1) <= grantShare*(rate*g.factor+g.slack)
+}
+
+// Take grants a request to the endpoint if that is allowed, and reports whether it did.
+func (g *ColdGrants) Take(endpoint uint32, rate float64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.allows(endpoint, rate, now) {
+		return false
+	}
+	w := g.granted[endpoint]
+	if w == nil {
+		w = NewWindow(grantWindow)
+		g.granted[endpoint] = w
+	}
+	w.Add(now)
+	return true
+}
+
+// Forget drops the counts of endpoints for which nothing was granted lately.
+func (g *ColdGrants) Forget(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for endpoint, w := range g.granted {
+		if w.Count(now) == 0 {
+			delete(g.granted, endpoint)
+		}
+	}
+}
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -2,6 +2,7 @@
 package load
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,9 +34,13 @@
 	Objective, Limit time.Duration
 }
 
+// Number identifies a placed request among those of this instance. It differs from those of earlier runs of the process.
+type Number uint64
+
 // Holding is a placed request. Its methods may be called from any goroutine.
 type Holding struct {
 	book   *Book
+	number Number
 	work   Work
 	placed time.Time
 	read   bool
@@ -55,18 +60,31 @@
 	shares   map[string]share
 	demand   map[uint32]*rate
 	changes  uint64
+	numbers  Number
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
 		holdings: make(map[*Holding]struct{}), shares: make(map[string]share), demand: make(map[uint32]*rate),
+		numbers: Number(rand.Uint64()),
 	}
 }
 
-// Place adds a request.
-func (b *Book) Place(work Work, now time.Time) *Holding {
-	h := &Holding{book: b, work: work, placed: now}
+// NextNumber returns the number of the next request to place.
+func (b *Book) NextNumber() Number {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.numbers++
+	return b.numbers
+}
+
+// Place adds a request that was placed at a time.
+func (b *Book) Place(work Work, placed time.Time) *Holding { return b.PlaceNumbered(0, work, placed) }
+
+// PlaceNumbered is Place for a request with a number.
+func (b *Book) PlaceNumbered(number Number, work Work, placed time.Time) *Holding {
+	h := &Holding{book: b, number: number, work: work, placed: placed}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.holdings[h] = struct{}{}
@@ -74,14 +92,16 @@
 	return h
 }
 
-// Read states that the whole prompt was read.
-func (h *Holding) Read() {
+// Read states that the whole prompt was read, and reports whether that is news.
+func (h *Holding) Read() bool {
 	h.book.mu.Lock()
 	defer h.book.mu.Unlock()
-	if !h.read {
-		h.read = true
-		h.book.changes++
+	if h.read {
+		return false
 	}
+	h.read = true
+	h.book.changes++
+	return true
 }
 
 // End removes the request. Later calls do nothing.
@@ -120,6 +140,29 @@
 	return max(h.work.Limit-elapsed, 0)
 }
 
+// Placed describes a request that has not ended.
+type Placed struct {
+	Number Number
+	Work   Work
+	// Elapsed is the time since it was placed.
+	Elapsed time.Duration
+	// Read is true once its prompt was read.
+	Read bool
+}
+
+// Holdings returns the requests of this instance that have a number.
+func (b *Book) Holdings(now time.Time) []Placed {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Placed
+	for h := range b.holdings {
+		if h.number != 0 {
+			all = append(all, Placed{Number: h.number, Work: h.work, Elapsed: now.Sub(h.placed), Read: h.read})
+		}
+	}
+	return all
+}
+
 // Changes returns a number that grows with each change of this instance's work.
 func (b *Book) Changes() uint64 {
 	b.mu.Lock()
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -24,7 +24,7 @@
 	isHub := slices.Contains(hubs, s.options.Address)
 	ownHub := ""
 	if !isHub {
-		ownHub = s.roster.ownHub(now)
+		ownHub = s.roster.hubOf(hubs)
 	}
 	if ownHub != "" {
 		s.roster.noteAsked(ownHub, now)
--- a/internal/loadshare/roster.go
+++ b/internal/loadshare/roster.go
@@ -1,11 +1,14 @@
 package loadshare
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/acacialift/acacialift/internal/peer"
 )
 
 const (
@@ -14,7 +17,7 @@
 	maxDirect = 12
 	// minHubs and membersPerHub give the number of hubs.
 	minHubs       = 3
-	membersPerHub = 16
+	membersPerHub = 24
 	// silentAfter is the time without a message after which an instance counts as lost.
 	silentAfter = 2500 * time.Millisecond
 	// hubSilence is the time without an answer after which a hub is passed over, for passOver.
@@ -29,6 +32,10 @@
 // member is another instance.
 type member struct {
 	seed bool
+	// capacity is in hundredths of a core; zero if it is not known.
+	capacity uint8
+	// hash orders members alike at all instances.
+	hash uint64
 	// met is the last message of its own. vouched is the last message of an instance that had met it, and told the last
 	// one of a hub that knows it from others; only the former is passed on, so that instances do not keep each other's
 	// memory of a dead one alive.
@@ -44,13 +51,28 @@
 
 // roster holds the other instances by their peers' address. It does no I/O.
 type roster struct {
-	self string
+	self     string
+	capacity uint8
+	// largest is the size of the largest fleet that this instance or another one has known.
+	largest int
+	// schedulers caches the results of scheduler.
+	schedulers map[uint64]chosen
 	// selfSeed is true if the own address is a seed.
 	selfSeed bool
 	members  map[string]*member
 }
 
-func newRoster(self string) *roster { return &roster{self: self, members: make(map[string]*member)} }
+// chosen is a scheduler that was chosen at a time.
+type chosen struct {
+	address string
+	at      time.Time
+}
+
+func newRoster(self string, capacity uint8) *roster {
+	return &roster{
+		self: self, capacity: capacity, members: make(map[string]*member), schedulers: make(map[uint64]chosen),
+	}
+}
 
 // addSeed adds an instance that may be up.
 func (r *roster) addSeed(address string) {
@@ -82,79 +104,137 @@
 func (r *roster) member(address string) *member {
 	m := r.members[address]
 	if m == nil {
-		m = &member{}
+		m = &member{hash: xxhash.Sum64String(address)}
 		r.members[address] = m
 	}
 	return m
 }
 
 // isDirect reports whether all instances tell each other directly.
-func (r *roster) isDirect(now time.Time) bool { return len(r.live(now)) <= maxDirect }
+func (r *roster) isDirect(now time.Time) bool { return r.countLive(now) <= maxDirect }
 
-// live returns the addresses of the instances with a recent sign of life, in order.
-func (r *roster) live(now time.Time) []string {
-	var live []string
-	for address, m := range r.members {
+// countLive returns the number of instances with a recent sign of life.
+func (r *roster) countLive(now time.Time) int {
+	count := 0
+	for _, m := range r.members {
 		if m.isLive(now) {
-			live = append(live, address)
+			count++
 		}
 	}
-	slices.Sort(live)
-	return live
+	return count
 }
 
 // known returns the addresses of the instances that this one has met lately, and those that others have met.
-func (r *roster) known(now time.Time) (met, vouched []string) {
+func (r *roster) known(now time.Time) (met, vouched []peer.Member) {
 	for address, m := range r.members {
+		told := peer.Member{Address: address, Capacity: m.capacity}
 		switch {
 		case isRecent(m.met, now):
-			met = append(met, address)
+			met = append(met, told)
 		case isRecent(m.vouched, now):
-			vouched = append(vouched, address)
+			vouched = append(vouched, told)
 		}
 	}
 	return met, vouched
 }
 
-// hubs returns the instances that add up the counts: seeds first, because all instances know them, then others in an
-// order that all compute alike. The own address may be among them.
+// hubCandidate is an instance that may be a hub.
+type hubCandidate struct {
+	address string
+	seed    bool
+	weight  uint8
+	hash    uint64
+}
+
+// compare orders hubs: seeds first, because all instances know them, then those that may use more of their processor.
+func (c hubCandidate) compare(other hubCandidate) int {
+	if c.seed != other.seed {
+		if c.seed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(other.weight, c.weight), cmp.Compare(c.hash, other.hash), strings.Compare(c.address, other.address))
+}
+
+// hubs returns the instances that add up the counts, in an order that all compute alike. The own address may be among
+// them.
 func (r *roster) hubs(now time.Time) []string {
-	live := r.live(now)
-	candidates := append(live, r.self)
-	slices.SortFunc(candidates, func(a, b string) int {
-		if r.rank(a) != r.rank(b) {
-			return r.rank(a) - r.rank(b)
+	candidates := []hubCandidate{{address: r.self, seed: r.selfSeed, weight: r.capacity, hash: xxhash.Sum64String(r.self)}}
+	live := 0
+	for address, m := range r.members {
+		if !m.isLive(now) {
+			continue
 		}
-		if ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b); ha != hb {
-			if ha < hb {
-				return -1
-			}
-			return 1
+		live++
+		if !now.Before(m.passedOverUntil) {
+			candidates = append(candidates, hubCandidate{address: address, seed: m.seed, weight: m.capacity, hash: m.hash})
 		}
-		return strings.Compare(a, b)
-	})
-	candidates = slices.DeleteFunc(candidates, func(address string) bool {
-		m := r.members[address]
-		return m != nil && now.Before(m.passedOverUntil)
-	})
-	count := max(minHubs, (len(live)+membersPerHub)/membersPerHub)
-	return candidates[:min(count, len(candidates))]
+	}
+	slices.SortFunc(candidates, hubCandidate.compare)
+	count := max(minHubs, (live+membersPerHub)/membersPerHub)
+	var hubs []string
+	for _, c := range candidates[:min(count, len(candidates))] {
+		hubs = append(hubs, c.address)
+	}
+	return hubs
 }
 
-func (r *roster) rank(address string) int {
-	if m := r.members[address]; m != nil && m.seed || address == r.self && r.selfSeed {
-		return 0
+// hubOf returns the one of the hubs that adds up the counts of this instance.
+func (r *roster) hubOf(hubs []string) string {
+	others := slices.DeleteFunc(slices.Clone(hubs), func(address string) bool { return address == r.self })
+	if len(others) == 0 {
+		return ""
 	}
-	return 1
+	return others[xxhash.Sum64String(r.self)%uint64(len(others))]
 }
 
-// ownHub returns the hub that adds up the counts of this instance.
-func (r *roster) ownHub(now time.Time) string {
-	hubs := slices.DeleteFunc(r.hubs(now), func(address string) bool { return address == r.self })
-	if len(hubs) == 0 {
-		return ""
+const (
+	// schedulerRefresh is how long a choice of a scheduler holds.
+	schedulerRefresh = 100 * time.Millisecond
+	// schedulerCapacity is the part of the largest capacity that a scheduler has at least.
+	schedulerCapacity = 0.5
+	// mixFactor spreads the bits of a product over the whole word.
+	mixFactor = 0x9e3779b97f4a7c15
+)
+
+// scheduler returns the live instance that ranks first for a key among those with much capacity.
+func (r *roster) scheduler(key uint64, now time.Time) string {
+	if c, ok := r.schedulers[key]; ok && now.Sub(c.at) < schedulerRefresh {
+		return c.address
+	}
+	best, bestRank := r.self, uint64(0)
+	least := uint8(schedulerCapacity * float64(r.largestCapacity(now)))
+	if r.capacity >= least {
+		bestRank = rankOf(key, xxhash.Sum64String(r.self))
+	}
+	for address, m := range r.members {
+		if m.capacity < least || !m.isLive(now) {
+			continue
+		}
+		if rank := rankOf(key, m.hash); rank > bestRank || rank == bestRank && address < best {
+			best, bestRank = address, rank
+		}
+	}
+	r.schedulers[key] = chosen{address: best, at: now}
+	return best
+}
+
+// rankOf returns the rank of an instance for a key, by rendezvous hashing.
+func rankOf(key, hash uint64) uint64 {
+	mixed := (key ^ hash) * mixFactor
+	mixed ^= mixed >> 32
+	return mixed * mixFactor
+}
+
+func (r *roster) largestCapacity(now time.Time) uint8 {
+	largest := r.capacity
+	for _, m := range r.members {
+		if m.capacity > largest && m.isLive(now) {
+			largest = m.capacity
+		}
 	}
-	return hubs[xxhash.Sum64String(r.self)%uint64(len(hubs))]
+	return largest
 }
 
 // noteAsked notes a question to a hub, and passes it over if it has left one unanswered for long.
@@ -170,28 +250,42 @@
 }
 
 // noteMet notes a message of an instance itself. It reports whether the instance was lost or unknown before.
-func (r *roster) noteMet(address string, now time.Time) bool {
-	m := r.member(address)
+func (r *roster) noteMet(who peer.Member, now time.Time) bool {
+	m := r.member(who.Address)
+	m.capacity = who.Capacity
 	back := m.lost || m.met.IsZero()
 	m.met, m.lost, m.asked = now, false, time.Time{}
 	return back
 }
 
+// noteCapacity takes over a capacity that another instance knows.
+func (m *member) noteCapacity(capacity uint8) {
+	if capacity > 0 {
+		m.capacity = capacity
+	}
+}
+
 // noteVouched notes instances that the sender of a message has met.
-func (r *roster) noteVouched(addresses []string, now time.Time) {
-	for _, address := range addresses {
-		if address != r.self {
-			r.member(address).vouched = now
+func (r *roster) noteVouched(known []peer.Member, now time.Time) {
+	for _, k := range known {
+		if k.Address == r.self {
+			continue
 		}
+		m := r.member(k.Address)
+		m.vouched = now
+		m.noteCapacity(k.Capacity)
 	}
 }
 
 // noteTold notes instances that a hub knows.
-func (r *roster) noteTold(addresses []string, now time.Time) {
-	for _, address := range addresses {
-		if address != r.self {
-			r.member(address).told = now
+func (r *roster) noteTold(known []peer.Member, now time.Time) {
+	for _, k := range known {
+		if k.Address == r.self {
+			continue
 		}
+		m := r.member(k.Address)
+		m.told = now
+		m.noteCapacity(k.Capacity)
 	}
 }
 
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,10 +21,11 @@
 
 const (
 	// sendInterval is the pause between two messages while the own work changes, idleInterval while it does not, and
-	// hubInterval between two messages of and to a hub.
+	// hubInterval between two messages of and to a hub. Behind hubs schedulers place the requests by what they are told at
+	// once, so that these counts only serve when a scheduler is silent.
 	sendInterval = 60 * time.Millisecond
 	idleInterval = 400 * time.Millisecond
-	hubInterval  = 60 * time.Millisecond
+	hubInterval  = 200 * time.Millisecond
 	// hubByteRate bounds what a hub sends in a second, to a fraction of the slowest links; larger messages are sent with
 	// longer pauses, up to maxHubPause, after which members would look for another hub.
 	hubByteRate = 1_000_000
@@ -55,11 +57,22 @@
 	Instance string
 	Book     *load.Book
 	Health   *health.Tracker
+	// Capacity is the part of a core that this instance may use; zero if it is not known. Instances with more of it take
+	// on more of the common work.
+	Capacity float64
+	// Places answers messages about placements; it may be nil.
+	Places MessageHandler
 	// Feed takes and gives what the platform has published.
 	Feed Feed
 	Log  zerolog.Logger
 }
 
+// MessageHandler answers messages of other instances. It must not block.
+type MessageHandler interface {
+	// Handle returns the kind and body of the reply; a nil body sends none.
+	Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any)
+}
+
 // Feed is what this instance knows of the platform's publications. Its methods must not block.
 type Feed interface {
 	// Position returns the revision up to which all changes are known, and the boot-time at which that was confirmed.
@@ -72,10 +85,10 @@
 
 // acquaintances are the live instances that this one has met, and those that others have.
 type acquaintances struct {
-	met, vouched []string
+	met, vouched []peer.Member
 }
 
-func (a acquaintances) all() []string { return append(slices.Clone(a.met), a.vouched...) }
+func (a acquaintances) all() []peer.Member { return append(slices.Clone(a.met), a.vouched...) }
 
 // Sharer sends and receives the messages.
 type Sharer struct {
@@ -99,7 +112,7 @@
 
 // New starts listening on the peers' port.
 func New(options Options) (*Sharer, error) {
-	s := &Sharer{options: options, roster: newRoster(options.Address), group: make(map[string]*groupMember)}
+	s := &Sharer{options: options, roster: newRoster(options.Address, capacityOf(options.Capacity)), group: make(map[string]*groupMember)}
 	s.AddSeeds(options.Seeds)
 	node, err := peer.NewNode(peer.Options{
 		Listen: options.Address,
@@ -125,11 +138,45 @@
 	}
 }
 
+// capacityOf returns a capacity as it is told.
+func capacityOf(cores float64) uint8 {
+	const hundredths = 100
+	return uint8(min(max(cores*hundredths, 0), peer.MaxCapacity))
+}
+
+// Node returns the connections to other instances.
+func (s *Sharer) Node() *peer.Node { return s.node }
+
+// Scheduler implements scheduler.Members.
+func (s *Sharer) Scheduler(key uint64, now time.Time) (address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.isDirect(now) {
+		return "", false
+	}
+	return s.roster.scheduler(key, now), true
+}
+
+// HasMajority reports whether more than half of the largest fleet that this instance or another one has known is live.
+func (s *Sharer) HasMajority(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*(s.roster.countLive(now)+1) > s.roster.largest
+}
+
+// IsLive implements scheduler.Members.
+func (s *Sharer) IsLive(address string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.roster.members[address]
+	return m != nil && m.isLive(now)
+}
+
 // Live returns the number of other instances that were heard of lately.
 func (s *Sharer) Live(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.roster.live(now))
+	return s.roster.countLive(now)
 }
 
 // CountsAge returns the greatest age of the others' counts in calm times: that of one message, or of a message to the
@@ -160,7 +207,10 @@
 // Handle implements peer.Handler.
 func (s *Sharer) Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
 	if envelope.Kind != peer.KindLoadShare {
-		return 0, nil
+		if s.options.Places == nil {
+			return 0, nil
+		}
+		return s.options.Places.Handle(from, envelope)
 	}
 	var message peer.LoadShare
 	if err := envelope.Decode(&message); err != nil {
@@ -183,11 +233,12 @@
 	s.options.Book.Merge(name, countsOf(m), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.roster.largest = max(s.roster.largest, int(m.Largest))
 	if m.Scope == peer.ScopeMember || m.Scope == peer.ScopeOwn {
 		// An instance that knows no other one tells its seeds directly; their answer shows it the fleet.
 		s.group[m.Address] = &groupMember{received: now, stamp: m.Stamp, position: m.Position}
 	}
-	if s.roster.noteMet(m.Address, now) {
+	if s.roster.noteMet(peer.Member{Address: m.Address, Capacity: m.Capacity}, now) {
 		s.options.Log.Info().Str("dependency", "peer").Str("address", m.Address).Msg("dependency_back")
 	}
 	if m.Scope == peer.ScopeTotals {
@@ -201,41 +252,36 @@
 // Serve sends messages until the context ends.
 func (s *Sharer) Serve(ctx context.Context) error {
 	defer s.node.Close()
-	ticker := time.NewTicker(sendInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(sendInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			s.tick(ctx, now)
+		case now := <-timer.C:
+			timer.Reset(s.tick(ctx, now))
 		}
 	}
 }
 
-func (s *Sharer) tick(ctx context.Context, now time.Time) {
+// tick sends the messages that are due and returns the pause until the next look.
+func (s *Sharer) tick(ctx context.Context, now time.Time) time.Duration {
 	s.mu.Lock()
 	s.cleanRoster(now)
+	s.roster.largest = max(s.roster.largest, s.roster.countLive(now)+1)
 	direct := s.roster.isDirect(now)
 	s.mu.Unlock()
-	changes := s.options.Book.Changes()
-	due := sendInterval
-	switch {
-	case !direct:
-		due = max(hubInterval, s.hubPause)
-	case changes == s.sentChanges:
-		due = idleInterval
+	if !direct {
+		s.sendThroughHubs(ctx, s.knownNow(now), now)
+		return max(hubInterval, s.hubPause)
 	}
-	if now.Sub(s.sentAt) < due-sendInterval/2 {
-		return
+	changes := s.options.Book.Changes()
+	if changes == s.sentChanges && now.Sub(s.sentAt) < idleInterval-sendInterval/2 {
+		return sendInterval
 	}
 	s.sentChanges, s.sentAt = changes, now
-	known := s.knownNow(now)
-	if direct {
-		s.sendDirect(ctx, known, now)
-		return
-	}
-	s.sendThroughHubs(ctx, known, now)
+	s.sendDirect(ctx, s.knownNow(now), now)
+	return sendInterval
 }
 
 // knownNow returns the live instances if their list is due with the next message.
@@ -275,9 +321,10 @@
 	s.reconnect(ctx, retried, message)
 }
 
-func (s *Sharer) message(scope peer.ShareScope, known []string, counts load.Counts) peer.LoadShare {
+func (s *Sharer) message(scope peer.ShareScope, known []peer.Member, counts load.Counts) peer.LoadShare {
 	m := peer.LoadShare{
-		Scope: scope, Address: s.options.Address, Known: known, Loads: loadsOf(counts.Entries), Demand: demandOf(counts.Demand),
+		Scope: scope, Address: s.options.Address, Capacity: s.roster.capacity, Known: known,
+		Largest: s.largest(), Loads: loadsOf(counts.Entries), Demand: demandOf(counts.Demand),
 		Stamp: int64(clock.Boot()), AgeMS: -1,
 	}
 	if s.options.Feed != nil {
@@ -286,6 +333,12 @@
 	return m
 }
 
+func (s *Sharer) largest() uint16 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return uint16(min(s.roster.largest, math.MaxUint16))
+}
+
 // send sends a message to several instances and returns the number of bytes. One that cannot be reached gets the next
 // one, and is reported when it has been silent for long.
 func (s *Sharer) send(ctx context.Context, addresses []string, message peer.LoadShare, timeout time.Duration) int {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -16,7 +16,7 @@
 	// lengthBytes is the size of the big-endian length before each payload.
 	lengthBytes = 4
 	// maxKind is the highest known message kind.
-	maxKind = KindLoadShare
+	maxKind = KindPlaceSync
 	// packFrom is the size from which bodies are compressed. Configuration documents and full views shrink to a tenth;
 	// the messages that make up the steady traffic are smaller and stay as they are.
 	packFrom = 4 << 10
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -27,6 +27,10 @@
 	KindSummary
 	KindAck
 	KindLoadShare
+	KindPlaceAsk
+	KindPlaceReply
+	KindPlaceNotice
+	KindPlaceSync
 )
 
 // Role is the kind of process at the other end of a connection.
@@ -411,8 +415,10 @@
 	Scope ShareScope
 	// Address is the peers' address of the sender.
 	Address string
-	// Known lists the peers' addresses of the live instances that the sender knows. It is sent now and then.
-	Known []string
+	// Capacity is the sender's, as in Member.
+	Capacity uint8
+	// Known lists the live instances that the sender knows. It is sent now and then.
+	Known []Member
 	// Loads lists the endpoints on which something is placed.
 	Loads EndpointLoads
 	// Demand lists the services for which short prompts have arrived lately.
@@ -426,6 +432,8 @@
 	AgeMS int64
 	// Published lists the changes after the receiver's Position.
 	Published []PublishedItem
+	// Largest is the size of the largest fleet that the sender has heard of.
+	Largest uint16
 }
 
 // IsDense implements Dense. Loads hardly shrink, and compressing them at each pause takes most of a hub's processor time.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,9 @@
 	// and Lot a random number from 0 to 1 that the request keeps: all instances see the same free places, and each takes
 	// its share of them.
 	Unseen, Lot float64
+	// Exact is true if the counts of the candidates are those of all instances at this moment, so that the best endpoint may
+	// be taken.
+	Exact bool
 	// Blind is true while the work of the other instances is not known.
 	Blind bool
 }
@@ -72,6 +75,20 @@
 	Tokens   int64
 }
 
+// Work describes a request with this choice, which has the given time left, to those who count placed work.
+func (c Choice) Work(need Need, limit time.Duration) load.Work {
+	w := load.Work{
+		First: c.First, Helpers: c.Helpers, Tokens: need.Tokens + need.Output, Part: c.Part, Predicted: c.Predicted,
+		MaxPause: need.MaxPause, Objective: need.Objective, Limit: limit,
+		Held: make(map[*fleet.Endpoint]int64, len(c.Holdings)),
+	}
+	for _, h := range c.Holdings {
+		w.Held[h.Endpoint] = h.Tokens
+		w.Tokens = max(w.Tokens-h.Tokens, 0)
+	}
+	return w
+}
+
 // Reason tells why a request cannot be placed.
 type Reason string
 
@@ -82,7 +99,7 @@
 	// EndpointsRest means that all endpoints have asked for no requests for a while.
 	EndpointsRest Reason = "endpoints_rest"
 	SlotsFull     Reason = "slots_full"
-	TooLate    Reason = "too_late"
+	TooLate       Reason = "too_late"
 	// ReadersBusy means that the endpoints with room could not read the prompt without making earlier ones late.
 	ReadersBusy Reason = "readers_busy"
 )
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -123,6 +124,9 @@
 	return best, bestTime
 }
 
+// allEndpoints compares every endpoint.
+const allEndpoints = math.MaxInt
+
 // sampled is the number of endpoints that are compared for a short prompt.
 const sampled = 4
 
@@ -132,6 +136,9 @@
 // compared returns how many endpoints are compared. The more requests of other instances the counts lack, the more of
 // them take the endpoint that seems best, so that a random one is the better choice.
 func compared(need Need, places float64) int {
+	if need.Exact {
+		return allEndpoints
+	}
 	if need.Unseen <= unseenShare*places {
 		return sampled
 	}
--- /dev/null
+++ b/internal/scheduler/server.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/peer"
+)
+
+// Server answers the messages of other instances from a ledger.
+type Server struct {
+	Ledger *Ledger
+	State  *fleet.State
+	Log    zerolog.Logger
+}
+
+// Handle answers a message. The kind of the reply is zero if there is none.
+func (s *Server) Handle(from peer.Hello, envelope *peer.Envelope) (peer.Kind, any) {
+	now := time.Now()
+	switch envelope.Kind {
+	case peer.KindPlaceAsk:
+		var m peer.PlaceAsk
+		if s.decode(from, envelope, &m) {
+			return peer.KindPlaceReply, s.place(&m, now)
+		}
+	case peer.KindPlaceNotice:
+		var m peer.PlaceNotice
+		if s.decode(from, envelope, &m) {
+			s.notice(&m)
+		}
+	case peer.KindPlaceSync:
+		var m peer.PlaceSync
+		if s.decode(from, envelope, &m) {
+			s.sync(&m, now)
+		}
+	}
+	return 0, nil
+}
+
+func (s *Server) decode(from peer.Hello, envelope *peer.Envelope, into any) bool {
+	err := envelope.Decode(into)
+	if err != nil {
+		s.Log.Warn().Str("peer", from.Name).Err(err).Msg("placement_message_malformed")
+	}
+	return err == nil
+}
+
+func (s *Server) place(m *peer.PlaceAsk, now time.Time) peer.PlaceReply {
+	ask, ok := askOf(m)
+	if !ok {
+		return peer.PlaceReply{Unready: true}
+	}
+	choice, refusal, ok := s.Ledger.Place(ask, now)
+	if !ok {
+		return peer.PlaceReply{Unready: true}
+	}
+	return replyMessage(choice, refusal)
+}
+
+func (s *Server) notice(m *peer.PlaceNotice) {
+	shard, ok := shardOf(m.Shard)
+	switch {
+	case !ok:
+	case m.Ended:
+		s.Ledger.End(shard, m.From, load.Number(m.Number))
+	default:
+		s.Ledger.Read(shard, m.From, load.Number(m.Number))
+	}
+}
+
+func (s *Server) sync(m *peer.PlaceSync, now time.Time) {
+	if shard, ok := shardOf(m.Shard); ok {
+		s.Ledger.Sync(shard, m.From, worksOf(m.Works, s.State.Snapshot().ByKey), now)
+	}
+}
