--- a/cmd/acacia-entry/main.go
+++ b/cmd/acacia-entry/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -56,9 +57,11 @@
 	}
 	state := fleet.NewState()
 	p, err := entry.New(entry.Options{
-		Settings:  s,
-		Dialect:   platform.Dialect{},
-		Source:    platform.NewSource(platform.SourceOptions{Address: s.Platform, State: state, Log: log}),
+		Settings: s,
+		Dialect:  platform.Dialect{},
+		Source: platform.NewSource(platform.SourceOptions{
+			Address: s.Platform, State: state, Log: log, Patient: !slices.Contains(s.Seeds, s.Addresses.Peers),
+		}),
 		State:     state,
 		ReadyPath: platform.ReadyPath,
 		LoadSettings: func() (*settings.Entry, error) {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -64,6 +64,19 @@
 		Expect(onTime(emulator.Ours)).To(BeNumerically(">=", 3*onTime(alone)/2))
 	})
 
+	// Guards against schedulers that serve callers no better than instances which place by counts of the others, whose age
+	// costs short prompts in larger fleets: swings between short and long prompts, and a fleet that has lost two thirds of
+	// its endpoints.
+	DescribeTable("earns more with schedulers than with counts", func(pattern emulator.Pattern, shards int) {
+		counts := emulator.Sum(pattern, emulator.Ours, plays(pattern))
+		scheduled := emulator.Sum(emulator.Scheduled(pattern, shards), emulator.Ours, plays(pattern))
+		Expect(scheduled.Worth).To(BeNumerically(">", counts.Worth))
+		Expect(scheduled.Kinds["short"].OnTime).To(BeNumerically(">", counts.Kinds["short"].OnTime))
+	},
+		Entry("large fleet", emulator.LargeFleet(), 2),
+		Entry("crowded fleet", emulator.CrowdedFleet(), 1),
+	)
+
 	for _, pattern := range []emulator.Pattern{emulator.LongShortLong(), emulator.ShortLongShort()} {
 		// Guards against the largest tenth of long prompts being dropped to serve the others: at least half as often as the
 		// kind. A play has about eight of them, so that many plays are needed for a verdict.
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/published"
 )
 
-// groupMember is an instance whose counts this one adds up.
+// readers is the number of hubs that read the platform for the whole fleet.
+const readers = 3
+
+// groupMember is an instance that this one, a hub, tells of others.
 type groupMember struct {
 	received time.Time
 	stamp    int64
@@ -22,6 +26,7 @@
 	s.mu.Lock()
 	hubs := s.roster.hubs(now)
 	isHub := slices.Contains(hubs, s.options.Address)
+	isReader := slices.Contains(hubs[:min(readers, len(hubs))], s.options.Address)
 	ownHub := ""
 	if !isHub {
 		ownHub = s.roster.hubOf(hubs)
@@ -30,11 +35,9 @@
 		s.roster.noteAsked(ownHub, now)
 	}
 	seeds := s.roster.silentSeeds(now)
-	group := make(map[string]groupMember, len(s.group))
-	for address, m := range s.group {
-		group[address] = *m
-	}
+	group, otherHubs := copyMembers(s.group), copyMembers(s.otherHubs)
 	s.mu.Unlock()
+	s.setReading(isReader)
 	message := s.message(peer.ScopeMember, known.met, s.ownCounts(now))
 	s.reconnect(ctx, seeds, message)
 	if ownHub != "" {
@@ -45,10 +48,32 @@
 		return
 	}
 	others := slices.DeleteFunc(hubs, func(address string) bool { return address == s.options.Address })
-	bytes := s.sendGroup(ctx, others, group, known, now) + s.sendTotals(ctx, group, known, now)
+	bytes := s.sendTotals(ctx, group, known, now)
+	sum := s.message(peer.ScopeGroup, known.met, s.groupCounts(group, now))
+	for _, address := range others {
+		message := sum
+		if isReader {
+			s.addPublished(&message, otherHubs[address])
+		}
+		bytes += s.send(ctx, []string{address}, message, sendTimeout)
+	}
 	s.setHubPause(bytes)
 }
 
+func copyMembers(members map[string]*groupMember) map[string]groupMember {
+	copied := make(map[string]groupMember, len(members))
+	for address, m := range members {
+		copied[address] = *m
+	}
+	return copied
+}
+
+func (s *Sharer) setReading(reading bool) {
+	if s.options.Feed != nil {
+		s.options.Feed.SetReading(reading)
+	}
+}
+
 // setHubPause sets the pause after a round in which the given number of bytes was sent.
 func (s *Sharer) setHubPause(bytes int) {
 	pause := time.Duration(float64(bytes) / hubByteRate * float64(time.Second))
@@ -57,14 +82,14 @@
 	s.hubPause = min(pause, maxHubPause)
 }
 
-// sendGroup tells the other hubs the sum of this hub and its members.
-func (s *Sharer) sendGroup(ctx context.Context, hubs []string, group map[string]groupMember, known acquaintances, now time.Time) (bytes int) {
+// groupCounts returns the sum of this hub and its members.
+func (s *Sharer) groupCounts(group map[string]groupMember, now time.Time) load.Counts {
 	sum, _ := s.options.Book.Sum(now, func(name string) bool {
 		_, isMember := group[name]
 		return isMember
 	})
 	s.addSuspects(sum.Entries, now)
-	return s.send(ctx, hubs, s.message(peer.ScopeGroup, known.met, sum), sendTimeout)
+	return sum
 }
 
 // sendTotals tells each member the work of all others, and what it lacks of the platform's publications.
@@ -74,21 +99,21 @@
 	for address, m := range group {
 		rest := totals.Less(s.options.Book.Share(address))
 		message := s.message(peer.ScopeTotals, known.all(), rest)
-		message.Echo = m.stamp
-		s.addPublished(&message, m.position)
+		s.addPublished(&message, m)
 		bytes += s.send(ctx, []string{address}, message, sendTimeout)
 	}
 	return bytes
 }
 
-// addPublished adds the changes after a member's position.
-func (s *Sharer) addPublished(message *peer.LoadShare, position int64) {
+// addPublished adds the changes after a receiver's position. Nothing is added for one that was not heard yet.
+func (s *Sharer) addPublished(message *peer.LoadShare, to groupMember) {
 	message.AgeMS = -1
-	if s.options.Feed == nil {
+	if s.options.Feed == nil || to.stamp == 0 {
 		return
 	}
+	message.Echo = to.stamp
 	asOf, confirmed := s.options.Feed.Position()
-	items, whole := s.options.Feed.Since(position)
+	items, whole := s.options.Feed.Since(to.position)
 	if !whole || confirmed == 0 {
 		return
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -125,6 +125,7 @@
 	accepted  []published.Item
 	// messages counts the messages that were accepted.
 	messages int
+	reading  bool
 }
 
 func (f *fakeFeed) Position() (int64, time.Duration) {
@@ -133,6 +134,18 @@
 	return f.asOf, f.confirmed
 }
 
+func (f *fakeFeed) SetReading(reading bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = reading
+}
+
+func (f *fakeFeed) isReading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading
+}
+
 func (f *fakeFeed) Since(after int64) ([]published.Item, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -280,6 +293,38 @@
 		Expect(received()).To(BeNumerically(">", before))
 	})
 
+	// Guards against hundreds of instances that each read the platform, and against a fleet in which none does.
+	It("lets a few instances read the platform for all", func() {
+		feeds := make([]*fakeFeed, size)
+		for i := range feeds {
+			feeds[i] = &fakeFeed{asOf: 1, confirmed: clock.Boot()}
+		}
+		startFleet(feeds...)
+		reading := func() int {
+			count := 0
+			for _, f := range feeds {
+				if f.isReading() {
+					count++
+				}
+			}
+			return count
+		}
+		Eventually(reading, eventLimit).Should(BeNumerically("~", 3, 0))
+		// The members of the hubs that do not read get what is published too.
+		newest := clock.Boot()
+		for _, f := range feeds {
+			if f.isReading() {
+				f.Accept(nil, 9, newest)
+			}
+		}
+		for _, f := range feeds {
+			Eventually(func() int64 {
+				asOf, _ := f.Position()
+				return asOf
+			}, eventLimit).Should(BeEquivalentTo(9))
+		}
+	})
+
 	// Guards against members that count a state as confirmed later than it was, and against changes that do not arrive.
 	It("passes on what the platform has published, with its age", func() {
 		feeds := make([]*fakeFeed, size)
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -79,8 +79,11 @@
 	Position() (asOf int64, confirmed time.Duration)
 	// Since returns the changes after a revision, and false if some may not be known any more.
 	Since(after int64) ([]published.Item, bool)
-	// Accept takes over changes up to a revision, confirmed at a boot-time of this instance.
+	// Accept takes over changes up to a revision, confirmed at a boot-time of this instance. They are all that is published
+	// if this instance knew nothing.
 	Accept(items []published.Item, asOf int64, confirmed time.Duration)
+	// SetReading states whether this instance reads the platform for others.
+	SetReading(reading bool)
 }
 
 // acquaintances are the live instances that this one has met, and those that others have.
@@ -98,6 +101,8 @@
 	mu     sync.Mutex
 	roster *roster
 	group  map[string]*groupMember
+	// otherHubs holds the hubs that have told this one the work of their members.
+	otherHubs map[string]*groupMember
 
 	// hubPause is the pause between two rounds of messages of this instance as a hub, toldPause the mean pause between
 	// those that it receives from its hub at toldAt.
@@ -112,7 +117,7 @@
 
 // New starts listening on the peers' port.
 func New(options Options) (*Sharer, error) {
-	s := &Sharer{options: options, roster: newRoster(options.Address, capacityOf(options.Capacity)), group: make(map[string]*groupMember)}
+	s := &Sharer{options: options, roster: newRoster(options.Address, capacityOf(options.Capacity)), group: make(map[string]*groupMember), otherHubs: make(map[string]*groupMember)}
 	s.AddSeeds(options.Seeds)
 	node, err := peer.NewNode(peer.Options{
 		Listen: options.Address,
@@ -229,6 +234,7 @@
 		s.acceptPublished(m)
 	case peer.ScopeGroup:
 		name = groupShare + m.Address
+		s.acceptPublished(m)
 	}
 	s.options.Book.Merge(name, countsOf(m), now)
 	s.mu.Lock()
@@ -238,6 +244,9 @@
 		// An instance that knows no other one tells its seeds directly; their answer shows it the fleet.
 		s.group[m.Address] = &groupMember{received: now, stamp: m.Stamp, position: m.Position}
 	}
+	if m.Scope == peer.ScopeGroup {
+		s.otherHubs[m.Address] = &groupMember{received: now, stamp: m.Stamp, position: m.Position}
+	}
 	if s.roster.noteMet(peer.Member{Address: m.Address, Capacity: m.Capacity}, now) {
 		s.options.Log.Info().Str("dependency", "peer").Str("address", m.Address).Msg("dependency_back")
 	}
@@ -271,6 +280,9 @@
 	s.roster.largest = max(s.roster.largest, s.roster.countLive(now)+1)
 	direct := s.roster.isDirect(now)
 	s.mu.Unlock()
+	if direct {
+		s.setReading(false)
+	}
 	if !direct {
 		s.sendThroughHubs(ctx, s.knownNow(now), now)
 		return max(hubInterval, s.hubPause)
@@ -304,9 +316,11 @@
 	for _, address := range s.roster.forgetSilent(now) {
 		s.node.Disconnect(address)
 	}
-	for address, m := range s.group {
-		if now.Sub(m.received) > memberLifetime {
-			delete(s.group, address)
+	for _, members := range []map[string]*groupMember{s.group, s.otherHubs} {
+		for address, m := range members {
+			if now.Sub(m.received) > memberLifetime {
+				delete(members, address)
+			}
 		}
 	}
 }
--- a/internal/published/log.go
+++ b/internal/published/log.go
@@ -3,6 +3,8 @@
 package published
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -119,6 +121,13 @@
 	return keys
 }
 
+// All returns the latest state of all keys, for an instance that knows none. It reports false if nothing was read yet.
+func (l *Log) All() ([]Item, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.items)), l.asOf > 0
+}
+
 // Since returns the changes after a revision. It reports false if some may not be known any more.
 func (l *Log) Since(after int64) ([]Item, bool) {
 	l.mu.Lock()
