Pass on removals that were put off, and changes across a list read again

A hub whose history was gone read everything again, and forgot that it could still tell its members what had changed. A test of that also showed that a removal which a hub put off after an outage never reached its members: they had passed its revision, and kept a server that had left. Both tests fail before this change; the property of the log covers lists that are read again.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -60,7 +60,9 @@
 // KindResult sums the outcomes of a kind.
 type KindResult struct {
 	Asked, OnTime, Late, Refused int
-	Earned, Owed                 float64
+	// RefusedAgain counts the refused that had come back after a refusal.
+	RefusedAgain int
+	Earned, Owed float64
 	// LargeAsked and LargeServed count the largest tenth of the kind.
 	LargeAsked, LargeServed int
 }
@@ -246,6 +248,9 @@
 // refuse lets the caller return once, if the advised delay is at most a third of its time.
 func (r *run) refuse(call *request, refusal *placement.Refusal) {
 	left := call.kind.Deadline - (r.now - call.at)
+	if call.returned {
+		r.kindResult(call.kind).RefusedAgain++
+	}
 	if call.returned || refusal.RetryAfter > left/3 {
 		r.kindResult(call.kind).Refused++
 		return
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -40,6 +40,7 @@
 	k.OnTime += other.OnTime
 	k.Late += other.Late
 	k.Refused += other.Refused
+	k.RefusedAgain += other.RefusedAgain
 	k.Earned += other.Earned
 	k.Owed += other.Owed
 	k.LargeAsked += other.LargeAsked
--- a/internal/published/log.go
+++ b/internal/published/log.go
@@ -93,11 +93,14 @@
 	l.confirmed = max(l.confirmed, confirmed)
 }
 
-// Listed states that everything was read at a revision; removals before it are not known.
+// Listed states that everything was read at a revision, and that what is gone was put as removed at that revision. If
+// nothing was known before, earlier removals are not known.
 func (l *Log) Listed(asOf int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.from = max(l.from, asOf)
+	if l.asOf == 0 {
+		l.from = asOf
+	}
 	l.asOf = max(l.asOf, asOf)
 }
 
--- a/internal/published/log_test.go
+++ b/internal/published/log_test.go
@@ -26,7 +26,7 @@
 		var stale []published.Item
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Second)
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
 				revision++
 				it := published.Item{Key: fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")), Revision: revision}
@@ -41,6 +41,18 @@
 				stale = append(stale, it)
 			case 2:
 				passOn(hub, member)
+			case 4:
+				// The hub misses some changes and reads everything again.
+				for range rapid.IntRange(0, 3).Draw(t, "missed") {
+					revision++
+					key := fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "missed key"))
+					if rapid.Bool().Draw(t, "missed removal") {
+						delete(state, key)
+						continue
+					}
+					state[key] = revision
+				}
+				relist(hub, state, revision, now)
 			case 3:
 				// A message that was held up arrives after newer ones.
 				if len(stale) > 0 {
@@ -57,6 +69,21 @@
 	})
 }
 
+// relist lets a hub read the whole state of the platform at a revision.
+func relist(hub *published.Log, state map[string]int64, asOf int64, now time.Time) {
+	var items []published.Item
+	for key, revision := range state {
+		items = append(items, published.Item{Key: key, Revision: revision})
+	}
+	for _, key := range hub.Keys(asOf) {
+		if _, present := state[key]; !present {
+			items = append(items, published.Item{Key: key, Revision: asOf, Removed: true})
+		}
+	}
+	hub.Put(items, now)
+	hub.Listed(asOf)
+}
+
 // passOn passes on what a member lacks, and reports whether the hub still knew all of it.
 func passOn(hub, member *published.Log) bool {
 	after, _ := member.Position()
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -122,7 +122,7 @@
 // candidates returns the endpoints of the shard that may get the request.
 func (l *Ledger) candidates(snapshot *fleet.Snapshot, service *fleet.Service, s *shardLedger, ask *Ask, now time.Time) []placement.Candidate {
 	totals, _ := s.book.Totals(now)
-	var candidates []placement.Candidate
+	candidates := make([]placement.Candidate, 0, len(snapshot.Endpoints[service.Name]))
 	for _, e := range snapshot.Endpoints[service.Name] {
 		key := e.Key()
 		if e.Leaving || !ask.Shard.Holds(e) || snapshot.OutOfService[e.Domain] || slices.Contains(ask.Avoid, key) {
