Share the memory budget and the endpoint windows, and split large files

httpserver and entry had the same budget, cold shares and grants the same windows. Reading requests, choosing hubs, cold shares and the messages between entry instances have files of their own. No behaviour changes.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -108,7 +108,7 @@
 		return x.judgeNotReserved(ctx, choice, err)
 	}
 	defer reserved.release()
-	r := &relay{x: x, endpoint: first, body: heldAnswer{memory: &x.handler.answers}}
+	r := &relay{x: x, endpoint: first, body: heldAnswer{memory: x.handler.answers}}
 	x.relays = append(x.relays, r)
 	r.onFirst = func() {
 		if holding.Read() {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/acacialift/acacialift/internal/budget"
 	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -59,7 +60,8 @@
 // Handler answers callers.
 type Handler struct {
 	options HandlerOptions
-	answers answerMemory
+	// answers is the memory for held answers.
+	answers *budget.Budget
 	// stopAt is the boot-time at which requests still running will be cut; zero unless a planned stop has begun.
 	stopAt atomic.Int64
 	// started is the time at which the instance began to get acquainted with the others.
@@ -71,7 +73,7 @@
 	if options.MaxHeldBytes == 0 {
 		options.MaxHeldBytes = defaultHeldBytes
 	}
-	return &Handler{options: options, answers: answerMemory{most: options.MaxHeldBytes}, started: time.Now()}
+	return &Handler{options: options, answers: budget.New(options.MaxHeldBytes), started: time.Now()}
 }
 
 // StartStop begins a planned stop, at whose end the requests still running are cut. Answers close their connections
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -2,7 +2,8 @@
 
 import (
 	"io"
-	"sync/atomic"
+
+	"github.com/acacialift/acacialift/internal/budget"
 )
 
 const (
@@ -18,25 +19,10 @@
 	answerMemoryShare = 4
 )
 
-// answerMemory bounds the memory of all held answers of the process, apart from the first bytes of each.
-type answerMemory struct {
-	most int64
-	used atomic.Int64
-}
-
-func (m *answerMemory) reserve(bytes int64) bool {
-	if m.used.Add(bytes) <= m.most {
-		return true
-	}
-	m.used.Add(-bytes)
-	return false
-}
-
-func (m *answerMemory) release(bytes int64) { m.used.Add(-bytes) }
-
 // heldAnswer is the body of an answer, as far as it has arrived.
 type heldAnswer struct {
-	memory *answerMemory
+	// memory bounds all held answers of the process, apart from the first bytes of each.
+	memory *budget.Budget
 	pieces [][]byte
 	size   int
 	// room is the sum of the capacities of the pieces, reserved the part that counts against the memory.
@@ -66,11 +52,11 @@
 	}
 	piece := min(max(h.room, minPieceBytes), maxPieceBytes)
 	room := h.room + piece
-	if int64(room) > min(maxAnswerBytes, max(h.memory.most/answerMemoryShare, freeAnswerBytes)) {
+	if int64(room) > min(maxAnswerBytes, max(h.memory.Limit()/answerMemoryShare, freeAnswerBytes)) {
 		return errAnswerSize
 	}
 	counted := int64(max(room-freeAnswerBytes, 0)) - h.reserved
-	if !h.memory.reserve(counted) {
+	if !h.memory.Reserve(counted) {
 		return errAnswerSize
 	}
 	h.reserved += counted
@@ -81,7 +67,7 @@
 
 // release gives the memory back. The answer must not be used any more.
 func (h *heldAnswer) release() {
-	h.memory.release(h.reserved)
+	h.memory.Release(h.reserved)
 	*h = heldAnswer{memory: h.memory}
 }
 
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -1,26 +1,6 @@
 package httpserver
 
-import (
-	"bytes"
-	"sync/atomic"
-)
-
-// budget bounds the body bytes that all connections hold.
-type budget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve takes n bytes and reports whether they were left.
-func (b *budget) reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
-	}
-	b.used.Add(-n)
-	return false
-}
-
-func (b *budget) release(n int64) { b.used.Add(-n) }
+import "bytes"
 
 // Body is the whole body of a request; http.Request.Body of this server is a *Body.
 type Body struct {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -4,17 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/outcome"
-	"github.com/acacialift/acacialift/internal/wire"
 )
 
 const (
@@ -103,120 +100,6 @@
 	close(c.queue)
 }
 
-// receive returns the next whole request, or the refusal of one. An error means that the connection ended.
-func (c *conn) receive() (*exchange, error) {
-	if err := c.awaitRequest(); err != nil {
-		return nil, err
-	}
-	x := &exchange{}
-	err := c.receiveRequest(x)
-	c.endReceiving()
-	if err == nil {
-		return x, nil
-	}
-	c.server.bodies.release(x.reserved)
-	x.reserved = 0
-	x.refusal = refusalOf(err)
-	if x.refusal == nil {
-		return nil, err
-	}
-	return x, nil
-}
-
-func (c *conn) receiveRequest(x *exchange) error {
-	head, err := wire.ReadHead(c.reader, c.server.options.MaxHeaderBytes)
-	if err != nil {
-		return err
-	}
-	request, framing, err := wire.ParseRequest(head)
-	if err != nil {
-		return err
-	}
-	x.request = request
-	if framing.Length > int64(c.server.options.MaxBodyBytes) {
-		return refuseBodySize()
-	}
-	if err := c.answerExpectation(request); err != nil {
-		return err
-	}
-	c.extendReceiving()
-	data, err := c.readBody(framing, x)
-	if err != nil {
-		return err
-	}
-	request.Body = newBody(data)
-	request.ContentLength = int64(len(data))
-	request.TransferEncoding = nil
-	request.RemoteAddr = c.raw.RemoteAddr().String()
-	return nil
-}
-
-// answerExpectation sends "100 Continue" where it is asked for. It is left out while earlier answers are due, which a
-// caller must tolerate (RFC 9110 section 10.1.1).
-func (c *conn) answerExpectation(r *http.Request) error {
-	value := r.Header.Get("Expect")
-	if value == "" {
-		return nil
-	}
-	if !strings.EqualFold(value, "100-continue") {
-		return refuse(http.StatusExpectationFailed, CodeExpectation, "the expectation is not supported")
-	}
-	if r.ContentLength == 0 || c.isActive() {
-		return nil
-	}
-	return c.write(net.Buffers{[]byte("HTTP/1.1 100 Continue\r\n\r\n")})
-}
-
-// readBody reads a whole body. Its memory is reserved as it grows, so that a declared length alone reserves nothing.
-func (c *conn) readBody(framing wire.Framing, x *exchange) ([]byte, error) {
-	limit := c.server.options.MaxBodyBytes
-	if !framing.Chunked {
-		limit = int(max(framing.Length, 0))
-	}
-	source := wire.NewBody(c.reader, framing)
-	var data []byte
-	var probe [1]byte
-	for {
-		if len(data) == cap(data) && len(data) < limit {
-			grown := min(max(firstBodyBytes, 2*cap(data)), limit)
-			if !c.server.bodies.reserve(int64(grown - cap(data))) {
-				return nil, refuseBudget()
-			}
-			x.reserved += int64(grown - cap(data))
-			data = append(make([]byte, 0, grown), data...)
-		}
-		space := data[len(data):cap(data)]
-		if len(space) == 0 {
-			space = probe[:]
-		}
-		n, err := source.Read(space)
-		if n > 0 && len(data) == limit {
-			return nil, refuseBodySize()
-		}
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest() error {
-	for {
-		c.armRead()
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			return c.beginReceiving()
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isOverdue() {
-			return err
-		}
-	}
-}
-
 // isOverdue reports whether a read time-out holds now; it may come from a deadline that has been moved since.
 func (c *conn) isOverdue() bool {
 	c.mu.Lock()
@@ -281,12 +164,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		c.server.bodies.release(x.reserved)
+		c.server.bodies.Release(x.reserved)
 		return false
 	}
 	full := c.active > c.server.options.MaxPipelined
 	if full {
-		c.server.bodies.release(x.reserved)
+		c.server.bodies.Release(x.reserved)
 		x = &exchange{request: x.request, refusal: refusePipelined()}
 	}
 	c.active++
@@ -322,7 +205,7 @@
 	defer func() {
 		c.end()
 		for x := range c.queue {
-			c.server.bodies.release(x.reserved)
+			c.server.bodies.Release(x.reserved)
 		}
 		c.server.remove(c)
 	}()
@@ -351,7 +234,7 @@
 
 // drop forgets an exchange that follows the connection's last answer.
 func (c *conn) drop(x *exchange) {
-	c.server.bodies.release(x.reserved)
+	c.server.bodies.Release(x.reserved)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active--
@@ -364,7 +247,7 @@
 	defer func() {
 		value := recover()
 		cancel()
-		c.server.bodies.release(x.reserved)
+		c.server.bodies.Release(x.reserved)
 		if returned {
 			return
 		}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/acacialift/acacialift/internal/budget"
 	"github.com/acacialift/acacialift/internal/outcome"
 )
 
@@ -86,7 +87,7 @@
 type Server struct {
 	options  Options
 	listener net.Listener
-	bodies   *budget
+	bodies   *budget.Budget
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -106,7 +107,7 @@
 	return &Server{
 		options:  options,
 		listener: listener,
-		bodies:   &budget{limit: options.MaxBufferedBytes},
+		bodies:   budget.New(options.MaxBufferedBytes),
 		conns:    make(map[*conn]struct{}),
 		empty:    make(chan struct{}),
 	}, nil
@@ -116,7 +117,7 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // BufferedBytes returns the number of body bytes that are held for requests being received, waiting or running.
-func (s *Server) BufferedBytes() int64 { return s.bodies.used.Load() }
+func (s *Server) BufferedBytes() int64 { return s.bodies.Used() }
 
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
--- a/internal/limit/coldgrants.go
+++ b/internal/limit/coldgrants.go
@@ -24,13 +24,13 @@
 	factor      float64
 	slack       float64
 	hasMajority func(now time.Time) bool
-	granted     map[uint32]*Window
+	granted     endpointWindows
 }
 
 // NewColdGrants returns the grants of an instance. An endpoint accepts rate x factor + slack requests a second from all
 // instances. hasMajority reports whether this instance is in touch with more than half of the fleet.
 func NewColdGrants(factor, slack float64, hasMajority func(now time.Time) bool) *ColdGrants {
-	return &ColdGrants{factor: factor, slack: slack, hasMajority: hasMajority, granted: make(map[uint32]*Window)}
+	return &ColdGrants{factor: factor, slack: slack, hasMajority: hasMajority, granted: newEndpointWindows(grantWindow)}
 }
 
 // Allows reports whether a request to the endpoint would be granted now.
@@ -44,11 +44,7 @@
 	if !g.hasMajority(now) {
 		return false
 	}
-	count := 0
-	if w := g.granted[endpoint]; w != nil {
-		count = w.Count(now)
-	}
-	return float64(count+1) <= grantShare*(rate*g.factor+g.slack)
+	return float64(g.granted.count(endpoint, now)+1) <= grantShare*(rate*g.factor+g.slack)
 }
 
 // Take grants a request to the endpoint if that is allowed, and reports whether it did.
@@ -58,12 +54,7 @@
 	if !g.allows(endpoint, rate, now) {
 		return false
 	}
-	w := g.granted[endpoint]
-	if w == nil {
-		w = NewWindow(grantWindow)
-		g.granted[endpoint] = w
-	}
-	w.Add(now)
+	g.granted.add(endpoint, now)
 	return true
 }
 
@@ -71,9 +62,5 @@
 func (g *ColdGrants) Forget(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for endpoint, w := range g.granted {
-		if w.Count(now) == 0 {
-			delete(g.granted, endpoint)
-		}
-	}
+	g.granted.forget(now)
 }
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -117,7 +117,12 @@
 
 // New starts listening on the peers' port.
 func New(options Options) (*Sharer, error) {
-	s := &Sharer{options: options, roster: newRoster(options.Address, capacityOf(options.Capacity)), group: make(map[string]*groupMember), otherHubs: make(map[string]*groupMember)}
+	s := &Sharer{
+		options:   options,
+		roster:    newRoster(options.Address, capacityOf(options.Capacity)),
+		group:     make(map[string]*groupMember),
+		otherHubs: make(map[string]*groupMember),
+	}
 	s.AddSeeds(options.Seeds)
 	node, err := peer.NewNode(peer.Options{
 		Listen: options.Address,
@@ -288,13 +293,11 @@
 	s.roster.largest = max(s.roster.largest, s.roster.countLive(now)+1)
 	direct := s.roster.isDirect(now)
 	s.mu.Unlock()
-	if direct {
-		s.setReading(false)
-	}
 	if !direct {
 		s.sendThroughHubs(ctx, s.knownNow(now), now)
 		return max(hubInterval, s.hubPause)
 	}
+	s.setReading(false)
 	changes := s.options.Book.Changes()
 	if changes == s.sentChanges && now.Sub(s.sentAt) < idleInterval-sendInterval/2 {
 		return sendInterval
