--- a/test/process/entry_test.go
+++ b/test/process/entry_test.go
@@ -155,10 +155,12 @@
 		Expect(string(text)).To(ContainSubstring("acacialift_requests 1\n"))
 		Expect(string(text)).To(ContainSubstring("acacialift_request_total_ms_count 1\n"))
 
-		Expect(os.WriteFile(p.settings, []byte("instance: entry-1\nplatform: here\n"), 0o600)).To(Succeed())
+		wrong := "instance: entry-1\nplatform: here\nbounds: {stop_grace: 0s}\n"
+		Expect(os.WriteFile(p.settings, []byte(wrong), 0o600)).To(Succeed())
 		output, err := exec.Command(filepath.Join(binaries, "acacia-entry"), "--settings", p.settings, "--check").CombinedOutput()
 		Expect(err).To(HaveOccurred())
 		Expect(string(output)).To(ContainSubstring("platform"))
 		Expect(string(output)).To(ContainSubstring("bounds.stop_grace"))
+		Expect(string(output)).To(ContainSubstring("bounds.least_instances"))
 	})
 })
