--- a/internal/entry/advice_test.go
+++ b/internal/entry/advice_test.go
@@ -86,7 +86,7 @@
 		Expect(r.call("/safe/").body).To(Equal("again"))
 	})
 
-	// Guards against a stream's or a refusal's word that is overheard.
+	// Guards against a header that is read in some kinds of answers only.
 	DescribeTable("is believed in every kind of answer", func(answer string) {
 		endpoints, leaving := pair(answer)
 		r := newRig(endpoints)
@@ -105,12 +105,12 @@
 
 	// Guards against requests that keep a server from recovering: none may reach it until its time is over.
 	It("gets no request meanwhile, and the others go on", func() {
-		endpoints, tired := pair(resting("30"))
+		endpoints, asked := pair(resting("30"))
 		r := newRig(endpoints)
 		for range calls {
 			Expect(r.call("/safe/").body).To(Equal("here"))
 		}
-		Expect(tired().reached()).To(HaveLen(1))
+		Expect(asked().reached()).To(HaveLen(1))
 	})
 
 	// Guards against a caller that is told to come back before any endpoint may be asked again.
--- a/internal/scheduler/ledger_test.go
+++ b/internal/scheduler/ledger_test.go
@@ -100,7 +100,7 @@
 		Expect(ok).To(BeTrue())
 	})
 
-	// Guards against a scheduler that has lost its office, comes back later and trusts what it knew.
+	// Guards against a scheduler that another one has replaced for a while, and that trusts what it knew before.
 	It("listens again after another instance was the scheduler", func() {
 		l := newInformed(newState(1))
 		l.Resign(func(scheduler.Shard) bool { return false })
@@ -108,7 +108,7 @@
 		Expect(ok).To(BeFalse())
 	})
 
-	// Guards against places that stay taken because the word of an end was lost, and against a placement that is forgotten
+	// Guards against places that stay taken because the notice of an end was lost, and against a placement that is forgotten
 	// while its answer is on its way.
 	It("forgets what an instance does not list any more, unless it was placed just now", func() {
 		l := newInformed(newState(1))
@@ -139,7 +139,7 @@
 		Expect(refusal).NotTo(BeNil())
 	})
 
-	// Guards against places that a dead instance, or a lost word, takes for ever.
+	// Guards against places that a dead instance, or a lost notice, takes for ever.
 	DescribeTable("forgets work that cannot go on", func(forget func(*scheduler.Ledger), at time.Duration) {
 		l := newInformed(newState(1))
 		for n := range slots {
