--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -115,6 +115,19 @@
 	}
 }
 
+// observeRate records the request rate that an endpoint states, or no longer states, in the response to a request that was
+// sent at the given time.
+func (x *exchange) observeRate(e *fleet.Endpoint, status EndpointStatus, sentAt time.Time) {
+	rates := x.handler.options.RateLimiter
+	switch {
+	case status.HasMaxRate && rates.Observe(e.Key(), status.MaxRate, time.Now()):
+		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Float64("max_rate", status.MaxRate).
+			Msg("endpoint_limited")
+	case !status.HasMaxRate && rates.ObserveNone(e.Key(), sentAt):
+		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Msg("endpoint_limit_ended")
+	}
+}
+
 // endpointAt returns the service's endpoint with an address, or nil if there is none.
 func (x *exchange) endpointAt(address string) *fleet.Endpoint {
 	if address == "" {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -76,6 +76,10 @@
 	Leaving bool
 	// BackOff is the time for which this instance must send the endpoint no requests; zero if the endpoint stated nothing.
 	BackOff time.Duration
+	// MaxRate is the number of requests per second that the endpoint accepts from all instances together. HasMaxRate is
+	// false if the endpoint stated none.
+	MaxRate    float64
+	HasMaxRate bool
 }
 
 // ControlRequest is a request to reserve or release memory of an endpoint.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -126,9 +126,10 @@
 			x.firstEventAt = time.Now()
 		}
 	}
-	err = x.handler.options.Client.Do(
-		ctx, x.request(choice, reserved.reservations), func() error { return x.stillUsable(&p) }, r,
-	)
+	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.reservations), func() error {
+		r.sentAt = time.Now()
+		return x.stillUsable(&p)
+	}, r)
 	return x.handleResult(ctx, primary, r, err)
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -30,6 +30,7 @@
 	RetryBudget *limit.RetryBudget
 	Planner     placement.Planner
 	ColdLimiter *limit.ColdLimiter
+	RateLimiter *limit.RateLimiter
 	Client      *engine.Client
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -11,7 +11,7 @@
 // logPlaced logs the chosen endpoints and the values that the choice depended on.
 func (x *exchange) logPlaced(p *attemptPlacement) {
 	choice := p.Choice
-	x.handler.options.Log.Info().
+	line := x.handler.options.Log.Info().
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("team", x.team.Name).
@@ -27,8 +27,12 @@
 		Int("attempt", x.sent+1).
 		Dur("waited_ms", time.Since(x.received)).
 		Str("scheduler", p.schedulerName).
-		Dur("ask_ms", p.schedulerLatency).
-		Msg("request_placed")
+		Dur("ask_ms", p.schedulerLatency)
+	if rate, age, limited := x.handler.options.RateLimiter.Rate(choice.Primary.Key(), time.Now()); limited {
+		x.handler.options.Metrics.PlacedOnLimited()
+		line = line.Float64("max_rate", rate).Dur("max_rate_age_ms", age)
+	}
+	line.Msg("request_placed")
 }
 
 // idsOf joins the ids of endpoints.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -45,6 +45,9 @@
 // ControlRequestSent counts a control request to an endpoint.
 func (m *Metrics) ControlRequestSent() { m.count("orders") }
 
+// PlacedOnLimited counts a request that was placed on an endpoint that limits its request rate.
+func (m *Metrics) PlacedOnLimited() { m.count("placed_on_limited") }
+
 // CountError counts a request that ended with an error code of this instance, in an error response or an aborted connection.
 func (m *Metrics) CountError(code string) { m.count("answers_" + code) }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -93,6 +93,7 @@
 	metrics         *Metrics
 	client          *engine.Client
 	coldLimiter     *limit.ColdLimiter
+	rateLimiter     *limit.RateLimiter
 	fleetShare      *limit.FleetShare
 	callerServer    *httpserver.Server
 	readinessServer *httpserver.Server
@@ -123,13 +124,15 @@
 		fleetShare: limit.NewFleetShare(b.LeastInstances, time.Now()),
 	}
 	p.coldLimiter = limit.NewColdLimiter(b.ColdFactor, b.ColdSlack, p.fleetShare)
+	p.rateLimiter = limit.NewRateLimiter()
 	loadTracker, healthTracker := load.NewTracker(), health.NewTracker()
 	// The functions below that use p.sharer are called only after listen has set it.
 	handlerOptions := HandlerOptions{
 		Protocol: options.Protocol, State: options.State, Load: loadTracker, Health: healthTracker, ColdLimiter: p.coldLimiter,
-		Planner:   placement.Planner{IntN: rand.IntN},
-		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
-		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
+		RateLimiter: p.rateLimiter,
+		Planner:     placement.Planner{IntN: rand.IntN},
+		CountsAge:   func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
+		Client:      p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
@@ -335,6 +338,7 @@
 		case now := <-ticker.C:
 			p.client.ExpireIdle()
 			p.coldLimiter.Forget(now)
+			p.metrics.SetGauge("limited_endpoints", int64(p.rateLimiter.Count()))
 			p.metrics.SetGauge("connections", int64(p.callerServer.Connections()))
 			p.metrics.SetGauge("buffered_bytes", p.callerServer.BufferedBytes())
 			p.metrics.SetGauge("endpoint_dials", p.client.Dials())
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -21,6 +22,8 @@
 	x *exchange
 	// endpoint is the endpoint that responds.
 	endpoint *fleet.Endpoint
+	// sentAt is the time immediately before the first byte of the request was sent.
+	sentAt time.Time
 	// classification is set when the head has arrived. classified is then true unless the response is Mismatched.
 	classification Classification
 	classified     bool
@@ -41,7 +44,9 @@
 	}
 	r.classification, r.classified = classification, true
 	if classification.Verdict == Accepted || classification.Verdict == NotRun {
-		r.x.applyStatus(r.endpoint, r.x.handler.options.Protocol.EndpointStatus(status, header))
+		endpointStatus := r.x.handler.options.Protocol.EndpointStatus(status, header)
+		r.x.applyStatus(r.endpoint, endpointStatus)
+		r.x.observeRate(r.endpoint, endpointStatus, r.sentAt)
 	}
 	r.status, r.header = status, header
 	if classification.Verdict != Accepted {
