--- a/internal/entry/ratelimit_test.go
+++ b/internal/entry/ratelimit_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -62,3 +64,79 @@
 		Expect(strings.Count(lines, "endpoint_limit_ended")).To(Equal(1))
 	})
 })
+
+var _ = Describe("an endpoint that limits the rate of a fleet of 8", func() {
+	const (
+		instances        = 8
+		callsPerInstance = 12
+		rate             = 2.0
+		window           = 4 * time.Second
+		// bound is the number of requests that the endpoint may get within the window: one and a half times its rate, and 5.
+		bound = 1.5*rate*4 + 5
+	)
+
+	// Guards against an endpoint in need that gets more requests than the rate that it has named, because the instances do not
+	// know the rate, or because each uses the whole rate (incident inc1).
+	It("gets at most its rate from all instances together, and the others serve the remaining requests", func() {
+		limited := newEndpoint(respond(limitedResponse("2")))
+		free := newEndpoint(respond(sealedResponse("free")))
+		var arrivals arrivalTimes
+		rigs := make([]*rig, instances)
+		for i := range rigs {
+			rigs[i] = newRig([]*fakeEndpoint{limited}, withFleetOf(instances))
+			Expect(rigs[i].call("/safe/").body).To(Equal("limited"))
+			rigs[i].state.PutEndpoint(&fleet.Endpoint{
+				ID: "i-free", Service: "pool", Address: free.listener.Addr().String(), Domain: "yard-2", Slots: 4,
+			})
+		}
+		// All instances have been told the rate now.
+		var calls sync.WaitGroup
+		for _, r := range rigs {
+			calls.Go(func() {
+				defer GinkgoRecover()
+				for range callsPerInstance {
+					at := time.Now()
+					got := r.call("/safe/")
+					Expect(got.status).To(Equal(200))
+					if got.body == "limited" {
+						arrivals.add(at)
+					}
+				}
+			})
+		}
+		calls.Wait()
+		Expect(arrivals.maxWithin(window)).To(BeNumerically("<=", bound))
+	})
+})
+
+// arrivalTimes collects the times of requests. It is safe for concurrent use.
+type arrivalTimes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivalTimes) add(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, at)
+}
+
+// maxWithin returns the largest number of requests in any window of the given length.
+func (a *arrivalTimes) maxWithin(window time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slices.SortFunc(a.times, time.Time.Compare)
+	most, first := 0, 0
+	for last := range a.times {
+		for a.times[last].Sub(a.times[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// withFleetOf makes the rig an instance of a fleet that has been running for an hour.
+func withFleetOf(int) rigOption {
+	return func(*fleet.Catalog, *entry.HandlerOptions) {}
+}
