Share the request rates that endpoints in need name among all instances

Cause: no part of the system read the statement. Placement knew slots, memory, cold starts, back-offs and leaving endpoints, but not a rate that an endpoint sets itself, so every instance went on as before.

An instance now sends one request per interval to such an endpoint, counted immediately before the first byte. The interval is the inverse of its share of the rate (FleetShare), so that all instances together stay below the rate under any split. Turns start at a random time and expire after a second; otherwise hundreds of instances that had no request for the endpoint for a while would use theirs at once (the property test finds that when turns do not expire). An endpoint without a turn is no primary endpoint, at schedulers neither; it may still prefill parts.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -22,7 +22,8 @@
 )
 
 // errWithdrawn means that an endpoint must not get the request any more: between placement and sending it was removed, began
-// to leave, went out of service or requested a back-off, or the grant for its cold start expired.
+// to leave, went out of service or requested a back-off, the grant for its cold start expired, or this instance used up its
+// share of the endpoint's request rate.
 var errWithdrawn = errors.New("the endpoint became unavailable after placement")
 
 // exchange is the processing of one call from its arrival to the end of the response.
@@ -172,6 +173,9 @@
 	if x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) > 0 || x.isColdGrantExpired(p) {
 		return errWithdrawn
 	}
+	if !x.handler.options.RateLimiter.Take(e.Key(), time.Now()) {
+		return errWithdrawn
+	}
 	x.sent++
 	return nil
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -56,6 +56,7 @@
 		Dur("retry_after_ms", refusal.RetryAfter).
 		Dur("waited_ms", time.Since(x.received)).
 		Int("endpoints", refusal.Candidates).
+		Int("full", len(x.handler.options.RateLimiter.Full(time.Now()))).
 		Str("scheduler", x.refusingScheduler).
 		Float64("number", x.randomRank).
 		Float64("unseen", x.unseen(time.Now())).
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/clock"
@@ -100,6 +102,7 @@
 	}
 	request.Need.Objective = objective
 	request.Suspects = options.Health.Suspects(time.Now())
+	request.Full = slices.Collect(maps.Keys(options.RateLimiter.Full(time.Now())))
 	count := scheduler.ShardCount(len(options.State.Snapshot().Endpoints[x.service.Name]))
 	first := options.Planner.IntN(int(count))
 	var refusal *placement.Refusal
@@ -180,6 +183,7 @@
 	x.minBackOff = 0
 	snapshot := h.options.State.Snapshot()
 	totals, instances := h.options.Load.Totals(now)
+	full := h.options.RateLimiter.Full(now)
 	var candidates []placement.Candidate
 	for _, e := range snapshot.Endpoints[x.service.Name] {
 		if e.Leaving || snapshot.OutOfService[e.Domain] || x.tried[e.ID] {
@@ -189,7 +193,7 @@
 			x.minBackOff = minBackOff(x.minBackOff, left)
 			continue
 		}
-		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[e.Key()]}
+		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[e.Key()], Full: full[e.Key()]}
 		c.Suspect = c.Suspect || h.options.Health.IsSuspect(e.Key(), now)
 		c.Cold = x.service.ColdRate > 0 && e.IsCold(now)
 		if c.Cold && !h.options.ColdLimiter.Allows(e.Key(), x.service.ColdRate, now) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -124,7 +124,7 @@
 		fleetShare: limit.NewFleetShare(b.LeastInstances, time.Now()),
 	}
 	p.coldLimiter = limit.NewColdLimiter(b.ColdFactor, b.ColdSlack, p.fleetShare)
-	p.rateLimiter = limit.NewRateLimiter()
+	p.rateLimiter = limit.NewRateLimiter(p.fleetShare, rand.Float64)
 	loadTracker, healthTracker := load.NewTracker(), health.NewTracker()
 	// The functions below that use p.sharer are called only after listen has set it.
 	handlerOptions := HandlerOptions{
@@ -326,7 +326,7 @@
 	return suture.ErrDoNotRestart
 }
 
-// runMaintenance closes expired idle connections, deletes outdated counts of requests to endpoints in cold start, reports
+// runMaintenance closes expired idle connections, deletes outdated counts and limits of endpoints, reports
 // the number of live peers to the fleet share, and updates the gauges, once per maintenanceInterval.
 func (p *Process) runMaintenance(ctx context.Context) error {
 	ticker := time.NewTicker(maintenanceInterval)
@@ -338,6 +338,7 @@
 		case now := <-ticker.C:
 			p.client.ExpireIdle()
 			p.coldLimiter.Forget(now)
+			p.rateLimiter.Forget(now)
 			p.metrics.SetGauge("limited_endpoints", int64(p.rateLimiter.Count()))
 			p.metrics.SetGauge("connections", int64(p.callerServer.Connections()))
 			p.metrics.SetGauge("buffered_bytes", p.callerServer.BufferedBytes())
--- a/internal/entry/ratelimit_test.go
+++ b/internal/entry/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/limit"
 )
 
 // limitedResponse returns a response of an endpoint that names a request rate.
@@ -137,6 +139,10 @@
 }
 
 // withFleetOf makes the rig an instance of a fleet that has been running for an hour.
-func withFleetOf(int) rigOption {
-	return func(*fleet.Catalog, *entry.HandlerOptions) {}
+func withFleetOf(instances int) rigOption {
+	return func(_ *fleet.Catalog, options *entry.HandlerOptions) {
+		share := limit.NewFleetShare(1, time.Now().Add(-time.Hour))
+		share.ObservePeers(instances - 1)
+		options.RateLimiter = limit.NewRateLimiter(share, rand.Float64)
+	}
 }
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -209,7 +209,7 @@
 			Ratio: 1, Slack: 1000, Window: 10 * time.Second, Fleet: limit.NewFleetShare(1, longAgo),
 		}),
 		ColdLimiter: limit.NewColdLimiter(1.5, 5, limit.NewFleetShare(1, longAgo)),
-		RateLimiter: limit.NewRateLimiter(),
+		RateLimiter: limit.NewRateLimiter(limit.NewFleetShare(1, longAgo), rand.Float64),
 		Planner:     placement.Planner{IntN: rand.IntN},
 		CountsAge:   func(time.Time) time.Duration { return 0 },
 		Client: engine.NewClientWithOptions(engine.ClientOptions{
--- a/internal/limit/fleetcoldlimiter_test.go
+++ b/internal/limit/fleetcoldlimiter_test.go
@@ -1,7 +1,6 @@
 package limit_test
 
 import (
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,19 +19,6 @@
 	maxDetectionTime = 3 * time.Second
 )
 
-// maxPerSecond returns the largest number of the given instants that lie within one second. It sorts the instants.
-func maxPerSecond(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for last := range times {
-		for times[last].Sub(times[first]) >= time.Second {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
-
 var _ = Describe("a fleet-wide limiter of requests to endpoints in cold start", func() {
 	start := time.Unix(0, 0)
 
@@ -46,8 +32,8 @@
 				sent = append(sent, now)
 			}
 		}
-		Expect(maxPerSecond(sent)).To(BeNumerically(">=", coldBound/2))
-		Expect(maxPerSecond(sent)).To(BeNumerically("<=", coldBound))
+		Expect(maxWithin(sent, time.Second)).To(BeNumerically(">=", coldBound/2))
+		Expect(maxWithin(sent, time.Second)).To(BeNumerically("<=", coldBound))
 	})
 
 	// Guards against more requests than the bound in a fleet that is partitioned in any way. Each side has an instance
@@ -82,7 +68,7 @@
 					}
 				}
 			}
-			if most := maxPerSecond(sent); float64(most) > coldBound {
+			if most := maxWithin(sent, time.Second); float64(most) > coldBound {
 				t.Fatalf("%d requests within a second", most)
 			}
 		})
--- a/internal/limit/ratelimiter_test.go
+++ b/internal/limit/ratelimiter_test.go
@@ -1,12 +1,18 @@
 package limit_test
 
 import (
+	"math/rand/v2"
+	"slices"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pgregory.net/rapid"
+
 	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 var _ = Describe("the request rate of an endpoint", func() {
@@ -15,7 +21,7 @@
 	// Guards against a limit that is dropped because the response to an earlier request arrives late, and against one that
 	// is kept after the endpoint no longer names it.
 	It("holds until a response without it to a request that was sent after the latest statement", func() {
-		l := limit.NewRateLimiter()
+		l := limit.NewRateLimiter(establishedShare(0), rand.Float64)
 		Expect(l.Observe(endpoint, 2, start)).To(BeTrue())
 		Expect(l.Observe(endpoint, 2, start.Add(time.Second))).To(BeFalse())
 		Expect(l.Observe(endpoint, 1.6, start.Add(2*time.Second))).To(BeTrue())
@@ -30,4 +36,96 @@
 		Expect(l.ObserveNone(endpoint, start.Add(3*time.Second))).To(BeFalse())
 		Expect(l.Count()).To(BeZero())
 	})
+
+	// Guards against an instance that sends to a limited endpoint right after its start, although it may have used its share
+	// before.
+	It("gets nothing from an instance that has just started", func() {
+		l := limit.NewRateLimiter(limit.NewFleetShare(1, start), rand.Float64)
+		l.Observe(endpoint, 100, start)
+		Expect(l.Take(endpoint, start.Add(time.Second))).To(BeFalse())
+		Expect(l.Take(endpoint, start.Add(10*time.Second))).To(BeTrue())
+	})
+
+	// Guards against a rate of zero that holds forever because no request could show that it has ended.
+	It("of zero still admits a request now and then", func() {
+		l := limit.NewRateLimiter(establishedShare(0), rand.Float64)
+		l.Observe(endpoint, 0, start)
+		Expect(countTaken(l, endpoint, 0, time.Minute)).To(BeNumerically("~", 4, 1))
+	})
+})
+
+// countTaken returns how many requests the limiter allows if one is tried every 100 ms.
+func countTaken(l *limit.RateLimiter, endpoint uint32, from, to time.Duration) int {
+	taken := 0
+	for at := from; at < to; at += 100 * time.Millisecond {
+		if l.Take(endpoint, start.Add(at)) {
+			taken++
+		}
+	}
+	return taken
+}
+
+// Guards against more requests of all instances than an endpoint in need allows: one and a half times its rate in any 4 s,
+// and 5. The instances learn the rate at different times, and their load comes and goes: none for a while, then as many
+// requests as the limiters allow.
+func TestLimitedEndpointsGetAtMostTheirRateFromAllInstances(t *testing.T) {
+	testkit.FixRapidSeed()
+	const window = 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.OneOf(rapid.IntRange(1, 12), rapid.IntRange(13, 300)).Draw(t, "instances")
+		rate := rapid.Float64Range(0.3, 40).Draw(t, "rate")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		limiters := make([]*limit.RateLimiter, instances)
+		for i := range limiters {
+			limiters[i] = limit.NewRateLimiter(establishedShare(instances-1), random.Float64)
+			limiters[i].Observe(1, rate, start.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "told ms"))*time.Millisecond))
+		}
+		var sent []time.Time
+		now := start.Add(3 * time.Second)
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "idle ms")) * time.Millisecond)
+			for range rapid.IntRange(1, 200).Draw(t, "busy intervals of 50 ms") {
+				now = now.Add(50 * time.Millisecond)
+				for _, l := range limiters {
+					if l.Take(1, now) {
+						sent = append(sent, now)
+					}
+				}
+			}
+		}
+		if most := maxWithin(sent, window); float64(most) > 1.5*rate*window.Seconds()+5 {
+			t.Fatalf("%d requests within 4 s", most)
+		}
+	})
+}
+
+// maxWithin returns the largest number of the given instants that lie within a window. It sorts the instants.
+func maxWithin(times []time.Time, window time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+var _ = Describe("a fleet with a limited endpoint", func() {
+	// Guards against shares so small that an endpoint in need gets much less than the rate that it has named.
+	DescribeTable("uses at least half of the rate while its load is high", func(instances int) {
+		const rate, seconds = 2.0, 120
+		random := rand.New(rand.NewPCG(1, 1))
+		taken := 0
+		for range instances {
+			l := limit.NewRateLimiter(establishedShare(instances-1), random.Float64)
+			l.Observe(1, rate, start)
+			taken += countTaken(l, 1, 3*time.Second, (3+seconds)*time.Second)
+		}
+		Expect(float64(taken)).To(BeNumerically(">=", rate*seconds/2))
+		Expect(float64(taken)).To(BeNumerically("<=", rate*seconds))
+	},
+		Entry("one instance", 1), Entry("8 instances", 8), Entry("63 instances", 63), Entry("295 instances", 295),
+	)
 })
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -40,6 +40,9 @@
 	Avoid []uint32
 	// Suspects lists endpoints that fail requests of the sender.
 	Suspects []uint32
+	// Full lists endpoints that must not get a request from the sender now, because they limit their request rate. They may
+	// be helpers.
+	Full []uint32
 }
 
 // PlaceReservation is reserved memory of an endpoint.
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -248,7 +248,7 @@
 // needs memory for a part of the prompt only.
 func (l *longPool) hasCapacity(c *Candidate) bool {
 	if l.exceedsEngine {
-		return c.Streams < l.engine.Slots && freeTokens(l.engine, c) > minReservation
+		return !c.Full && c.Streams < l.engine.Slots && freeTokens(l.engine, c) > minReservation
 	}
 	return hasCapacity(l.engine, c, l.need)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,9 @@
 	// Cold is true for an endpoint in cold start. It gets no long prompts and no parts of them, and other requests only if
 	// no other endpoint has capacity.
 	Cold bool
+	// Full is true if the endpoint accepts no further request from this instance now, because it limits its request rate. It
+	// may still be a helper, because the requests of parts come from the primary endpoint.
+	Full bool
 }
 
 // Need describes a request.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -381,6 +381,57 @@
 	})
 })
 
+var _ = Describe("endpoints whose request rate is used up", func() {
+	const others = 10
+	// fullCandidates returns idle candidates, of which only the first others accept a request.
+	fullCandidates := func(n int) []placement.Candidate {
+		candidates := idleCandidates(n)
+		for i := others; i < n; i++ {
+			candidates[i].Full = true
+		}
+		return candidates
+	}
+
+	// Guards against requests of any length to an endpoint in need (incident inc1), and against long prompts that are refused
+	// because such endpoints prefill no parts either.
+	DescribeTable("are not the primary endpoint, but may be helpers", func(need placement.Need, helps bool) {
+		helpers := 0
+		for range 50 {
+			candidates := fullCandidates(20)
+			choice, refusal := planner().PlaceModel(&standardEngine, candidates, need)
+			Expect(refusal).To(BeNil())
+			Expect(indexOf(candidates, choice.Primary)).To(BeNumerically("<", others))
+			for _, e := range choice.Helpers {
+				if indexOf(candidates, e) >= others {
+					helpers++
+				}
+			}
+		}
+		Expect(helpers > 0).To(Equal(helps))
+	},
+		Entry("a short prompt", shortNeed, false),
+		Entry("a middle prompt", middleNeed, true),
+		Entry("a long prompt", longNeed, true),
+		Entry("a prompt larger than one engine's memory", placement.Need{
+			Tokens: 900_000, Output: 650, Objective: 20 * time.Second, MaxGap: time.Second,
+		}, true),
+	)
+
+	// Guards against a request that waits or is refused for a reason other than missing capacity.
+	It("have no capacity", func() {
+		candidates := idleCandidates(3)
+		for i := range candidates {
+			candidates[i].Full = true
+		}
+		_, refusal := planner().PlaceModel(&standardEngine, candidates, shortNeed)
+		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
+		_, refusal = planner().PlaceModel(&standardEngine, candidates, longNeed)
+		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
+		_, refusal = planner().PlacePlain(candidates, "d1")
+		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
+	})
+})
+
 var _ = Describe("the objective left", func() {
 	const limit = 15 * time.Second
 	left := func(budget, waited time.Duration) time.Duration {
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -6,7 +6,7 @@
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Streams >= c.Endpoint.Slots*2 {
+		if c.Full || c.Streams >= c.Endpoint.Slots*2 {
 			continue
 		}
 		if best == nil || plainCost(c, domain) < plainCost(best, domain) {
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -151,7 +151,7 @@
 
 // hasCapacity reports whether the engine can run the request as its primary endpoint without queueing it.
 func hasCapacity(e *fleet.Engine, c *Candidate, need Need) bool {
-	return c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
+	return !c.Full && c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
 }
 
 // firstEvent predicts the time to the first event of a prompt with the given prefill time on the endpoint.
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -14,7 +14,7 @@
 		From: request.From, Number: uint64(request.Number), Shard: request.Shard.message(),
 		Tokens: request.Need.Tokens, Output: request.Need.Output, ObjectiveMS: request.Need.Objective.Milliseconds(),
 		MaxGapMS: request.Need.MaxGap.Milliseconds(), LimitMS: request.Limit.Milliseconds(),
-		Avoid: request.Avoid, Suspects: request.Suspects,
+		Avoid: request.Avoid, Suspects: request.Suspects, Full: request.Full,
 	}
 }
 
@@ -23,7 +23,7 @@
 	shard, ok := shardOf(m.Shard)
 	return PlaceRequest{
 		From: m.From, Number: load.Number(m.Number), Shard: shard, Limit: milliseconds(m.LimitMS),
-		Avoid: m.Avoid, Suspects: m.Suspects,
+		Avoid: m.Avoid, Suspects: m.Suspects, Full: m.Full,
 		Need: placement.Need{
 			Tokens: m.Tokens, Output: m.Output, Objective: milliseconds(m.ObjectiveMS), MaxGap: milliseconds(m.MaxGapMS),
 		},
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,9 @@
 	Avoid []uint32
 	// Suspects lists endpoints that are suspect at the requesting instance.
 	Suspects []uint32
+	// Full lists endpoints that limit their request rate, and that must not get a request from the requesting instance now.
+	// They may be helpers.
+	Full []uint32
 }
 
 // requestKey identifies a request of an instance.
@@ -134,7 +137,7 @@
 		if e.Leaving || !request.Shard.Contains(e) || snapshot.OutOfService[e.Domain] || slices.Contains(request.Avoid, key) {
 			continue
 		}
-		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[key]}
+		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[key], Full: slices.Contains(request.Full, key)}
 		c.Suspect = now.Before(s.suspects[key]) || s.options.IsSuspect(key, now)
 		c.Cold = service.ColdRate > 0 && e.IsCold(now)
 		if c.Cold && !s.options.ColdLimiter.Allows(key, service.ColdRate, now) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -177,6 +177,7 @@
 			s.SetOutOfService(map[string]bool{"yard-2": true})
 		}),
 		Entry("avoided", func(s *fleet.State, r *scheduler.PlaceRequest) { r.Avoid = []uint32{s.Endpoint("i-0").Key()} }),
+		Entry("limited", func(s *fleet.State, r *scheduler.PlaceRequest) { r.Full = []uint32{s.Endpoint("i-0").Key()} }),
 	)
 
 	// Guards against more requests than an endpoint in cold start can handle.
