Pass the request rates that endpoints name to all instances

An instance learned of a limit, and of its end, only by a request of its own. In a fleet of 295 the endpoint in need would get a request from each of them before all know the limit, and after its end an instance would wait for its next turn, minutes later, before it uses the endpoint as before.

Instances now send their statements once a second with the member lists; aggregators pass them on outwards only, with their age, and the newest one counts. The end of a limit is a statement too. Two specs of loadshare show both in a full mesh and through aggregators.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -123,7 +123,7 @@
 	case status.HasMaxRate && rates.Observe(e.Key(), status.MaxRate, time.Now()):
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Float64("max_rate", status.MaxRate).
 			Msg("endpoint_limited")
-	case !status.HasMaxRate && rates.ObserveNone(e.Key(), sentAt):
+	case !status.HasMaxRate && rates.ObserveNone(e.Key(), sentAt, time.Now()):
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Msg("endpoint_limit_ended")
 	}
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -203,7 +203,7 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Load: loadTracker, Health: healthTracker, Feed: p.options.Source, Log: p.log, Capacity: s.Limits.ProcessorShare,
+		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, EndpointID: p.endpointID, Feed: p.options.Source, Log: p.log, Capacity: s.Limits.ProcessorShare,
 		Placements: &scheduler.Server{Scheduler: p.localScheduler, State: p.options.State, Log: p.log},
 	})
 	if err != nil {
@@ -216,6 +216,14 @@
 	return nil
 }
 
+// endpointID returns the id of the endpoint with a key; empty if it is not known.
+func (p *Process) endpointID(key uint32) string {
+	if e := p.options.State.Snapshot().ByKey[key]; e != nil {
+		return e.ID
+	}
+	return ""
+}
+
 // serveCall calls the handler, which New creates after the callers' server.
 func (p *Process) serveCall(w http.ResponseWriter, r *http.Request) { p.handler.ServeHTTP(w, r) }
 
--- a/internal/limit/ratelimiter.go
+++ b/internal/limit/ratelimiter.go
@@ -12,10 +12,40 @@
 	// minEndpointRate is the least rate that is assumed, in requests per second of the whole fleet. Without any request, no
 	// instance would learn that an endpoint no longer names a rate of zero.
 	minEndpointRate = 0.1
+	// statementLifetime is how long a statement is passed on to other instances. The end of a limit is kept as long, so that
+	// all instances learn of it.
+	statementLifetime = 10 * time.Second
 	// limitRetention is how long a limit holds without a newer statement. An endpoint that is gone makes none.
 	limitRetention = 10 * time.Minute
 )
 
+// Origin tells from which instances a statement has come. Statements are passed on from a member to its aggregator, to the
+// other aggregators and to their members, and not further, so that they do not circulate.
+type Origin uint8
+
+// The origins, ordered by the distance of the instance that observed the statement.
+const (
+	// OriginSelf marks statements in responses to requests of this instance.
+	OriginSelf Origin = iota
+	// OriginMember marks statements that their observer has sent to this instance.
+	OriginMember
+	// OriginFleet marks statements that came through an aggregator.
+	OriginFleet
+	originCount
+)
+
+// Statement is what an endpoint has said about the rate of its requests.
+type Statement struct {
+	Endpoint uint32
+	// PerSecond is the number of requests per second that the endpoint accepts from all instances together. It has no
+	// meaning if None is true.
+	PerSecond float64
+	// None is true if the endpoint named no rate, after it had named one before.
+	None bool
+	// Age is the time since the response with the statement arrived. For None, it is the time since the request was sent.
+	Age time.Duration
+}
+
 // RateLimiter bounds this instance's requests to endpoints that name a request rate in their responses. Such a rate bounds
 // the requests of all instances together for as long as the endpoint's responses name it. Each instance uses its share: one
 // request per interval. It is safe for concurrent use.
@@ -26,12 +56,16 @@
 	limits map[uint32]*rateLimit
 }
 
-// rateLimit is the limit of one endpoint.
-type rateLimit struct {
-	// perSecond is the rate that the endpoint has named.
+// statement is the latest statement of one origin. Its time is zero if there is none.
+type statement struct {
 	perSecond float64
-	// statedAt is the arrival of the latest response that named the rate.
-	statedAt time.Time
+	none      bool
+	at        time.Time
+}
+
+// rateLimit is the state of one endpoint.
+type rateLimit struct {
+	latest [originCount]statement
 	// slotsFrom is the start of this instance's intervals: its last request, or a random time before the first statement, so
 	// that instances which learn of the limit together do not send at the same time.
 	slotsFrom time.Time
@@ -46,31 +80,57 @@
 // Observe records a response that named the rate, in requests per second. It reports whether the rate differs from the one
 // that was known.
 func (l *RateLimiter) Observe(endpoint uint32, perSecond float64, now time.Time) (changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.limits[endpoint]
-	if known == nil {
-		known = &rateLimit{slotsFrom: now.Add(-time.Duration(l.random() * float64(l.interval(perSecond, now))))}
-		l.limits[endpoint] = known
-		changed = true
-	}
-	changed = changed || known.perSecond != perSecond
-	known.perSecond, known.statedAt = perSecond, now
-	return changed
+	return l.record(endpoint, OriginSelf, statement{perSecond: perSecond, at: now}, now)
 }
 
 // ObserveNone records a response without a rate to a request that was sent at the given time. It ends the limit if the
 // request was sent after the latest statement, and reports whether it did. An earlier request says nothing about the present,
 // because its response may have been delayed.
-func (l *RateLimiter) ObserveNone(endpoint uint32, sentAt time.Time) (ended bool) {
+func (l *RateLimiter) ObserveNone(endpoint uint32, sentAt, now time.Time) (ended bool) {
+	return l.record(endpoint, OriginSelf, statement{none: true, at: sentAt}, now)
+}
+
+// Merge records a statement that another instance has observed. It reports whether the known rate has changed.
+func (l *RateLimiter) Merge(s Statement, origin Origin, now time.Time) (changed bool) {
+	isValid := s.None || s.PerSecond >= 0
+	if !isValid || s.Age < 0 {
+		return false
+	}
+	return l.record(s.Endpoint, origin, statement{perSecond: s.PerSecond, none: s.None, at: now.Add(-s.Age)}, now)
+}
+
+func (l *RateLimiter) record(endpoint uint32, origin Origin, s statement, now time.Time) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
-	if known == nil || !sentAt.After(known.statedAt) {
+	if known == nil {
+		if s.none {
+			return false
+		}
+		known = &rateLimit{}
+		l.limits[endpoint] = known
+	}
+	before := known.newest(OriginFleet)
+	if !s.at.After(known.latest[origin].at) || s.none && !s.at.After(before.at) {
 		return false
 	}
-	delete(l.limits, endpoint)
-	return true
+	known.latest[origin] = s
+	after := known.newest(OriginFleet)
+	if !after.none && (before.none || before.at.IsZero()) {
+		known.slotsFrom = now.Add(-time.Duration(l.random() * float64(l.interval(after.perSecond, now))))
+	}
+	return before.none != after.none || before.perSecond != after.perSecond || before.at.IsZero()
+}
+
+// newest returns the latest statement of the origins up to the given one.
+func (r *rateLimit) newest(upTo Origin) statement {
+	var newest statement
+	for _, s := range r.latest[:upTo+1] {
+		if s.at.After(newest.at) {
+			newest = s
+		}
+	}
+	return newest
 }
 
 // interval returns the time between two requests of this instance at which the requests of all instances stay within the
@@ -82,10 +142,14 @@
 
 // isFull reports whether this instance must not send a request now.
 func (l *RateLimiter) isFull(r *rateLimit, now time.Time) bool {
+	s := r.newest(OriginFleet)
+	if s.none {
+		return false
+	}
 	if l.share.Share(now) == 0 {
 		return true
 	}
-	interval, elapsed := l.interval(r.perSecond, now), now.Sub(r.slotsFrom)
+	interval, elapsed := l.interval(s.perSecond, now), now.Sub(r.slotsFrom)
 	return elapsed < interval || elapsed%interval >= slotTime
 }
 
@@ -128,26 +192,49 @@
 func (l *RateLimiter) Rate(endpoint uint32, now time.Time) (perSecond float64, age time.Duration, limited bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[endpoint]
-	if known == nil {
+	r := l.limits[endpoint]
+	if r == nil {
 		return 0, 0, false
 	}
-	return known.perSecond, now.Sub(known.statedAt), true
+	s := r.newest(OriginFleet)
+	return s.perSecond, now.Sub(s.at), !s.none
+}
+
+// Statements returns the latest statements of the origins up to the given one, without those older than
+// statementLifetime.
+func (l *RateLimiter) Statements(upTo Origin, now time.Time) []Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Statement
+	for endpoint, r := range l.limits {
+		if s := r.newest(upTo); now.Sub(s.at) <= statementLifetime {
+			list = append(list, Statement{Endpoint: endpoint, PerSecond: s.perSecond, None: s.none, Age: now.Sub(s.at)})
+		}
+	}
+	return list
 }
 
 // Count returns the number of endpoints with a limit.
 func (l *RateLimiter) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.limits)
+	limited := 0
+	for _, r := range l.limits {
+		if !r.newest(OriginFleet).none {
+			limited++
+		}
+	}
+	return limited
 }
 
-// Forget deletes limits without a statement in the last limitRetention.
+// Forget deletes limits that have ended more than statementLifetime ago, and limits without a statement in the last
+// limitRetention.
 func (l *RateLimiter) Forget(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for endpoint, known := range l.limits {
-		if now.Sub(known.statedAt) > limitRetention {
+	for endpoint, r := range l.limits {
+		s := r.newest(OriginFleet)
+		if age := now.Sub(s.at); age > limitRetention || s.none && age > statementLifetime {
 			delete(l.limits, endpoint)
 		}
 	}
--- a/internal/limit/ratelimiter_test.go
+++ b/internal/limit/ratelimiter_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -30,13 +31,64 @@
 		Expect(rate).To(Equal(1.6))
 		Expect(age).To(Equal(3 * time.Second))
 
-		Expect(l.ObserveNone(endpoint, start.Add(2*time.Second))).To(BeFalse())
+		Expect(l.ObserveNone(endpoint, start.Add(2*time.Second), start.Add(3*time.Second))).To(BeFalse())
 		Expect(l.Count()).To(Equal(1))
-		Expect(l.ObserveNone(endpoint, start.Add(2001*time.Millisecond))).To(BeTrue())
-		Expect(l.ObserveNone(endpoint, start.Add(3*time.Second))).To(BeFalse())
+		Expect(l.ObserveNone(endpoint, start.Add(2001*time.Millisecond), start.Add(3*time.Second))).To(BeTrue())
+		Expect(l.ObserveNone(endpoint, start.Add(3*time.Second), start.Add(4*time.Second))).To(BeFalse())
 		Expect(l.Count()).To(BeZero())
 	})
 
+	// Guards against an older statement of another instance that replaces a newer one, and against a limit that holds at the
+	// instances which did not observe its end.
+	It("is the newest statement of all instances", func() {
+		l := limit.NewRateLimiter(establishedShare(0), rand.Float64)
+		Expect(l.Merge(limit.Statement{Endpoint: endpoint, None: true}, limit.OriginMember, start)).To(BeFalse())
+		Expect(l.Merge(limit.Statement{Endpoint: endpoint, PerSecond: 2}, limit.OriginMember, start)).To(BeTrue())
+		older := limit.Statement{Endpoint: endpoint, PerSecond: 3, Age: 2 * time.Second}
+		Expect(l.Merge(older, limit.OriginFleet, start.Add(time.Second))).To(BeFalse())
+		Expect(l.Observe(endpoint, 4, start.Add(time.Second))).To(BeTrue())
+		Expect(l.Count()).To(Equal(1))
+		end := limit.Statement{Endpoint: endpoint, None: true, Age: time.Second}
+		Expect(l.Merge(end, limit.OriginFleet, start.Add(1500*time.Millisecond))).To(BeFalse())
+		Expect(l.Merge(end, limit.OriginFleet, start.Add(2500*time.Millisecond))).To(BeTrue())
+		Expect(l.Count()).To(BeZero())
+		Expect(l.Full(start.Add(2500 * time.Millisecond))).To(BeEmpty())
+		Expect(l.Observe(endpoint, 4, start.Add(3*time.Second))).To(BeTrue())
+	})
+
+	// Guards against statements that circulate between instances and therefore never become old, and against ended limits that
+	// other instances never learn of.
+	It("is passed on only from its observer outwards, and its end too", func() {
+		l := limit.NewRateLimiter(establishedShare(0), rand.Float64)
+		l.Observe(1, 1, start)
+		l.Merge(limit.Statement{Endpoint: 2, PerSecond: 2}, limit.OriginMember, start)
+		l.Merge(limit.Statement{Endpoint: 3, PerSecond: 3}, limit.OriginFleet, start)
+		now := start.Add(5 * time.Second)
+		Expect(l.Statements(limit.OriginSelf, now)).To(ConsistOf(
+			limit.Statement{Endpoint: 1, PerSecond: 1, Age: 5 * time.Second}))
+		Expect(l.Statements(limit.OriginMember, now)).To(HaveLen(2))
+		Expect(l.Statements(limit.OriginFleet, now)).To(HaveLen(3))
+		l.ObserveNone(1, now, now)
+		Expect(l.Statements(limit.OriginSelf, now.Add(time.Second))).To(ConsistOf(
+			limit.Statement{Endpoint: 1, None: true, Age: time.Second}))
+		Expect(l.Statements(limit.OriginFleet, now.Add(time.Minute))).To(BeEmpty())
+		l.Forget(now.Add(time.Minute))
+		Expect(l.Count()).To(Equal(2))
+		l.Forget(now.Add(time.Hour))
+		Expect(l.Count()).To(BeZero())
+	})
+
+	// Guards against a malformed statement of another instance that blocks an endpoint.
+	DescribeTable("is not taken from an invalid statement", func(s limit.Statement) {
+		l := limit.NewRateLimiter(establishedShare(0), rand.Float64)
+		Expect(l.Merge(s, limit.OriginMember, start)).To(BeFalse())
+		Expect(l.Count()).To(BeZero())
+	},
+		Entry("no number", limit.Statement{Endpoint: endpoint, PerSecond: math.NaN()}),
+		Entry("a negative rate", limit.Statement{Endpoint: endpoint, PerSecond: -1}),
+		Entry("a negative age", limit.Statement{Endpoint: endpoint, PerSecond: 1, Age: -time.Second}),
+	)
+
 	// Guards against an instance that sends to a limited endpoint right after its start, although it may have used its share
 	// before.
 	It("gets nothing from an instance that has just started", func() {
--- a/internal/loadshare/aggregator.go
+++ b/internal/loadshare/aggregator.go
@@ -29,7 +29,7 @@
 
 // sendViaAggregators sends to this instance's aggregator or, if it is an aggregator itself, to its members and the
 // other aggregators.
-func (s *Sharer) sendViaAggregators(ctx context.Context, lists memberLists, now time.Time) {
+func (s *Sharer) sendViaAggregators(ctx context.Context, lists periodicLists, now time.Time) {
 	s.mu.Lock()
 	aggregators := s.roster.aggregators(now)
 	isAggregator := slices.Contains(aggregators, s.options.Address)
@@ -48,6 +48,7 @@
 	s.mu.Unlock()
 	s.setWatching(isWatcher)
 	message := s.newMessage(peer.ScopeMember, lists.direct, s.localCounts(now))
+	s.addLimits(&message, lists, now)
 	s.reconnect(ctx, seeds, message)
 	if aggregator != "" {
 		s.send(ctx, []string{aggregator}, message, sendTimeout)
@@ -59,6 +60,7 @@
 	others := slices.DeleteFunc(aggregators, func(address string) bool { return address == s.options.Address })
 	bytes := s.sendTotals(ctx, group, lists, now)
 	sum := s.newMessage(peer.ScopeGroup, lists.direct, s.groupCounts(group, now))
+	s.addLimits(&sum, lists, now)
 	for _, address := range others {
 		message := sum
 		if isWatcher {
@@ -105,12 +107,13 @@
 
 // sendTotals sends each member the sum of the counts of all other instances, and the published changes that it does
 // not have.
-func (s *Sharer) sendTotals(ctx context.Context, group map[string]recipient, lists memberLists, now time.Time) (bytes int) {
+func (s *Sharer) sendTotals(ctx context.Context, group map[string]recipient, lists periodicLists, now time.Time) (bytes int) {
 	totals, _ := s.options.Load.Sum(now, func(name string) bool { return name != totalsName })
 	s.addSuspects(totals.Entries, now)
 	for address, m := range group {
 		otherCounts := totals.Minus(s.options.Load.PeerCounts(address))
 		message := s.newMessage(peer.ScopeTotals, lists.all(), otherCounts)
+		s.addLimits(&message, lists, now)
 		s.addPublished(&message, m)
 		bytes += s.send(ctx, []string{address}, message, sendTimeout)
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/published"
@@ -29,6 +31,7 @@
 	address string
 	load    *load.Tracker
 	health  *health.Tracker
+	rates   *limit.RateLimiter
 	sharer  *loadshare.Sharer
 	stop    context.CancelFunc
 }
@@ -39,10 +42,11 @@
 
 func startWithFeed(name, address, key string, feed loadshare.Feed, seeds ...string) *instance {
 	i := &instance{address: address, load: load.NewTracker(), health: health.NewTracker()}
+	i.rates = limit.NewRateLimiter(limit.NewFleetShare(1, time.Now()), rand.Float64)
 	var err error
 	i.sharer, err = loadshare.New(loadshare.Options{
 		Address: address, Seeds: seeds, Key: key, Instance: name, Load: i.load, Health: i.health, Feed: feed, Log: zerolog.Nop(),
-		Capacity: 0.4,
+		Capacity: 0.4, Rates: i.rates,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -104,6 +108,17 @@
 		Consistently(a.streamsAt(endpoint), 300*time.Millisecond).Should(BeZero())
 	})
 
+	// Guards against every instance having to send a request to an endpoint in need to learn that it limits its rate, and to
+	// learn that the limit has ended.
+	It("report the request rates of endpoints to each other", func() {
+		addresses := testkit.FreeAddresses(3)
+		var all []*instance
+		for _, address := range addresses {
+			all = append(all, start(address, address, key, addresses[0]))
+		}
+		expectLimitsShared(all, endpoint)
+	})
+
 	// Guards against every instance having to detect a failing endpoint by its own failed requests.
 	It("report failing endpoints to each other", func() {
 		first := testkit.FreeAddresses(1)[0]
@@ -118,6 +133,27 @@
 	})
 })
 
+// expectLimitsShared lets one instance observe that an endpoint begins and ceases to limit its request rate, and expects that
+// all instances learn of both.
+func expectLimitsShared(all []*instance, endpoint *fleet.Endpoint) {
+	observer := all[len(all)-1]
+	expectRate := func(want float64) {
+		for _, i := range all {
+			Eventually(func() float64 {
+				rate, _, limited := i.rates.Rate(endpoint.Key(), time.Now())
+				if !limited {
+					return 0
+				}
+				return rate
+			}, eventTimeout).Should(Equal(want))
+		}
+	}
+	observer.rates.Observe(endpoint.Key(), 1.6, time.Now())
+	expectRate(1.6)
+	observer.rates.ObserveNone(endpoint.Key(), time.Now(), time.Now())
+	expectRate(0)
+}
+
 // fakeFeed is a Feed that records what it accepts.
 type fakeFeed struct {
 	mu        sync.Mutex
@@ -236,6 +272,11 @@
 		expectStreams(all[1:], size-1)
 	})
 
+	// Guards against request rates of endpoints that aggregators do not pass on.
+	It("shares the request rates of endpoints through aggregators", func() {
+		expectLimitsShared(startFleet(), endpoint)
+	})
+
 	// Guards against demand that aggregators lose or add twice.
 	It("shares the demand of callers through aggregators", func() {
 		const service, demand = 5, 20
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -14,6 +14,7 @@
 
 	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/health"
+	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/published"
@@ -32,8 +33,8 @@
 	// would choose another aggregator.
 	aggregatorByteRate    = 1_000_000
 	maxAggregatorInterval = 400 * time.Millisecond
-	// memberListInterval is the time between two lists of the live instances.
-	memberListInterval = time.Second
+	// listInterval is the time between two lists of the live instances and of the endpoints' request rates.
+	listInterval = time.Second
 	// sendTimeout bounds the time to send one message. If a connection is still being opened, the next message uses
 	// it.
 	sendTimeout = 2 * time.Millisecond
@@ -60,6 +61,10 @@
 	Instance string
 	Load     *load.Tracker
 	Health   *health.Tracker
+	// Rates holds the request rates that endpoints name.
+	Rates *limit.RateLimiter
+	// EndpointID returns the id of the endpoint with a key, for the log; empty if it is not known.
+	EndpointID func(key uint32) string
 	// Capacity is the number of cores that this instance may use; zero if it is not known. Instances with a higher
 	// capacity are preferred as aggregators and schedulers.
 	Capacity float64
@@ -89,12 +94,15 @@
 	SetWatching(watching bool)
 }
 
-// memberLists holds the live instances in direct contact, and those in indirect contact only.
-type memberLists struct {
+// periodicLists holds what is sent once per listInterval.
+type periodicLists struct {
+	// due is false between two lists; the lists are empty then.
+	due bool
+	// direct holds the live instances in direct contact, indirect those in indirect contact only.
 	direct, indirect []peer.Member
 }
 
-func (l memberLists) all() []peer.Member { return append(slices.Clone(l.direct), l.indirect...) }
+func (l periodicLists) all() []peer.Member { return append(slices.Clone(l.direct), l.indirect...) }
 
 // Sharer sends and receives the messages.
 type Sharer struct {
@@ -115,9 +123,9 @@
 	totalsInterval   time.Duration
 	totalsReceivedAt time.Time
 
-	sentChanges   uint64
-	sentAt        time.Time
-	membersSentAt time.Time
+	sentChanges uint64
+	sentAt      time.Time
+	listsSentAt time.Time
 }
 
 // New starts listening on the peer port.
@@ -257,6 +265,7 @@
 		s.applyPublished(m)
 	}
 	s.options.Load.SetPeerCounts(name, countsOf(m), now)
+	s.mergeLimits(m, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.largestFleet = max(s.roster.largestFleet, int(m.LargestFleet))
@@ -303,7 +312,7 @@
 	fullMesh := s.roster.isFullMesh(now)
 	s.mu.Unlock()
 	if !fullMesh {
-		s.sendViaAggregators(ctx, s.memberListsIfDue(now), now)
+		s.sendViaAggregators(ctx, s.listsIfDue(now), now)
 		return max(aggregatorInterval, s.roundInterval)
 	}
 	s.setWatching(false)
@@ -312,16 +321,17 @@
 		return sendInterval
 	}
 	s.sentChanges, s.sentAt = changes, now
-	s.sendDirect(ctx, s.memberListsIfDue(now), now)
+	s.sendDirect(ctx, s.listsIfDue(now), now)
 	return sendInterval
 }
 
-// memberListsIfDue returns the live instances if the next message should carry them, and empty lists otherwise.
-func (s *Sharer) memberListsIfDue(now time.Time) (lists memberLists) {
+// listsIfDue returns the live instances if the next message should carry them, and empty lists otherwise.
+func (s *Sharer) listsIfDue(now time.Time) (lists periodicLists) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.membersSentAt) >= memberListInterval {
-		s.membersSentAt = now
+	if now.Sub(s.listsSentAt) >= listInterval {
+		s.listsSentAt = now
+		lists.due = true
 		lists.direct, lists.indirect = s.roster.liveMembers(now)
 	}
 	return lists
@@ -346,11 +356,12 @@
 }
 
 // sendDirect sends the local counts to all instances.
-func (s *Sharer) sendDirect(ctx context.Context, lists memberLists, now time.Time) {
+func (s *Sharer) sendDirect(ctx context.Context, lists periodicLists, now time.Time) {
 	s.mu.Lock()
 	live, retry := s.roster.sendTargets(now)
 	s.mu.Unlock()
 	message := s.newMessage(peer.ScopeLocal, lists.direct, s.localCounts(now))
+	s.addLimits(&message, lists, now)
 	s.send(ctx, live, message, sendTimeout)
 	s.reconnect(ctx, retry, message)
 }
--- a/internal/peer/loadshare.go
+++ b/internal/peer/loadshare.go
@@ -39,6 +39,20 @@
 	Published []PublishedItem
 	// LargestFleet is the size of the largest fleet that the sender knows of.
 	LargestFleet uint16
+	// Limits lists what endpoints have stated about their request rates. It is empty in most messages.
+	Limits []EndpointLimit
+}
+
+// EndpointLimit is what an endpoint has stated about its request rate.
+type EndpointLimit struct {
+	Endpoint uint32
+	// PerSecond is the number of requests per second that the endpoint accepts from all instances together. It has no
+	// meaning if None is true.
+	PerSecond float64
+	// None is true if the endpoint stated no rate, after it had stated one before.
+	None bool
+	// AgeMS is the age of the statement.
+	AgeMS int64
 }
 
 // SkipsCompression implements Incompressible. Loads hardly shrink, and compressing them in each message would take most
