Let a new scheduler collect the lists of all live instances

Cause, from a traced run: the old scheduler stopped at 45.5 s. The next one noticed at 49.4 s, two others at 50.4 s, and the instance with an older request on the shard had not noticed at 51.2 s, when the warm-up of 1 s was long over. An instance lists its requests to the scheduler that it believes in, and contact by way of aggregators ends up to three times 2.5 s after a failure, so that the lists arrive over several seconds.

A new scheduler now requests the lists itself when its first message about a shard arrives, and an instance that gets such a message without being the scheduler drops the shard at once. A list that is requested does not depend on what the other instance has noticed. Not in the first 2 s after a start, when many instances of a new fleet believe for a moment to be the scheduler. The message is new; an older build closes the connection on it and the lists arrive once a second as before.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -204,7 +204,9 @@
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
 		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, EndpointID: p.endpointID, Feed: p.options.Source, Log: p.log, Capacity: s.Limits.ProcessorShare,
-		Placements: &scheduler.Server{Scheduler: p.localScheduler, State: p.options.State, Log: p.log},
+		Placements: &scheduler.Server{
+			Self: s.Addresses.Peers, Load: loadTracker, Scheduler: p.localScheduler, State: p.options.State, Log: p.log,
+		},
 	})
 	if err != nil {
 		return err
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -204,6 +204,19 @@
 	return m != nil && m.isLive(now)
 }
 
+// Live implements scheduler.Members.
+func (s *Sharer) Live(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []string
+	for address, m := range s.roster.members {
+		if m.isLive(now) {
+			live = append(live, address)
+		}
+	}
+	return live
+}
+
 // LiveCount returns the number of other instances that are live.
 func (s *Sharer) LiveCount(now time.Time) int {
 	s.mu.Lock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -16,7 +16,7 @@
 	// lengthBytes is the size of the big-endian length before each payload.
 	lengthBytes = 4
 	// maxKind is the highest known message kind.
-	maxKind = KindPlaceSync
+	maxKind = KindPlaceCollect
 	// minCompressedBytes is the size from which bodies are compressed. Configuration documents and full views shrink
 	// to a tenth; the periodic messages are smaller and sent uncompressed.
 	minCompressedBytes = 4 << 10
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -31,6 +31,7 @@
 	KindPlaceReply
 	KindPlaceUpdate
 	KindPlaceSync
+	KindPlaceCollect
 )
 
 // Role is the kind of the process that opened a connection.
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -99,3 +99,9 @@
 	Shard PlaceShard
 	Works []PlacedWork
 }
+
+// PlaceCollect requests the receiver's PlaceSync of a shard. An instance sends it to all others when it has become the
+// scheduler of the shard, because they may learn of that seconds later.
+type PlaceCollect struct {
+	Shard PlaceShard
+}
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -27,6 +27,11 @@
 	syncInterval = time.Second
 	// sendTimeout bounds the sending of one update or list.
 	sendTimeout = 5 * time.Millisecond
+	// collectTimeout bounds the request for an instance's list. A later list is of no use, because the warm-up is over.
+	collectTimeout = warmUpTime
+	// discoveryTime is how long after its start an instance does not collect lists. When a whole fleet starts, many instances
+	// believe for a moment to be the scheduler of a shard.
+	discoveryTime = 2 * time.Second
 )
 
 // Peers sends messages to other instances.
@@ -43,6 +48,8 @@
 	Scheduler(key uint64, now time.Time) (address string, ok bool)
 	// IsLive reports whether a message of an instance was received recently.
 	IsLive(address string, now time.Time) bool
+	// Live returns the addresses of the other instances that are live.
+	Live(now time.Time) []string
 }
 
 // ClientOptions configures a Client.
@@ -75,13 +82,14 @@
 	syncedWith map[Shard]string
 	// hadRequests is true for shards whose last list was not empty.
 	hadRequests map[Shard]bool
+	started     time.Time
 }
 
 // NewClient returns a client.
 func NewClient(options ClientOptions) *Client {
 	return &Client{
 		options: options, schedulers: make(map[string]*schedulerState), syncedWith: make(map[Shard]string),
-		hadRequests: make(map[Shard]bool),
+		hadRequests: make(map[Shard]bool), started: time.Now(),
 	}
 }
 
@@ -211,13 +219,14 @@
 	c.syncedWith[shard] = address
 	c.mu.Unlock()
 	if !synced {
-		c.sync(shard, address, c.requestsOn(shard, time.Now()))
+		c.sync(shard, address, requestsOn(c.options.Load, shard, time.Now()))
 	}
 }
 
-func (c *Client) requestsOn(shard Shard, now time.Time) []load.RequestState {
+// requestsOn returns the requests of this instance on a shard.
+func requestsOn(tracker *load.Tracker, shard Shard, now time.Time) []load.RequestState {
 	var requests []load.RequestState
-	for _, r := range c.options.Load.Requests(now) {
+	for _, r := range tracker.Requests(now) {
 		if r.Work.Primary.Service != "" && shard.Service == serviceKey(r.Work.Primary) && usesShard(shard, &r.Work) {
 			requests = append(requests, r)
 		}
@@ -245,11 +254,7 @@
 		c.options.Local.Sync(shard, c.options.Self, requests, time.Now())
 		return
 	}
-	message := peer.PlaceSync{From: c.options.Self, Shard: shard.message()}
-	for i := range requests {
-		message.Works = append(message.Works, placedWorkMessage(&requests[i]))
-	}
-	c.send(address, peer.KindPlaceSync, message)
+	c.send(address, peer.KindPlaceSync, syncMessage(c.options.Self, shard, requests))
 }
 
 func (c *Client) send(address string, kind peer.Kind, body any) {
@@ -263,7 +268,7 @@
 }
 
 // Serve sends the lists of this instance's requests and deletes outdated state of the local scheduler every syncInterval
-// until the context ends.
+// until the context ends. It collects the lists of the other instances when the local scheduler gets a new shard.
 func (c *Client) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
@@ -271,21 +276,59 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case shard := <-c.options.Local.Created():
+			c.startScheduling(ctx, shard, time.Now())
 		case now := <-ticker.C:
 			c.tick(now)
 		}
 	}
 }
 
+// startScheduling requests the lists of all live instances for a new shard of the local scheduler. They may still take a
+// failed instance for the scheduler: contact by way of aggregators ends up to some seconds later. Without this, the local
+// scheduler would end its warm-up without their requests and use slots twice. If the scheduler is another instance,
+// startScheduling deletes the shard, so that the state is created again, and collected, once this instance is the scheduler.
+func (c *Client) startScheduling(ctx context.Context, shard Shard, now time.Time) {
+	c.resign(now)
+	if !c.isScheduler(shard, now) || now.Sub(c.started) < discoveryTime {
+		return
+	}
+	for _, address := range c.options.Members.Live(now) {
+		go c.collect(ctx, shard, address)
+	}
+}
+
+// collect requests the list of an instance's requests on a shard and applies it to the local scheduler.
+func (c *Client) collect(ctx context.Context, shard Shard, address string) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	var list peer.PlaceSync
+	err := c.options.Peers.Call(ctx, address, peer.KindPlaceCollect, peer.PlaceCollect{Shard: shard.message()}, &list)
+	if err != nil {
+		c.options.Log.Debug().Str("address", address).Err(err).Msg("placements_not_collected")
+		return
+	}
+	requests := requestStatesOf(list.Works, c.options.State.Snapshot().ByKey)
+	c.options.Local.Sync(shard, address, requests, time.Now())
+}
+
+// isScheduler reports whether this instance is the scheduler of a shard.
+func (c *Client) isScheduler(shard Shard, now time.Time) bool {
+	address, ok := c.options.Members.Scheduler(shard.key(), now)
+	return ok && address == c.options.Self
+}
+
+// resign deletes the shards of the local scheduler whose scheduler is another instance.
+func (c *Client) resign(now time.Time) {
+	c.options.Local.Resign(func(shard Shard) bool { return c.isScheduler(shard, now) })
+}
+
 func (c *Client) tick(now time.Time) {
 	members := c.options.Members
 	c.options.Local.Forget(func(address string) bool {
 		return address == c.options.Self || members.IsLive(address, now)
 	}, now)
-	c.options.Local.Resign(func(shard Shard) bool {
-		address, ok := members.Scheduler(shard.key(), now)
-		return ok && address == c.options.Self
-	})
+	c.resign(now)
 	for _, shard := range c.shards() {
 		address, ok := members.Scheduler(shard.key(), now)
 		if ok {
@@ -316,7 +359,7 @@
 // syncShard sends the list of this instance's requests to the scheduler of a shard. It does not send an empty list if its
 // previous list of the shard was empty too and that scheduler has already received a list.
 func (c *Client) syncShard(shard Shard, address string, now time.Time) {
-	requests := c.requestsOn(shard, now)
+	requests := requestsOn(c.options.Load, shard, now)
 	c.mu.Lock()
 	due := len(requests) > 0 || c.hadRequests[shard] || c.syncedWith[shard] != address
 	c.syncedWith[shard], c.hadRequests[shard] = address, len(requests) > 0
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -59,6 +59,7 @@
 	return f.scheduler, f.scheduler != ""
 }
 func (f *fixedMembers) IsLive(string, time.Time) bool { return true }
+func (f *fixedMembers) Live(time.Time) []string       { return nil }
 
 var _ = Describe("a scheduler client", func() {
 	var (
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -34,7 +34,7 @@
 	m.sharer, err = loadshare.New(loadshare.Options{
 		Address: address, Seeds: []string{seed}, Key: "a-key-of-sixteen-bytes", Instance: address, Load: m.tracker,
 		Health: health.NewTracker(), Log: zerolog.Nop(), Capacity: 0.4,
-		Placements: &scheduler.Server{Scheduler: sched, State: state, Log: zerolog.Nop()},
+		Placements: &scheduler.Server{Self: address, Load: m.tracker, Scheduler: sched, State: state, Log: zerolog.Nop()},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	m.client = scheduler.NewClient(scheduler.ClientOptions{
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -83,6 +83,15 @@
 	return choice, complete
 }
 
+// syncMessage returns the list of an instance's requests on a shard.
+func syncMessage(from string, shard Shard, requests []load.RequestState) peer.PlaceSync {
+	message := peer.PlaceSync{From: from, Shard: shard.message()}
+	for i := range requests {
+		message.Works = append(message.Works, placedWorkMessage(&requests[i]))
+	}
+	return message
+}
+
 func placedWorkMessage(r *load.RequestState) peer.PlacedWork {
 	w := peer.PlacedWork{
 		Number: uint64(r.Number), Primary: r.Work.Primary.Key(), Helpers: keysOf(r.Work.Helpers), Tokens: r.Work.Tokens,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,6 +22,8 @@
 	suspectTime = time.Second
 	// idleShardTime is how long the state of a shard is kept without a message about it.
 	idleShardTime = 30 * time.Second
+	// createdBuffer is the number of new shards that may wait for Created to be read.
+	createdBuffer = 256
 )
 
 // PlaceRequest is a message to a scheduler to place a request on a shard.
@@ -79,13 +81,20 @@
 	options  Options
 	shards   map[Shard]*shardState
 	suspects map[uint32]time.Time
+	created  chan Shard
 }
 
 // NewScheduler returns a scheduler without shards.
 func NewScheduler(options Options) *Scheduler {
-	return &Scheduler{options: options, shards: make(map[Shard]*shardState), suspects: make(map[uint32]time.Time)}
+	return &Scheduler{
+		options: options, shards: make(map[Shard]*shardState), suspects: make(map[uint32]time.Time),
+		created: make(chan Shard, createdBuffer),
+	}
 }
 
+// Created returns a channel of the shards whose state was created by the first message about them.
+func (s *Scheduler) Created() <-chan Shard { return s.created }
+
 // Place places a request and counts it from now on. It returns false if this instance cannot decide, because the shard is
 // still in its warm-up or its endpoints are unknown.
 func (s *Scheduler) Place(request PlaceRequest, now time.Time) (placement.Choice, *placement.Refusal, bool) {
@@ -233,6 +242,10 @@
 	if state == nil {
 		state = &shardState{tracker: load.NewTracker(), requests: make(map[requestKey]*placedRequest), since: now}
 		s.shards[shard] = state
+		select {
+		case s.created <- shard:
+		default:
+		}
 	}
 	state.lastMessage = now
 	return state
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -12,6 +12,10 @@
 
 // Server passes the messages of peer instances to a scheduler.
 type Server struct {
+	// Self is the peer address of this instance.
+	Self string
+	// Load tracks the requests of this instance.
+	Load      *load.Tracker
 	Scheduler *Scheduler
 	State     *fleet.State
 	Log       zerolog.Logger
@@ -36,6 +40,11 @@
 		if s.decode(from, envelope, &m) {
 			s.sync(&m, now)
 		}
+	case peer.KindPlaceCollect:
+		var m peer.PlaceCollect
+		if s.decode(from, envelope, &m) {
+			return peer.KindPlaceSync, s.list(&m, now)
+		}
 	}
 	return 0, nil
 }
@@ -60,6 +69,15 @@
 	return replyMessage(choice, refusal)
 }
 
+// list returns the requests of this instance on a shard.
+func (s *Server) list(m *peer.PlaceCollect, now time.Time) peer.PlaceSync {
+	shard, ok := shardOf(m.Shard)
+	if !ok {
+		return peer.PlaceSync{From: s.Self}
+	}
+	return syncMessage(s.Self, shard, requestsOn(s.Load, shard, now))
+}
+
 func (s *Server) update(m *peer.PlaceUpdate) {
 	shard, ok := shardOf(m.Shard)
 	switch {
