Close a peer node also while connections are being opened

What was seen: 2 of 6 runs of the loadshare specs under the race detector, side by side, hung in Sharer.Serve for nine minutes, in the stop of the nbio engine.

Cause: Engine.Stop closes the connections that are open when it begins and then waits for the end of all, so that a connection that is dialled or accepted meanwhile is waited for without being closed; if it is added while the wait ends, nbio panics ("WaitGroup is reused"). A node now ends its dials and its own accept loop before it stops the engine. nbio's acceptors are no longer used. Its poller also never ends, and uses a whole core, if it is stopped before it has begun; a node waits 20 ms after its start, and a second for the engine at most. An operator would have seen a process that ends by SIGKILL after its grace.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -19,6 +19,13 @@
 	maxUnsentBytes = 8 << 20
 	// helloTimeout is the time after which an accepted connection without a hello is closed.
 	helloTimeout = 5 * time.Second
+	// acceptRetryDelay is the delay after a failure to accept a connection, for example for lack of file descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
+	// minEngineAge is the time from the start of an engine to its stop. nbio 1.6.8 never stops, and uses a whole core, if its
+	// poller has not begun to run when it is stopped.
+	minEngineAge = 20 * time.Millisecond
+	// stopTimeout bounds the stop of the engine, in case its poller still had not begun. A process ends after that.
+	stopTimeout = time.Second
 )
 
 // Handler handles messages of other processes. It runs on the connection's read loop and must not block.
@@ -72,6 +79,14 @@
 	BytesReceived atomic.Int64
 	Messages      atomic.Int64
 
+	// listener is nil if the node accepts no connections.
+	listener net.Listener
+	started  time.Time
+	// closing is done once Close was called. opening counts the goroutines that may add connections to the engine.
+	closing context.Context
+	close   context.CancelFunc
+	opening sync.WaitGroup
+
 	mu      sync.Mutex
 	clients map[string]*clientConn
 }
@@ -79,22 +94,82 @@
 // NewNode starts a node.
 func NewNode(options Options) (*Node, error) {
 	n := &Node{options: options, clients: make(map[string]*clientConn)}
-	config := nbio.Config{Name: "peer", Network: "tcp", NPoller: 1, MaxWriteBufferSize: maxUnsentBytes}
-	if options.Listen != "" {
-		config.Addrs = []string{options.Listen}
-	}
-	n.engine = nbio.NewEngine(config)
+	n.closing, n.close = context.WithCancel(context.Background())
+	n.engine = nbio.NewEngine(nbio.Config{Name: "peer", NPoller: 1, MaxWriteBufferSize: maxUnsentBytes})
 	n.engine.OnOpen(n.onOpen)
 	n.engine.OnData(n.onData)
 	n.engine.OnClose(n.onClose)
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
 	if err := n.engine.Start(); err != nil {
+		if n.listener != nil {
+			_ = n.listener.Close()
+		}
 		return nil, err
 	}
+	n.started = time.Now()
+	if n.listener != nil {
+		n.opening.Add(1)
+		go n.accept()
+	}
 	return n, nil
 }
 
-// Close stops the node and closes all connections.
-func (n *Node) Close() { n.engine.Stop() }
+func (n *Node) listen() (err error) {
+	if n.options.Listen != "" {
+		n.listener, err = net.Listen("tcp", n.options.Listen)
+	}
+	return err
+}
+
+// accept adds accepted connections to the engine until the node closes. The engine's own acceptors are not used, because they
+// may add a connection while the engine stops.
+func (n *Node) accept() {
+	defer n.opening.Done()
+	for {
+		raw, err := n.listener.Accept()
+		switch {
+		case n.closing.Err() != nil:
+			if err == nil {
+				_ = raw.Close()
+			}
+			return
+		case err != nil:
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		conn, err := nbio.NBConn(raw)
+		if err != nil {
+			_ = raw.Close()
+			continue
+		}
+		_, _ = n.engine.AddConn(conn)
+	}
+}
+
+// Close stops the node and closes all connections. It ends the goroutines that add connections before it stops the engine:
+// the engine closes the connections that are open when it begins to stop, and then waits for all, also for later ones, or
+// panics because of them.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.close()
+	n.mu.Unlock()
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+	n.opening.Wait()
+	time.Sleep(time.Until(n.started.Add(minEngineAge)))
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.engine.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+	}
+}
 
 // session is the state of one connection.
 type session struct {
@@ -257,10 +332,15 @@
 // client returns the open connection to an address or opens a new one.
 func (n *Node) client(ctx context.Context, address string) (*clientConn, error) {
 	n.mu.Lock()
+	if n.closing.Err() != nil {
+		n.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	client := n.clients[address]
 	if client == nil {
 		client = &clientConn{address: address, ready: make(chan struct{}), pending: make(map[uint64]chan *Envelope)}
 		n.clients[address] = client
+		n.opening.Add(1)
 		go n.open(client)
 	}
 	n.mu.Unlock()
@@ -276,8 +356,10 @@
 }
 
 func (n *Node) open(client *clientConn) {
+	defer n.opening.Done()
 	defer close(client.ready)
-	raw, err := net.DialTimeout("tcp", client.address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(n.closing, "tcp", client.address)
 	if err != nil {
 		client.openErr = err
 		n.removeClient(client)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -243,3 +243,72 @@
 		}
 	})
 }
+
+var _ = Describe("closing a node", func() {
+	const (
+		rounds       = 40
+		servers      = 20
+		closeTimeout = 10 * time.Second
+	)
+
+	// Guards against a process that does not end because connections were opened while its node was closing: nothing closed
+	// them, and the node waited for their end.
+	It("ends although connections to other instances are being opened", func() {
+		var addresses []string
+		for range servers {
+			addresses = append(addresses, startSilentServer())
+		}
+		for range rounds {
+			node, err := peer.NewNode(peer.Options{Self: peer.Hello{Key: testKey}})
+			Expect(err).NotTo(HaveOccurred())
+			ctx, cancel := context.WithCancel(context.Background())
+			for _, address := range addresses {
+				go func() { _ = node.Send(ctx, address, peer.KindHeartbeat, peer.Heartbeat{}) }()
+			}
+			time.Sleep(time.Millisecond)
+			closed := make(chan struct{})
+			go func() {
+				node.Close()
+				close(closed)
+			}()
+			Eventually(closed, closeTimeout).Should(BeClosed())
+			cancel()
+		}
+	})
+})
+
+var _ = Describe("a node that closes at once", func() {
+	const rounds = 100
+
+	// Guards against a process that gets a signal in its first milliseconds and does not end.
+	It("ends", func() {
+		address := testkit.FreeAddresses(1)[0]
+		for range rounds {
+			node, err := peer.NewNode(peer.Options{Listen: address, Self: peer.Hello{Key: testKey}, Handler: echoHandler{}})
+			Expect(err).NotTo(HaveOccurred())
+			closed := make(chan struct{})
+			go func() {
+				node.Close()
+				close(closed)
+			}()
+			Eventually(closed, 10*time.Second).Should(BeClosed())
+		}
+	})
+})
+
+// startSilentServer returns the address of a server that accepts connections, keeps them open and sends nothing.
+func startSilentServer() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
