List the live instances in the first message to a new instance

Cause: an aggregator, and a seed in a full mesh, sent the list of live instances once a second, but counts at once. An instance whose only contact failed in between had counts and no other address, and stayed alone until that contact was back.

The first message to a recipient now carries the list, and so does the message after a message from an instance that was not known.

--- a/internal/loadshare/aggregator.go
+++ b/internal/loadshare/aggregator.go
@@ -21,6 +21,9 @@
 	// such instances, because otherwise a fleet without spare processor time would send many replies to each of
 	// these messages.
 	subscribed bool
+	// listed is true once this instance has sent the recipient a list of the live instances. The first message contains one,
+	// because this instance may be the only one that the recipient knows, and may fail before the next list is due.
+	listed bool
 	// received is the time of the instance's last message; stamp and position are the message's Stamp and Position.
 	received time.Time
 	stamp    int64
@@ -66,7 +69,8 @@
 		if isWatcher {
 			s.addPublished(&message, otherAggregators[address])
 		}
-		bytes += s.send(ctx, []string{address}, message, sendTimeout)
+		size, _ := s.send(ctx, []string{address}, message, sendTimeout)
+		bytes += size
 	}
 	s.setRoundInterval(bytes)
 }
@@ -111,15 +115,40 @@
 	totals, _ := s.options.Load.Sum(now, func(name string) bool { return name != totalsName })
 	s.addSuspects(totals.Entries, now)
 	for address, m := range group {
+		sentLists := lists
+		if !m.listed {
+			sentLists = s.currentLists(now)
+		}
 		otherCounts := totals.Minus(s.options.Load.PeerCounts(address))
-		message := s.newMessage(peer.ScopeTotals, lists.all(), otherCounts)
-		s.addLimits(&message, lists, now)
+		message := s.newMessage(peer.ScopeTotals, sentLists.all(), otherCounts)
+		s.addLimits(&message, sentLists, now)
 		s.addPublished(&message, m)
-		bytes += s.send(ctx, []string{address}, message, sendTimeout)
+		size, sent := s.send(ctx, []string{address}, message, sendTimeout)
+		bytes += size
+		if sentLists.due && sent > 0 {
+			s.setListed(address)
+		}
 	}
 	return bytes
 }
 
+// currentLists returns the lists as if they were due.
+func (s *Sharer) currentLists(now time.Time) periodicLists {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	direct, indirect := s.roster.liveMembers(now)
+	return periodicLists{due: true, direct: direct, indirect: indirect}
+}
+
+// setListed records that a recipient is sent a list of the live instances.
+func (s *Sharer) setListed(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.group[address]; m != nil {
+		m.listed = true
+	}
+}
+
 // addPublished adds the changes after a recipient's position. It adds nothing if no message of the recipient has
 // arrived yet.
 func (s *Sharer) addPublished(message *peer.LoadShare, to recipient) {
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -284,14 +284,21 @@
 	s.roster.largestFleet = max(s.roster.largestFleet, int(m.LargestFleet))
 	if m.Scope == peer.ScopeMember || m.Scope == peer.ScopeLocal {
 		// An instance without contact to the fleet sends ScopeLocal to its seeds. The reply contains the member list.
+		previous := s.group[m.Address]
+		isMember := m.Scope == peer.ScopeMember
 		s.group[m.Address] = &recipient{
-			received: now, stamp: m.Stamp, position: m.Position, subscribed: m.Scope == peer.ScopeMember,
+			received: now, stamp: m.Stamp, position: m.Position, subscribed: isMember,
+			listed: isMember && previous != nil && previous.listed,
 		}
 	}
 	if m.Scope == peer.ScopeGroup {
 		s.otherAggregators[m.Address] = &recipient{received: now, stamp: m.Stamp, position: m.Position}
 	}
 	if s.roster.recordDirect(peer.Member{Address: m.Address, Capacity: m.Capacity}, now) {
+		if s.roster.isFullMesh(now) {
+			// The sender may know no other instance than this one, which may fail before the next list is due.
+			s.listsSentAt = time.Time{}
+		}
 		s.options.Log.Info().Str("dependency", "peer").Str("address", m.Address).Msg("dependency_back")
 	}
 	if m.Scope == peer.ScopeTotals {
@@ -395,22 +402,26 @@
 	return m
 }
 
-// send sends a message to several instances and returns the number of bytes. It does not retry: an unreachable
-// instance receives the next message, and newlyUnresponsive reports it after contactTimeout.
-func (s *Sharer) send(ctx context.Context, addresses []string, message peer.LoadShare, timeout time.Duration) int {
+// send sends a message to several instances. It returns the number of bytes and the number of instances to which it was sent. It
+// does not retry: an unreachable instance receives the next message, and newlyUnresponsive reports it after contactTimeout.
+func (s *Sharer) send(
+	ctx context.Context, addresses []string, message peer.LoadShare, timeout time.Duration,
+) (bytes, sent int) {
 	frame, err := peer.EncodeFrame(peer.KindLoadShare, 0, false, message)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("load_share_not_encoded")
-		return 0
+		return 0, 0
 	}
 	for _, address := range addresses {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		if err := s.node.SendFrame(callCtx, address, frame); err != nil {
 			s.options.Log.Debug().Str("address", address).Err(err).Msg("load_share_not_sent")
+		} else {
+			sent++
 		}
 		cancel()
 	}
-	return len(frame) * len(addresses)
+	return len(frame) * len(addresses), sent
 }
 
 // reconnect sends a message to unresponsive instances on new connections, without delaying messages to other
