Read request rates in the responses to reservations too

A response to a reservation begins a limit; only a response to a request without a rate ends one, because nothing says that control responses name it. The new spec fails before the change.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -165,6 +165,15 @@
 		Eventually(func() []string { return operations(helper) }, waitTimeout).Should(Equal([]string{"reserve", "release"}))
 	}, Entry("that succeeds", succeed), Entry("that fails", reset))
 
+	// Guards against a request rate that is named in the response to a reservation and not respected.
+	It("is reserved at an endpoint whose request rate is learned from the response", func() {
+		a, b := newEndpoint(succeed), newEndpoint(succeed)
+		a.controlHeader, b.controlHeader = "Server-Limit: 2\r\n", "Server-Limit: 2\r\n"
+		var log logBuffer
+		newRig([]*fakeEndpoint{a, b}, withLongObjective, withLog(&log)).call("/stream/x", "Acacialift-Token-Usage", prompt)
+		Expect(log.String()).To(ContainSubstring(`"max_rate":2,"message":"endpoint_limited"`))
+	})
+
 	// Guards against a request that is sent although the reservation of its memory was refused.
 	It("prevents the request from being sent if its reservation is refused", func() {
 		a, b := newEndpoint(succeed), newEndpoint(succeed)
--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -113,17 +113,15 @@
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Dur("rest_ms", status.BackOff).
 			Msg("endpoint_rests")
 	}
-}
-
-// observeRate records the request rate that an endpoint states, or no longer states, in the response to a request that was
-// sent at the given time.
-func (x *exchange) observeRate(e *fleet.Endpoint, status EndpointStatus, sentAt time.Time) {
-	rates := x.handler.options.RateLimiter
-	switch {
-	case status.HasMaxRate && rates.Observe(e.Key(), status.MaxRate, time.Now()):
+	if status.HasMaxRate && x.handler.options.RateLimiter.Observe(e.Key(), status.MaxRate, time.Now()) {
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Float64("max_rate", status.MaxRate).
 			Msg("endpoint_limited")
-	case !status.HasMaxRate && rates.ObserveNone(e.Key(), sentAt, time.Now()):
+	}
+}
+
+// observeRateEnd records that a response to a request that was sent at the given time states no request rate.
+func (x *exchange) observeRateEnd(e *fleet.Endpoint, sentAt time.Time) {
+	if x.handler.options.RateLimiter.ObserveNone(e.Key(), sentAt, time.Now()) {
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Msg("endpoint_limit_ended")
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -46,7 +46,9 @@
 	if classification.Verdict == Accepted || classification.Verdict == NotRun {
 		endpointStatus := r.x.handler.options.Protocol.EndpointStatus(status, header)
 		r.x.applyStatus(r.endpoint, endpointStatus)
-		r.x.observeRate(r.endpoint, endpointStatus, r.sentAt)
+		if !endpointStatus.HasMaxRate {
+			r.x.observeRateEnd(r.endpoint, r.sentAt)
+		}
 	}
 	r.status, r.header = status, header
 	if classification.Verdict != Accepted {
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -58,6 +58,8 @@
 	controlRequests []receivedRequest
 	// controlStatus is the status of the responses to control requests.
 	controlStatus int
+	// controlHeader is a header line of these responses; it may be empty.
+	controlHeader string
 	connections   int
 }
 
@@ -108,7 +110,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.controlRequests = append(e.controlRequests, r)
-	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n{}", e.controlStatus)
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%sContent-Length: 2\r\n\r\n{}", e.controlStatus, e.controlHeader)
 }
 
 func (e *fakeEndpoint) nextScript(r receivedRequest) func(net.Conn, receivedRequest) {
