Let an endpoint of the soak name a request rate

Each round draws one endpoint, a rate and an interval, with random numbers of their own so that the plans of kept seeds stay the same, and checks the arrivals from instances that have forwarded a response with the rate. 4 rounds (seeds 7000 to 7003, 15 s) passed.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -317,6 +317,20 @@
 
 // drainEndpoint starts a replacement, drains the endpoint and stops it. After reuseTime, an endpoint of the other service
 // gets its address.
+// limitEndpoint makes an endpoint name a request rate for a while.
+func (d *deployment) limitEndpoint(l limitStep) {
+	e := d.endpointAt(l.target)
+	from := time.Now()
+	e.setRequestRate(l.perSecond)
+	time.Sleep(l.length)
+	e.setRequestRate(0)
+	d.record.update(func() {
+		d.record.limits = append(d.record.limits, limitSpan{
+			endpoint: e.id, perSecond: l.perSecond, span: span{from: from, to: time.Now()},
+		})
+	})
+}
+
 func (d *deployment) drainEndpoint(s step) {
 	e := d.endpointAt(s.target)
 	if !d.replaceEndpoint(s.target, e) {
@@ -377,6 +391,11 @@
 		callers.Go(func() { c.sendAll(ctx) })
 	}
 	started := time.Now()
+	limited := drawLimit(seed, steps[len(steps)-1].at)
+	running.Go(func() {
+		time.Sleep(limited.at)
+		d.limitEndpoint(limited)
+	})
 	for _, s := range steps {
 		time.Sleep(time.Until(started.Add(s.at)))
 		running.Go(func() { d.runStep(s) })
--- a/test/soak/endpoint_test.go
+++ b/test/soak/endpoint_test.go
@@ -16,6 +16,7 @@
 const (
 	endpointSlots = 8
 	eventInterval = 15 * time.Millisecond
+	rateHeader    = "Server-Limit"
 )
 
 // endpoint is a stand-in for a server of a service. It records each request that it gets or runs.
@@ -30,6 +31,8 @@
 	mu sync.Mutex
 	// faultyFraction is the fraction of responses that are lost, truncated or sent twice.
 	faultyFraction float64
+	// requestRate is the rate that the responses name, in requests per second; zero if they name none.
+	requestRate float64
 }
 
 var runNumbers atomic.Int64
@@ -51,6 +54,22 @@
 	e.faultyFraction = fraction
 }
 
+func (e *endpoint) setRequestRate(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requestRate = perSecond
+}
+
+// nameRequestRate adds the request rate to the header of a response and returns it; zero if there is none.
+func (e *endpoint) nameRequestRate(header http.Header) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.requestRate > 0 {
+		header.Set(rateHeader, strconv.FormatFloat(e.requestRate, 'f', 2, 64))
+	}
+	return e.requestRate
+}
+
 // drawFaulty decides at random whether a response is faulty.
 func (e *endpoint) drawFaulty() bool {
 	e.mu.Lock()
@@ -72,6 +91,7 @@
 		return
 	}
 	w.Header().Set("Acacialift-Request-Id", id)
+	rate := e.nameRequestRate(w.Header())
 	defer e.running.Add(-1)
 	full := e.running.Add(1) > endpointSlots
 	switch {
@@ -80,7 +100,7 @@
 	case full:
 		refuse(w, http.StatusServiceUnavailable)
 	default:
-		e.run(w, r, id, string(body))
+		e.run(w, r, id, string(body), rate)
 	}
 }
 
@@ -90,12 +110,12 @@
 	w.WriteHeader(status)
 }
 
-func (e *endpoint) run(w http.ResponseWriter, r *http.Request, id, body string) {
+func (e *endpoint) run(w http.ResponseWriter, r *http.Request, id, body string, rate float64) {
 	deadline, _ := strconv.Atoi(r.Header.Get("Acacialift-Deadline-Ms"))
 	run := &run{
 		endpoint: e.id, service: e.service, number: int(runNumbers.Add(1)), path: r.URL.RequestURI(), body: body,
 		team: r.Header.Get("Acacialift-Tenant"), deadline: time.Duration(deadline) * time.Millisecond,
-		began: time.Now(), faulty: e.drawFaulty(),
+		began: time.Now(), faulty: e.drawFaulty(), namedRate: rate,
 	}
 	run.seal = fmt.Sprintf("seal-%d", run.number)
 	run.lastEventID, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -154,6 +174,9 @@
 		return
 	}
 	head := "HTTP/1.1 200 OK\r\nAcacialift-Request-Id: " + id + "\r\nAcacialift-Response-Seal: " + run.seal + "\r\n"
+	if rate := w.Header().Get(rateHeader); rate != "" {
+		head += rateHeader + ": " + rate + "\r\n"
+	}
 	full := head + "Content-Length: " + strconv.Itoa(len(run.responseBody)) + "\r\n\r\n" + run.responseBody
 	switch run.number % 4 {
 	case 0:
--- a/test/soak/invariants_test.go
+++ b/test/soak/invariants_test.go
@@ -25,6 +25,12 @@
 	retryWindow   = 10 * time.Second
 	coldFactor    = 1.5
 	coldSlack     = 5
+	// An endpoint that names a request rate may get limitFactor times what the rate allows in limitWindow, and limitSlack. An
+	// instance counts from toldTime after it has forwarded a response that names the rate.
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitWindow = 4 * time.Second
+	toldTime    = 500 * time.Millisecond
 	// maxLostRequests is the number of requests that an instance may leave without a response on reused connections.
 	maxLostRequests = 3
 	// minCancelSamples is the minimum number of runs whose callers left for checkCancellation to check a fraction.
@@ -48,7 +54,7 @@
 		}
 	}
 	for _, check := range []func() []string{
-		d.checkLeaving, d.checkCold, d.checkRetries, d.checkLost, d.checkCancellation, d.checkUnknownRuns,
+		d.checkLeaving, d.checkCold, d.checkLimits, d.checkRetries, d.checkLost, d.checkCancellation, d.checkUnknownRuns,
 	} {
 		violations = append(violations, check()...)
 	}
@@ -246,6 +252,50 @@
 	return most
 }
 
+// checkLimits finds endpoints that named a request rate and got more requests from instances that knew it.
+func (d *deployment) checkLimits() []string {
+	var violations []string
+	for _, l := range d.record.limits {
+		told := d.toldInstances(l)
+		var times []time.Time
+		for _, a := range d.record.arrivals {
+			q := d.record.requests[a.id]
+			if q == nil || a.endpoint != l.endpoint || a.misdirected || a.at.After(l.to) {
+				continue
+			}
+			at, ok := told[q.entry]
+			if !ok || a.at.Before(at.Add(toldTime)) || !d.record.isUndisturbed(entryName(q.entry), l.from, a.at) {
+				continue
+			}
+			if a.at.After(l.from.Add(stabilityWindow)) {
+				times = append(times, a.at)
+			}
+		}
+		allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+		if most := maxWithin(times, limitWindow); float64(most) > allowed {
+			violations = append(violations, fmt.Sprintf("LIMIT: %s named %.2f requests a second and got %d in %s, allowed are %.0f",
+				l.endpoint, l.perSecond, most, limitWindow, allowed))
+		}
+	}
+	return violations
+}
+
+// toldInstances returns when each instance had forwarded a response that names the rate.
+func (d *deployment) toldInstances(l limitSpan) map[int]time.Time {
+	told := make(map[int]time.Time)
+	for _, q := range d.record.requests {
+		for _, run := range d.record.runs[q.id] {
+			if run.endpoint != l.endpoint || run.namedRate == 0 || !q.complete || q.seal != run.seal {
+				continue
+			}
+			if at, ok := told[q.entry]; !ok || q.ended.Before(at) {
+				told[q.entry] = q.ended
+			}
+		}
+	}
+	return told
+}
+
 // checkRetries finds services that got more retries than the retry budget allows.
 func (d *deployment) checkRetries() []string {
 	var violations []string
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -93,6 +93,32 @@
 	return steps
 }
 
+// limitStep is an endpoint that names a request rate for a while.
+type limitStep struct {
+	at, length time.Duration
+	target     int
+	perSecond  float64
+}
+
+const (
+	minLimitLength = 6 * time.Second
+	maxLimitLength = 10 * time.Second
+	minLimitRate   = 0.5
+	maxLimitRate   = 4.0
+)
+
+// drawLimit returns the request rate that an endpoint names during a round. It uses random numbers of its own, so that the plans
+// of earlier seeds stay the same.
+func drawLimit(seed uint64, length time.Duration) limitStep {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return limitStep{
+		at:        warmUpTime + time.Duration(random.Int64N(int64(length/2))),
+		length:    minLimitLength + time.Duration(random.Int64N(int64(maxLimitLength-minLimitLength))),
+		target:    random.IntN(1 << 10),
+		perSecond: minLimitRate + (maxLimitRate-minLimitRate)*random.Float64(),
+	}
+}
+
 // drawSeries returns 1 to seriesBound-1 steps like the first, one second apart, on the same target or the next ones.
 func drawSeries(random *rand.Rand, first step) []step {
 	var series []step
--- a/test/soak/record_test.go
+++ b/test/soak/record_test.go
@@ -61,6 +61,8 @@
 	lastEventID        int
 	// faulty is true if the endpoint was to lose, truncate or repeat the response on purpose.
 	faulty bool
+	// namedRate is the request rate that the response names; zero if it names none.
+	namedRate float64
 }
 
 // arrival is a request that reached an endpoint, executed or not.
@@ -78,6 +80,13 @@
 	from, to time.Time
 }
 
+// limitSpan is an interval in which an endpoint named a request rate.
+type limitSpan struct {
+	endpoint  string
+	perSecond float64
+	span
+}
+
 // record holds all observations of one round, which are checked at its end.
 type record struct {
 	mu           sync.Mutex
@@ -91,6 +100,8 @@
 	leaving map[string]time.Time
 	// cold holds the cold start interval of each endpoint that started cold.
 	cold map[string]span
+	// limits holds the intervals in which an endpoint named a request rate.
+	limits []limitSpan
 	// published holds when the store had acknowledged each version of the configuration; element 0 is version 1.
 	published []time.Time
 	// failures holds failures that are found while the round runs, such as an unexpected exit of a process.
