--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -203,7 +203,8 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, EndpointID: p.endpointID, Feed: p.options.Source, Log: p.log, Capacity: s.Limits.ProcessorShare,
+		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, EndpointID: p.endpointID, Feed: p.options.Source,
+		Log: p.log, Capacity: s.Limits.ProcessorShare,
 		Placements: &scheduler.Server{
 			Self: s.Addresses.Peers, Load: loadTracker, Scheduler: p.localScheduler, State: p.options.State, Log: p.log,
 		},
@@ -336,8 +337,8 @@
 	return suture.ErrDoNotRestart
 }
 
-// runMaintenance closes expired idle connections, deletes outdated counts and limits of endpoints, reports
-// the number of live peers to the fleet share, and updates the gauges, once per maintenanceInterval.
+// runMaintenance closes expired idle connections, deletes outdated counts and limits of endpoints, reports the number of live
+// peers to the fleet share, and updates the gauges, once per maintenanceInterval.
 func (p *Process) runMaintenance(ctx context.Context) error {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
