Use the whole named rate in fleets of up to 13 instances

In fleets of up to 13 instances, which send to each other directly, an instance now uses the share without that assumption. If half as many more exist, all together send one and a half times the rate, which is what an endpoint tolerates. Larger fleets keep the room, because their turns coincide by chance.

--- a/internal/limit/ratelimiter.go
+++ b/internal/limit/ratelimiter.go
@@ -9,6 +9,10 @@
 	// slotTime is how long an instance may use a slot, a turn to send one request to a limited endpoint. Without this bound,
 	// hundreds of instances that had no request for the endpoint for a while could use their turns at once.
 	slotTime = time.Second
+	// In a fleet of up to maxExactFleet instances, all are known soon after their start, and an instance uses the share of a fleet
+	// without unknown ones. Even if there are half as many again, all together stay within one and a half times the rate, which
+	// an endpoint tolerates. In larger fleets their turns coincide by chance, which needs that room.
+	maxExactFleet = 13
 	// minEndpointRate is the least rate that is assumed, in requests per second of the whole fleet. Without any request, no
 	// instance would learn that an endpoint no longer names a rate of zero.
 	minEndpointRate = 0.1
@@ -136,7 +140,11 @@
 // interval returns the time between two requests of this instance at which the requests of all instances stay within the
 // rate. It is the longest possible one while this instance has no share.
 func (l *RateLimiter) interval(perSecond float64, now time.Time) time.Duration {
-	seconds := 1 / (max(perSecond, minEndpointRate) * l.share.Share(now))
+	share := l.share.Share(now)
+	if share*unknownPeersFactor*maxExactFleet >= 1 {
+		share *= unknownPeersFactor
+	}
+	seconds := 1 / (max(perSecond, minEndpointRate) * share)
 	return time.Duration(min(seconds, limitRetention.Seconds()) * float64(time.Second))
 }
 
