--- a/internal/entry/ratelimit_test.go
+++ b/internal/entry/ratelimit_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 // limitedResponse returns a response of an endpoint that names a request rate.
@@ -127,15 +127,7 @@
 func (a *arrivalTimes) maxWithin(window time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	slices.SortFunc(a.times, time.Time.Compare)
-	most, first := 0, 0
-	for last := range a.times {
-		for a.times[last].Sub(a.times[first]) >= window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
+	return testkit.MaxWithin(a.times, window)
 }
 
 // withFleetOf makes the rig an instance of a fleet that has been running for an hour.
--- a/internal/limit/fleetcoldlimiter_test.go
+++ b/internal/limit/fleetcoldlimiter_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 const (
@@ -32,8 +33,8 @@
 				sent = append(sent, now)
 			}
 		}
-		Expect(maxWithin(sent, time.Second)).To(BeNumerically(">=", coldBound/2))
-		Expect(maxWithin(sent, time.Second)).To(BeNumerically("<=", coldBound))
+		Expect(testkit.MaxWithin(sent, time.Second)).To(BeNumerically(">=", coldBound/2))
+		Expect(testkit.MaxWithin(sent, time.Second)).To(BeNumerically("<=", coldBound))
 	})
 
 	// Guards against more requests than the bound in a fleet that is partitioned in any way. Each side has an instance
@@ -68,7 +69,7 @@
 					}
 				}
 			}
-			if most := maxWithin(sent, time.Second); float64(most) > coldBound {
+			if most := testkit.MaxWithin(sent, time.Second); float64(most) > coldBound {
 				t.Fatalf("%d requests within a second", most)
 			}
 		})
--- a/internal/limit/ratelimiter_test.go
+++ b/internal/limit/ratelimiter_test.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -145,25 +144,12 @@
 				}
 			}
 		}
-		if most := maxWithin(sent, window); float64(most) > 1.5*rate*window.Seconds()+5 {
+		if most := testkit.MaxWithin(sent, window); float64(most) > 1.5*rate*window.Seconds()+5 {
 			t.Fatalf("%d requests within 4 s", most)
 		}
 	})
 }
 
-// maxWithin returns the largest number of the given instants that lie within a window. It sorts the instants.
-func maxWithin(times []time.Time, window time.Duration) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for last := range times {
-		for times[last].Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
-
 var _ = Describe("a fleet with a limited endpoint", func() {
 	// Guards against shares so small that an endpoint in need gets much less than the rate that it has named, and against an
 	// interval that is bounded: 300 instances that each send a request every 10 minutes exceed a low rate.
--- a/test/soak/invariants_test.go
+++ b/test/soak/invariants_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 const (
@@ -232,26 +234,13 @@
 				times = append(times, a.at)
 			}
 		}
-		if most := maxWithin(times, time.Second); float64(most) > coldRequestsPerSecond*coldFactor+coldSlack {
+		if most := testkit.MaxWithin(times, time.Second); float64(most) > coldRequestsPerSecond*coldFactor+coldSlack {
 			violations = append(violations, fmt.Sprintf("FAILBACK: %s got %d requests in one second of its cold start", id, most))
 		}
 	}
 	return violations
 }
 
-// maxWithin sorts the given times and returns the largest number of them within any interval of the given length.
-func maxWithin(times []time.Time, length time.Duration) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= length {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // checkLimits finds endpoints that named a request rate and got more requests from instances that knew it.
 func (d *deployment) checkLimits() []string {
 	var violations []string
@@ -272,7 +261,7 @@
 			}
 		}
 		allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
-		if most := maxWithin(times, limitWindow); float64(most) > allowed {
+		if most := testkit.MaxWithin(times, limitWindow); float64(most) > allowed {
 			violations = append(violations, fmt.Sprintf("LIMIT: %s named %.2f requests a second and got %d in %s, allowed are %.0f",
 				l.endpoint, l.perSecond, most, limitWindow, allowed))
 		}
@@ -313,8 +302,8 @@
 			}
 			seen[a.id] = true
 		}
-		allowed := retryRatio*float64(maxWithin(sent, retryWindow)) + retrySlack
-		if most := maxWithin(retries, retryWindow); float64(most) > allowed {
+		allowed := retryRatio*float64(testkit.MaxWithin(sent, retryWindow)) + retrySlack
+		if most := testkit.MaxWithin(retries, retryWindow); float64(most) > allowed {
 			violations = append(violations, fmt.Sprintf("BUDGET: %s got %d retries in %s, allowed are %.0f",
 				service, most, retryWindow, allowed))
 		}
