--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/testkit"
 )
 
 var _ = Describe("admission", func() {
@@ -169,7 +170,7 @@
 	It("is reserved at an endpoint whose request rate is learned from the response", func() {
 		a, b := newEndpoint(succeed), newEndpoint(succeed)
 		a.controlHeader, b.controlHeader = "Server-Limit: 2\r\n", "Server-Limit: 2\r\n"
-		var log logBuffer
+		var log testkit.LogBuffer
 		newRig([]*fakeEndpoint{a, b}, withLongObjective, withLog(&log)).call("/stream/x", "Acacialift-Token-Usage", prompt)
 		Expect(log.String()).To(ContainSubstring(`"max_rate":2,"message":"endpoint_limited"`))
 	})
--- a/internal/entry/ratelimit_test.go
+++ b/internal/entry/ratelimit_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bytes"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -22,26 +21,8 @@
 	return strings.Replace(sealedResponse("limited"), "\r\n", "\r\nServer-Limit: "+rate+"\r\n", 1)
 }
 
-// logBuffer collects log lines. It is safe for concurrent use.
-type logBuffer struct {
-	mu    sync.Mutex
-	lines bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.lines.Write(line)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.lines.String()
-}
-
 // withLog makes the rig write its log lines to the buffer.
-func withLog(b *logBuffer) rigOption {
+func withLog(b *testkit.LogBuffer) rigOption {
 	return func(_ *fleet.Catalog, options *entry.HandlerOptions) { options.Log = zerolog.New(b) }
 }
 
@@ -53,7 +34,7 @@
 			respond(limitedResponse("1000")), respond(limitedResponse("500")), respond(limitedResponse("500")),
 			respond(sealedResponse("free")),
 		)
-		var log logBuffer
+		var log testkit.LogBuffer
 		r := newRig([]*fakeEndpoint{e}, withLog(&log))
 		for range 5 {
 			Eventually(func() int { return r.call("/safe/").status }, waitTimeout).Should(Equal(200))
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -377,24 +376,13 @@
 		status, len(body), body)
 }
 
-// logBuffer collects log lines.
-type logBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (l *logBuffer) Write(data []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buffer.Write(data)
-}
+// logBuffer collects the log lines of a gateway.
+type logBuffer struct{ testkit.LogBuffer }
 
 // lines returns the fields of the lines with the given message.
 func (l *logBuffer) lines(message string) []map[string]any {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	var found []map[string]any
-	for line := range strings.Lines(l.buffer.String()) {
+	for line := range strings.Lines(l.String()) {
 		var fields map[string]any
 		if json.Unmarshal([]byte(line), &fields) == nil && fields["message"] == message {
 			found = append(found, fields)
