Log the parts of prompts, and the endpoints that crash before the first event

The logs could not tell whether the caller or a part of the prompt was common to the requests that were starting at the crashes, nor whether an endpoint had crashed or only closed a connection.

request_placed has the parts that other requests may share, attempt_failed the events of the attempt. If an attempt ends before its first event, the endpoint's address is dialled once; if the connection is refused, endpoint_crashed is written with team, parts and whether the head of the response had arrived.

No logic changes.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -15,6 +15,7 @@
 // handleResult processes the end of an attempt. It returns true if the request is to be retried.
 func (x *exchange) handleResult(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
 	x.tried[e.ID] = true
+	x.checkCrash(ctx, e, r, err)
 	switch {
 	case ctx.Err() != nil:
 		x.endCancelled(ctx)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/quarantine"
 )
 
 // Call is a caller's request.
@@ -28,6 +29,8 @@
 	Budget time.Duration
 	// PromptTokens and MaxOutput are the tokens of the prompt and of the longest output; zero if the caller stated nothing.
 	PromptTokens, MaxOutput int64
+	// SharedParts are the parts of the prompt that other requests may share.
+	SharedParts []quarantine.Part
 }
 
 // Dispatch is what an endpoint receives in addition to the call itself.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -66,6 +66,8 @@
 	relays []*relay
 	// events splits the streams of all attempts into events.
 	events eventSplitter
+	// eventsBefore is the number of events that earlier attempts have received.
+	eventsBefore int
 	// streamStarted is true once the head of a stream was sent to the caller.
 	streamStarted bool
 	// firstEventAt is the time of the first event of a stream, or of the end of a response that is not a stream.
@@ -117,6 +119,7 @@
 		return x.handleNotReserved(ctx, choice, err)
 	}
 	defer reserved.release()
+	x.eventsBefore = x.events.count
 	r := &relay{x: x, endpoint: primary, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
 	r.onFirst = func() {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/quarantine"
 )
 
 // logPlaced logs the chosen endpoints and the values that the choice depended on.
@@ -21,6 +22,7 @@
 		Int("helpers", len(choice.Helpers)).
 		Str("helper_ids", idsOf(choice.Helpers)).
 		Int64("prompt_tokens", x.call.PromptTokens).
+		Str("parts", loggedParts(x.call.SharedParts)).
 		Dur("predicted_ms", choice.Predicted).
 		Dur("budget_ms", x.call.Budget).
 		Dur("time_limit_ms", x.profile.TimeLimit).
@@ -35,6 +37,14 @@
 	line.Msg("request_placed")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first parts of a prompt for the log.
+func loggedParts(parts []quarantine.Part) string {
+	return quarantine.Join(parts[:min(len(parts), maxLoggedParts)])
+}
+
 // idsOf joins the ids of endpoints.
 func idsOf(endpoints []*fleet.Endpoint) string {
 	ids := make([]string, len(endpoints))
@@ -71,6 +81,7 @@
 		Str("endpoint", e.ID).
 		Str("reason", reason).
 		Int("attempts", x.sent).
+		Int("attempt_events", x.events.count-x.eventsBefore).
 		Int("max_attempts", x.profile.MaxAttempts).
 		Bool("repeat", allowed).
 		Msg("attempt_failed")
@@ -85,6 +96,18 @@
 		Msg("endpoint_suspected")
 }
 
+// logCrash logs that an endpoint has crashed before the first event of the request. responding is true if the head of the
+// response had arrived.
+func (x *exchange) logCrash(e *fleet.Endpoint, responding bool) {
+	x.handler.options.Log.Warn().
+		Str("request_id", x.call.ID).
+		Str("endpoint", e.ID).
+		Bool("responding", responding).
+		Str("team", x.team.Name).
+		Str("parts", loggedParts(x.call.SharedParts)).
+		Msg("endpoint_crashed")
+}
+
 // logEnd logs and counts the end of a request.
 func (x *exchange) logEnd(result string, status int, code string) {
 	now := time.Now()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -48,6 +48,9 @@
 // PlacedOnLimited counts a request that was placed on an endpoint that limits its request rate.
 func (m *Metrics) PlacedOnLimited() { m.count("placed_on_limited") }
 
+// EndpointCrashed counts a request whose endpoint crashed before the first event.
+func (m *Metrics) EndpointCrashed() { m.count("endpoint_crashes") }
+
 // CountError counts a request that ended with an error code of this instance, in an error response or an aborted connection.
 func (m *Metrics) CountError(code string) { m.count("answers_" + code) }
 
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -61,12 +61,14 @@
 	// controlHeader is a header line of these responses; it may be empty.
 	controlHeader string
 	connections   int
+	// open holds the connections that are open.
+	open map[net.Conn]bool
 }
 
 func newEndpoint(scripts ...func(net.Conn, receivedRequest)) *fakeEndpoint {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	e := &fakeEndpoint{listener: listener, scripts: scripts, controlStatus: http.StatusOK}
+	e := &fakeEndpoint{listener: listener, scripts: scripts, controlStatus: http.StatusOK, open: make(map[net.Conn]bool)}
 	go e.accept()
 	DeferCleanup(func() { _ = listener.Close() })
 	return e
@@ -80,13 +82,14 @@
 		}
 		e.mu.Lock()
 		e.connections++
+		e.open[conn] = true
 		e.mu.Unlock()
 		go e.serve(conn)
 	}
 }
 
 func (e *fakeEndpoint) serve(conn net.Conn) {
-	defer conn.Close()
+	defer e.closeConnection(conn)
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -106,6 +109,23 @@
 	}
 }
 
+func (e *fakeEndpoint) closeConnection(conn net.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.open, conn)
+	_ = conn.Close()
+}
+
+// crash ends the endpoint like the end of its process: all connections are closed and new ones are refused.
+func (e *fakeEndpoint) crash() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.open {
+		_ = conn.Close()
+	}
+}
+
 func (e *fakeEndpoint) respondToControl(conn net.Conn, r receivedRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
