Quarantine the parts of prompts under which endpoints crash

Callers saw refusals and broken streams: requests whose prompts share a harmful part crash one engine after the other, and each was repeated on a second one. The cause: a failed attempt was evidence against the endpoint alone.

Now a crash is evidence against the parts of the prompts that the endpoint had begun to respond to or that waited there. A part is in quarantine after three crashes of the first kind or five of the second, unless a request with it is served. The most suspicious part (never served, further behind in the prompt) explains its crashes, so that parts that are at the same crashes by chance stay in use; parts that have been served before need crashes over 1.5 s, so that the loss of a domain convicts none. A request with a part in quarantine is answered at once, also while it waits: 503 as not run with the remaining time, or 502 if it was sent. A retry takes no part that may have caused a crash to another endpoint. A crash counts only if the endpoint refuses a new connection right after it and was not leaving.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -15,11 +15,14 @@
 // handleResult processes the end of an attempt. It returns true if the request is to be retried.
 func (x *exchange) handleResult(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
 	x.tried[e.ID] = true
-	x.checkCrash(ctx, e, r, err)
+	crashed := x.observeCrash(ctx, e, r, err)
 	switch {
 	case ctx.Err() != nil:
+		x.mayHaveRun = x.mayHaveRun || !r.sentAt.IsZero() && r.classification.Verdict != NotRun
 		x.endCancelled(ctx)
 		return false
+	case crashed && err == nil:
+		return x.handleFailure(e, "stream_ended_by_crash")
 	case err != nil:
 		return x.handleError(e, err)
 	case r.classification.Verdict == NotRun, r.classification.Verdict == Misdirected:
@@ -160,11 +163,13 @@
 	return false
 }
 
-// mayRetry logs a failed attempt and reports whether the profile and the retry budget allow another one. If they do, the
-// next attempt counts as a retry in the budget.
+// mayRetry logs a failed attempt and reports whether the profile, the retry budget and the parts of the prompt allow another
+// one. If they do, the next attempt counts as a retry in the budget. A part that may have crashed an endpoint must not reach
+// the next one.
 func (x *exchange) mayRetry(e *fleet.Endpoint, reason string) bool {
-	allowed := x.sent < x.profile.MaxAttempts && x.handler.options.RetryBudget.Take(x.service.Name, time.Now())
-	x.logAttemptFailed(e, reason, allowed)
+	suspect, isSuspect := x.handler.options.Quarantine.Suspect(x.call.SharedParts)
+	allowed := !isSuspect && x.sent < x.profile.MaxAttempts && x.handler.options.RetryBudget.Take(x.service.Name, time.Now())
+	x.logAttemptFailed(e, reason, allowed, suspect)
 	return allowed
 }
 
@@ -173,7 +178,7 @@
 	for _, r := range choice.Reservations {
 		x.tried[r.Endpoint.ID] = true
 	}
-	x.logAttemptFailed(choice.Primary, err.Error(), true)
+	x.logAttemptFailed(choice.Primary, err.Error(), true, 0)
 	x.unreachable++
 	switch {
 	case ctx.Err() != nil:
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -3,15 +3,78 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/quarantine"
 )
 
 // crashCheckTimeout bounds the time of a connection that is opened to find out whether an endpoint has crashed.
 const crashCheckTimeout = 250 * time.Millisecond
 
+// quarantineError is the cause of a context that ends because a part of the prompt is in quarantine.
+type quarantineError struct {
+	part quarantine.Part
+	// left is the remaining time of the quarantine.
+	left time.Duration
+}
+
+// Error implements the error interface.
+func (e *quarantineError) Error() string {
+	return "endpoints crash under part " + e.part.String() + " of the prompt"
+}
+
+// watchParts returns a context that ends once a part of the prompt is in quarantine, also while the call waits for an endpoint
+// or for the first event of one.
+func (x *exchange) watchParts(ctx context.Context) (watched context.Context, stop func()) {
+	if len(x.call.SharedParts) == 0 {
+		return ctx, func() {}
+	}
+	watched, cancel := context.WithCancelCause(ctx)
+	stopWatch := x.handler.options.Quarantine.Watch(x.call.SharedParts, x.received,
+		func(part quarantine.Part, left time.Duration) { cancel(&quarantineError{part: part, left: left}) })
+	return watched, func() {
+		stopWatch()
+		cancel(nil)
+	}
+}
+
+// endQuarantined ends a call whose prompt has a part in quarantine.
+func (x *exchange) endQuarantined(e *quarantineError) {
+	switch {
+	case x.streamStarted:
+		x.abort(codePartQuarantined)
+	case x.mayHaveRun:
+		x.endWithError(unknownOutcome(
+			http.StatusBadGateway, outcome.StagePrefill, codePartQuarantined, e.Error(), x.profile.Retryable(),
+		))
+	default:
+		x.endWithError(refuseUnavailable(outcome.StageAdmission, codePartQuarantined, e.Error(), e.left))
+	}
+}
+
+// observeServed records that endpoints serve requests with the parts of the prompt.
+func (x *exchange) observeServed() {
+	if len(x.call.SharedParts) > 0 {
+		x.logQuarantine(x.handler.options.Quarantine.ObserveServed(x.call.SharedParts, time.Now()))
+	}
+}
+
+// observeCrash records whether an attempt has ended because the endpoint crashed before the first event, and reports it.
+func (x *exchange) observeCrash(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
+	if !x.checkCrash(ctx, e, r, err) {
+		return false
+	}
+	crash := quarantine.Crash{Endpoint: e.Key(), Responding: r.classified}
+	x.handler.options.Metrics.EndpointCrashed()
+	x.logCrash(e, crash.Responding)
+	x.logQuarantine(x.handler.options.Quarantine.ObserveCrash(x.call.SharedParts, crash, time.Now()))
+	return true
+}
+
 // checkCrash reports whether an attempt has ended because the endpoint crashed before the first event arrived. A connection
 // that ends early has other causes too, for example a faulty response or a reset on the way. The endpoint has crashed only if
 // it refuses a new connection right after that. An endpoint that was leaving may have ended as planned.
@@ -21,12 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	if !x.handler.options.Client.Refuses(ctx, e.Address) {
-		return false
-	}
-	x.handler.options.Metrics.EndpointCrashed()
-	x.logCrash(e, r.classified)
-	return true
+	return x.handler.options.Client.Refuses(ctx, e.Address)
 }
 
 // endedByEndpoint reports whether the endpoint closed or reset the connection of a request before the response was complete.
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -1,15 +1,23 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/acacialift/acacialift/internal/entry"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/testkit"
 )
 
@@ -120,3 +128,136 @@
 		Expect(served).To(Equal(calls))
 	})
 })
+
+// isQuarantineReply matches the reply to a request that ended because of the quarantine of a part.
+func isQuarantineReply(status int, outcome string) OmegaMatcher {
+	body := func(r reply) string { return r.body }
+	return SatisfyAll(
+		WithTransform(func(r reply) int { return r.status }, Equal(status)),
+		WithTransform(body, ContainSubstring(`"code":"part_quarantined"`)),
+		WithTransform(body, ContainSubstring(`"outcome":"`+outcome+`"`)),
+	)
+}
+
+// crashesElsewhere is the evidence of another instance that is enough for the quarantine of crashPart.
+func crashesElsewhere() []quarantine.Evidence {
+	e := quarantine.Evidence{Part: 0x12ca9047f126}
+	for endpoint := range uint32(3) {
+		e.Crashes = append(e.Crashes, quarantine.Crash{Endpoint: endpoint, Responding: true})
+	}
+	return []quarantine.Evidence{e}
+}
+
+var _ = Describe("a request with a part in quarantine", func() {
+	var parts *quarantine.Tracker
+	withTracker := func(_ *fleet.Catalog, options *entry.HandlerOptions) { parts = options.Quarantine }
+
+	// Guards against a refusal that takes long, reaches an endpoint, or makes the caller return before the quarantine ends.
+	It("is refused as not run, with the remaining time as Retry-After", func() {
+		e := newEndpoint(respond(wholeStream))
+		r := newRig([]*fakeEndpoint{e}, withEngine, withTracker)
+		parts.Merge(crashesElsewhere(), time.Now())
+		got := r.callWithParts(1, systemPart, crashPart)
+		Expect(got).To(isQuarantineReply(503, "not_run"))
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("~", 3600, 60))
+		Expect(e.requests()).To(BeEmpty())
+		Expect(r.callWithParts(2, systemPart).body).To(Equal(streamEvent(1)))
+	})
+
+	// Guards against a request that goes on waiting at an endpoint and crashes it, although its part is known by now.
+	It("is ended at once while it waits at an endpoint, and is not said to have not run", func() {
+		gone := make(chan struct{})
+		e := newEndpoint(func(conn net.Conn, r receivedRequest) {
+			neverRespond(conn, r)
+			close(gone)
+		})
+		r := newRig([]*fakeEndpoint{e}, withEngine, withTracker)
+		replies := make(chan reply, 1)
+		go func() { replies <- r.callWithParts(1, systemPart, crashPart) }()
+		Eventually(e.requests, waitTimeout).Should(HaveLen(1))
+		parts.Merge(crashesElsewhere(), time.Now())
+		Eventually(replies, waitTimeout).Should(Receive(isQuarantineReply(502, "unknown")))
+		Eventually(gone, waitTimeout).Should(BeClosed())
+	})
+
+	// Guards against a request that waits for a free endpoint until its time is over, although it will not be served.
+	It("is refused at once while it waits for an endpoint", func() {
+		const slots = 4
+		e := newEndpoint(neverRespond)
+		r := newRig([]*fakeEndpoint{e}, withEngine, withTracker, func(c *fleet.Catalog, _ *entry.HandlerOptions) {
+			for i := range c.Profiles {
+				c.Profiles[i].Objective = 8 * time.Hour
+				c.Profiles[i].TimeLimit = 0
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range slots {
+			go func() {
+				_, _ = http.DefaultTransport.RoundTrip(r.newRequest(ctx, "/resume/", "Acacialift-Token-Usage", "1060,80"))
+			}()
+		}
+		Eventually(e.requests, waitTimeout).Should(HaveLen(slots))
+		replies := make(chan reply, 1)
+		go func() { replies <- r.callWithParts(1, systemPart, crashPart) }()
+		Consistently(replies, "100ms").ShouldNot(Receive())
+		parts.Merge(crashesElsewhere(), time.Now())
+		Eventually(replies, waitTimeout).Should(Receive(isQuarantineReply(503, "not_run")))
+		Expect(e.requests()).To(HaveLen(slots))
+	})
+})
+
+var _ = Describe("a request whose endpoint has crashed", func() {
+	// crashOnce returns two endpoints. The one that gets the first request sends a response to it and crashes.
+	crashOnce := func(response string) []*fakeEndpoint {
+		var once sync.Once
+		endpoints := make([]*fakeEndpoint, 2)
+		for i := range endpoints {
+			endpoints[i] = newEndpoint(func(conn net.Conn, r receivedRequest) {
+				crashed := false
+				once.Do(func() {
+					respond(response)(conn, r)
+					endpoints[i].crash()
+					crashed = true
+				})
+				if !crashed {
+					respond(wholeStream)(conn, r)
+				}
+			})
+		}
+		return endpoints
+	}
+
+	// Guards against a retry that takes the part to the next endpoint and crashes it too.
+	It("does not reach another one if its part may have caused the crash", func() {
+		endpoints := crashOnce(streamHead)
+		r := newRig(endpoints, withEngine)
+		Expect(r.callWithParts(1, systemPart, crashPart).status).To(Equal(502))
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+	})
+
+	// Guards against a stream without length, whose end looks complete, that is passed on as a complete empty answer.
+	It("does not end as complete if the stream has no length", func() {
+		endpoints := crashOnce(strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1))
+		r := newRig(endpoints, withEngine)
+		Expect(r.callWithParts(1, systemPart, crashPart).status).To(Equal(502))
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+	})
+
+	// Guards against sound requests that fail because an endpoint crashes for another reason.
+	DescribeTable("is sent to another one", func(response string, servedBefore bool) {
+		endpoints := crashOnce(response)
+		r := newRig(endpoints, withEngine, func(_ *fleet.Catalog, options *entry.HandlerOptions) {
+			if servedBefore {
+				options.Quarantine.ObserveServed([]quarantine.Part{0xa1979a9a31e}, time.Now())
+			}
+		})
+		Expect(r.callWithParts(1, systemPart).body).To(Equal(streamEvent(1)))
+		Expect(totalRequests(endpoints...)).To(Equal(2))
+	},
+		Entry("if it was waiting there", "", false),
+		Entry("if its parts have been served before", streamHead, true),
+	)
+})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -85,7 +85,13 @@
 	x.handler.options.RetryBudget.CountRequest(x.service.Name, x.received)
 	ctx, cancel := context.WithDeadline(ctx, x.received.Add(x.timeLimit))
 	defer cancel()
+	ctx, stopWatch := x.watchParts(ctx)
+	defer stopWatch()
 	defer x.releaseResponses()
+	if ctx.Err() != nil {
+		x.endCancelled(ctx)
+		return
+	}
 	for x.attempt(ctx) {
 		x.handler.options.Metrics.Retried()
 	}
@@ -125,6 +131,7 @@
 	r.onFirst = func() {
 		if request.PrefillDone() {
 			p.schedulerPlacement.PrefillDone()
+			x.observeServed()
 		}
 		if x.firstEventAt.IsZero() {
 			x.firstEventAt = time.Now()
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -68,9 +68,13 @@
 	}
 }
 
-// endCancelled ends a call whose time limit is exceeded or whose caller has disconnected.
+// endCancelled ends a call whose time limit is exceeded, whose caller has disconnected, or whose prompt has a part in
+// quarantine.
 func (x *exchange) endCancelled(ctx context.Context) {
+	var quarantined *quarantineError
 	switch {
+	case errors.As(context.Cause(ctx), &quarantined):
+		x.endQuarantined(quarantined)
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		x.logEnd("caller_left", 0, "")
 	case x.streamStarted:
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
 )
 
@@ -32,6 +33,8 @@
 	ColdLimiter *limit.ColdLimiter
 	RateLimiter *limit.RateLimiter
 	Client      *engine.Client
+	// Quarantine holds the evidence about parts of prompts under which endpoints crash.
+	Quarantine *quarantine.Tracker
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -74,17 +74,21 @@
 		Msg("request_not_placed")
 }
 
-// logAttemptFailed logs a failed attempt and whether it is retried.
-func (x *exchange) logAttemptFailed(e *fleet.Endpoint, reason string, allowed bool) {
-	x.handler.options.Log.Info().
+// logAttemptFailed logs a failed attempt and whether it is retried. suspect is the part of the prompt that forbids it; zero if
+// there is none.
+func (x *exchange) logAttemptFailed(e *fleet.Endpoint, reason string, allowed bool, suspect quarantine.Part) {
+	line := x.handler.options.Log.Info().
 		Str("request_id", x.call.ID).
 		Str("endpoint", e.ID).
 		Str("reason", reason).
 		Int("attempts", x.sent).
 		Int("attempt_events", x.events.count-x.eventsBefore).
 		Int("max_attempts", x.profile.MaxAttempts).
-		Bool("repeat", allowed).
-		Msg("attempt_failed")
+		Bool("repeat", allowed)
+	if suspect != 0 {
+		line = line.Str("suspect_part", suspect.String())
+	}
+	line.Msg("attempt_failed")
 }
 
 // logSuspect logs that an endpoint has become suspect.
@@ -108,6 +112,16 @@
 		Msg("endpoint_crashed")
 }
 
+// logQuarantine logs and counts parts whose quarantine has begun or ended because of what this request has shown.
+func (x *exchange) logQuarantine(changes []quarantine.Change) {
+	for _, c := range changes {
+		if c.Quarantined {
+			x.handler.options.Metrics.PartQuarantined()
+		}
+		c.Log(x.handler.options.Log.Warn().Str("request_id", x.call.ID), x.handler.options.State.EndpointID)
+	}
+}
+
 // logEnd logs and counts the end of a request.
 func (x *exchange) logEnd(result string, status int, code string) {
 	now := time.Now()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -51,6 +51,9 @@
 // EndpointCrashed counts a request whose endpoint crashed before the first event.
 func (m *Metrics) EndpointCrashed() { m.count("endpoint_crashes") }
 
+// PartQuarantined counts a part whose quarantine has begun because of a request to this instance.
+func (m *Metrics) PartQuarantined() { m.count("parts_quarantined") }
+
 // CountError counts a request that ended with an error code of this instance, in an error response or an aborted connection.
 func (m *Metrics) CountError(code string) { m.count("answers_" + code) }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -21,6 +21,7 @@
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/outcome"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
 	"github.com/acacialift/acacialift/internal/settings"
 )
@@ -94,6 +95,7 @@
 	client          *engine.Client
 	coldLimiter     *limit.ColdLimiter
 	rateLimiter     *limit.RateLimiter
+	quarantine      *quarantine.Tracker
 	fleetShare      *limit.FleetShare
 	callerServer    *httpserver.Server
 	readinessServer *httpserver.Server
@@ -122,6 +124,7 @@
 			Reuse: true, AllowUnframed: true, DialTimeout: dialTimeout, AckTimeout: endpointAckTimeout,
 		}),
 		fleetShare: limit.NewFleetShare(b.LeastInstances, time.Now()),
+		quarantine: quarantine.NewTracker(),
 	}
 	p.coldLimiter = limit.NewColdLimiter(b.ColdFactor, b.ColdSlack, p.fleetShare)
 	p.rateLimiter = limit.NewRateLimiter(p.fleetShare, rand.Float64)
@@ -129,10 +132,10 @@
 	// The functions below that use p.sharer are called only after listen has set it.
 	handlerOptions := HandlerOptions{
 		Protocol: options.Protocol, State: options.State, Load: loadTracker, Health: healthTracker, ColdLimiter: p.coldLimiter,
-		RateLimiter: p.rateLimiter,
-		Planner:     placement.Planner{IntN: rand.IntN},
-		CountsAge:   func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
-		Client:      p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
+		RateLimiter: p.rateLimiter, Quarantine: p.quarantine,
+		Planner:   placement.Planner{IntN: rand.IntN},
+		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
+		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics,
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
@@ -203,7 +206,8 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, EndpointID: p.endpointID, Feed: p.options.Source,
+		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter,
+		EndpointID: p.options.State.EndpointID, Feed: p.options.Source,
 		Log: p.log, Capacity: s.Limits.ProcessorShare,
 		Placements: &scheduler.Server{
 			Self: s.Addresses.Peers, Load: loadTracker, Scheduler: p.localScheduler, State: p.options.State, Log: p.log,
@@ -219,14 +223,6 @@
 	return nil
 }
 
-// endpointID returns the id of the endpoint with a key; empty if it is not known.
-func (p *Process) endpointID(key uint32) string {
-	if e := p.options.State.Snapshot().ByKey[key]; e != nil {
-		return e.ID
-	}
-	return ""
-}
-
 // serveCall calls the handler, which New creates after the callers' server.
 func (p *Process) serveCall(w http.ResponseWriter, r *http.Request) { p.handler.ServeHTTP(w, r) }
 
@@ -337,6 +333,16 @@
 	return suture.ErrDoNotRestart
 }
 
+// forgetQuarantine deletes old evidence about parts of prompts and updates the gauges.
+func (p *Process) forgetQuarantine(now time.Time) {
+	for _, c := range p.quarantine.Forget(now) {
+		c.Log(p.log.Info(), p.options.State.EndpointID)
+	}
+	quarantined, suspected := p.quarantine.Counts()
+	p.metrics.SetGauge("quarantined_parts", int64(quarantined))
+	p.metrics.SetGauge("suspected_parts", int64(suspected))
+}
+
 // runMaintenance closes expired idle connections, deletes outdated counts and limits of endpoints, reports the number of live
 // peers to the fleet share, and updates the gauges, once per maintenanceInterval.
 func (p *Process) runMaintenance(ctx context.Context) error {
@@ -350,6 +356,7 @@
 			p.client.ExpireIdle()
 			p.coldLimiter.Forget(now)
 			p.rateLimiter.Forget(now)
+			p.forgetQuarantine(now)
 			p.metrics.SetGauge("limited_endpoints", int64(p.rateLimiter.Count()))
 			p.metrics.SetGauge("connections", int64(p.callerServer.Connections()))
 			p.metrics.SetGauge("buffered_bytes", p.callerServer.BufferedBytes())
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -21,6 +21,7 @@
 	codeEndpointRefused = "endpoint_refused"
 	codeEndpointFailed  = "endpoint_failed"
 	codeTimeLimit       = "time_limit"
+	codePartQuarantined = "part_quarantined"
 )
 
 // stoppingRetryAfter is the Retry-After of an instance that is shutting down. It is short because another instance can serve
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -26,6 +26,7 @@
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/testkit"
 	"github.com/acacialift/acacialift/platform"
 )
@@ -233,6 +234,7 @@
 		ColdLimiter: limit.NewColdLimiter(1.5, 5, limit.NewFleetShare(1, longAgo)),
 		RateLimiter: limit.NewRateLimiter(limit.NewFleetShare(1, longAgo), rand.Float64),
 		Planner:     placement.Planner{IntN: rand.IntN},
+		Quarantine:  quarantine.NewTracker(),
 		CountsAge:   func(time.Time) time.Duration { return 0 },
 		Client: engine.NewClientWithOptions(engine.ClientOptions{
 			Reuse: true, AllowUnframed: true, DialTimeout: time.Second,
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -63,6 +63,14 @@
 	return s.snapshot
 }
 
+// EndpointID returns the id of the endpoint with a key; empty if it is not known.
+func (s *State) EndpointID(key uint32) string {
+	if e := s.Snapshot().ByKey[key]; e != nil {
+		return e.ID
+	}
+	return ""
+}
+
 // Changed returns a channel that is closed at the next change.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.Lock()
