Share the evidence about harmful parts of prompts among all instances

Instances now send each other the evidence: the crashes of a part, by endpoint incarnation, and whether a request with the part was served. Merging it is commutative and idempotent, so that it may pass through aggregators and return.

The specs of package loadshare (a started instance, one that was cut off, a fleet of 40) need the message and fail without it.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -206,7 +206,7 @@
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
 		Address: s.Addresses.Peers, Seeds: s.Seeds, Key: s.PeersKey.Reveal(), Instance: s.Instance,
-		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter,
+		Load: loadTracker, Health: healthTracker, Rates: p.rateLimiter, Quarantine: p.quarantine,
 		EndpointID: p.options.State.EndpointID, Feed: p.options.Source,
 		Log: p.log, Capacity: s.Limits.ProcessorShare,
 		Placements: &scheduler.Server{
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -19,6 +19,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/published"
+	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/testkit"
 )
 
@@ -32,6 +33,7 @@
 	load    *load.Tracker
 	health  *health.Tracker
 	rates   *limit.RateLimiter
+	parts   *quarantine.Tracker
 	sharer  *loadshare.Sharer
 	stop    context.CancelFunc
 }
@@ -41,12 +43,19 @@
 }
 
 func startWithFeed(name, address, key string, feed loadshare.Feed, seeds ...string) *instance {
-	i := &instance{address: address, load: load.NewTracker(), health: health.NewTracker()}
+	i := &instance{address: address, load: load.NewTracker(), health: health.NewTracker(), parts: quarantine.NewTracker()}
 	i.rates = limit.NewRateLimiter(limit.NewFleetShare(1, time.Now()), rand.Float64)
+	i.serve(name, key, feed, seeds)
+	DeferCleanup(func() { i.stop() })
+	return i
+}
+
+// serve starts the sharer of an instance.
+func (i *instance) serve(name, key string, feed loadshare.Feed, seeds []string) {
 	var err error
 	i.sharer, err = loadshare.New(loadshare.Options{
-		Address: address, Seeds: seeds, Key: key, Instance: name, Load: i.load, Health: i.health, Feed: feed, Log: zerolog.Nop(),
-		Capacity: 0.4, Rates: i.rates,
+		Address: i.address, Seeds: seeds, Key: key, Instance: name, Load: i.load, Health: i.health, Feed: feed,
+		Log: zerolog.Nop(), Capacity: 0.4, Rates: i.rates, Quarantine: i.parts,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -59,8 +68,6 @@
 		cancel()
 		<-ended
 	}
-	DeferCleanup(i.stop)
-	return i
 }
 
 func (i *instance) streamsAt(e *fleet.Endpoint) func() int {
@@ -70,6 +77,19 @@
 	}
 }
 
+// crashPart is a part of prompts under which endpoints crash.
+const crashPart = quarantine.Part(0x12ca9047f126)
+
+// observeCrash makes the instance see an endpoint crash under crashPart.
+func (i *instance) observeCrash(endpoint uint32) {
+	i.parts.ObserveCrash([]quarantine.Part{crashPart}, quarantine.Crash{Endpoint: endpoint, Responding: true}, time.Now())
+}
+
+func (i *instance) isQuarantined() bool {
+	quarantined, _ := i.parts.Counts()
+	return quarantined == 1
+}
+
 var _ = Describe("instances", func() {
 	const key = "a-key-of-sixteen-bytes"
 	endpoint := &fleet.Endpoint{ID: "i-1"}
@@ -106,6 +126,42 @@
 		Eventually(func() int { return late.sharer.LiveCount(time.Now()) }, eventTimeout).Should(Equal(2))
 	})
 
+	// Guards against instances that judge a part of prompts by the crashes that they have seen themselves, and against one that
+	// has started, or was cut off, and does not learn what the others know.
+	It("judge the parts of prompts by the crashes that all have seen", func() {
+		addresses := testkit.FreeAddresses(4)
+		var all []*instance
+		for _, address := range addresses[:3] {
+			all = append(all, start(address, address, key, addresses[0]))
+		}
+		for i, instance := range all {
+			instance.observeCrash(uint32(i))
+		}
+		for _, i := range all {
+			Eventually(i.isQuarantined, eventTimeout).Should(BeTrue())
+		}
+		started := start("late", addresses[3], key, addresses[0])
+		Eventually(started.isQuarantined, eventTimeout).Should(BeTrue())
+	})
+
+	// Guards against evidence that is lost because it was sent while its observer was cut off.
+	It("learn after a cut what each side has seen meanwhile", func() {
+		addresses := testkit.FreeAddresses(2)
+		a, b := start("a", addresses[0], key, addresses...), start("b", addresses[1], key, addresses...)
+		for _, i := range []*instance{a, b} {
+			Eventually(func() int { return i.sharer.LiveCount(time.Now()) }, eventTimeout).Should(Equal(1))
+		}
+		b.stop()
+		Eventually(func() int { return a.sharer.LiveCount(time.Now()) }, eventTimeout).Should(BeZero())
+		a.observeCrash(1)
+		b.observeCrash(2)
+		b.observeCrash(3)
+		b.serve("b", key, nil, addresses)
+		for _, i := range []*instance{a, b} {
+			Eventually(i.isQuarantined, eventTimeout).Should(BeTrue())
+		}
+	})
+
 	// Guards against requests of a failed instance that are counted forever as load of their endpoints.
 	It("drop the counts of an instance that ends", func() {
 		first := testkit.FreeAddresses(1)[0]
@@ -306,6 +362,17 @@
 		expectStreams(all[1:], size-1)
 	})
 
+	// Guards against a large fleet in which each instance knows only the crashes that it has seen itself.
+	It("judges the parts of prompts by the crashes that all instances have seen", func() {
+		all := startFleet()
+		for endpoint := range uint32(3) {
+			all[size-1-int(endpoint)].observeCrash(endpoint)
+		}
+		for _, i := range all {
+			Eventually(i.isQuarantined, eventTimeout).Should(BeTrue())
+		}
+	})
+
 	// Guards against request rates of endpoints that aggregators do not pass on.
 	It("shares the request rates of endpoints through aggregators", func() {
 		expectLimitsShared(startFleet(), endpoint)
--- /dev/null
+++ b/internal/loadshare/parts.go
@@ -0,0 +1,96 @@
+package loadshare
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/quarantine"
+)
+
+const (
+	// allPartsInterval is the time between two messages with all evidence about parts of prompts. They replace what was lost on
+	// the way, and what an instance has learned while it was cut off.
+	allPartsInterval = 5 * time.Second
+	// maxPartsSent bounds the parts in a message.
+	maxPartsSent = 64
+)
+
+// hasNewParts reports whether there is evidence that was not sent yet.
+func (s *Sharer) hasNewParts() bool {
+	if s.options.Quarantine == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Quarantine.Changes() != s.sentParts
+}
+
+// partsIfDue returns the evidence that has changed since the last call, or all evidence once per allPartsInterval. An instance
+// passes on what it has received too, because merging the same evidence again changes nothing. It must be called with the mutex
+// held.
+func (s *Sharer) partsIfDue(now time.Time) []peer.PartEvidence {
+	if s.options.Quarantine == nil {
+		return nil
+	}
+	after := s.sentParts
+	if now.Sub(s.allPartsSentAt) >= allPartsInterval {
+		s.allPartsSentAt = now
+		after = 0
+	}
+	s.sentParts = s.options.Quarantine.Changes()
+	return encodeParts(s.options.Quarantine.Evidence(after, maxPartsSent, now))
+}
+
+// allParts returns all evidence, as far as it fits into a message.
+func (s *Sharer) allParts(now time.Time) []peer.PartEvidence {
+	if s.options.Quarantine == nil {
+		return nil
+	}
+	return encodeParts(s.options.Quarantine.Evidence(0, maxPartsSent, now))
+}
+
+// mergeParts applies the evidence of a message.
+func (s *Sharer) mergeParts(m *peer.LoadShare, now time.Time) {
+	if s.options.Quarantine == nil || len(m.Parts) == 0 {
+		return
+	}
+	for _, c := range s.options.Quarantine.Merge(decodeParts(m.Parts), now) {
+		c.Log(s.options.Log.Warn().Str("peer", m.Address), s.endpointID)
+	}
+}
+
+// endpointID returns the id of the endpoint with a key for the log; empty if it is not known.
+func (s *Sharer) endpointID(key uint32) string {
+	if s.options.EndpointID == nil {
+		return ""
+	}
+	return s.options.EndpointID(key)
+}
+
+func encodeParts(list []quarantine.Evidence) []peer.PartEvidence {
+	parts := make([]peer.PartEvidence, 0, len(list))
+	for _, e := range list {
+		encoded := peer.PartEvidence{Part: uint64(e.Part), Position: e.Position, Served: e.Served}
+		for _, c := range e.Crashes {
+			encoded.Crashes = append(encoded.Crashes, peer.PartCrash{
+				Endpoint: c.Endpoint, Responding: c.Responding, Refuted: c.Refuted, AgeMS: c.Age.Milliseconds(),
+			})
+		}
+		parts = append(parts, encoded)
+	}
+	return parts
+}
+
+func decodeParts(parts []peer.PartEvidence) []quarantine.Evidence {
+	list := make([]quarantine.Evidence, 0, len(parts))
+	for _, p := range parts {
+		e := quarantine.Evidence{Part: quarantine.Part(p.Part), Position: p.Position, Served: p.Served}
+		for _, c := range p.Crashes {
+			e.Crashes = append(e.Crashes, quarantine.Crash{
+				Endpoint: c.Endpoint, Responding: c.Responding, Refuted: c.Refuted, Age: time.Duration(c.AgeMS) * time.Millisecond,
+			})
+		}
+		list = append(list, e)
+	}
+	return list
+}
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -17,6 +17,7 @@
 	s.mu.Unlock()
 	message := s.newMessage(peer.ScopeLocal, lists.direct, s.localCounts(now))
 	s.addLimits(&message, lists, now)
+	message.Parts = lists.parts
 	s.send(ctx, live, message, sendTimeout)
 	s.reconnect(ctx, retry, message)
 }
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -16,6 +16,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/published"
+	"github.com/acacialift/acacialift/internal/quarantine"
 )
 
 const (
@@ -61,6 +62,8 @@
 	Health   *health.Tracker
 	// Rates holds the request rates that endpoints name.
 	Rates *limit.RateLimiter
+	// Quarantine holds the evidence about parts of prompts under which endpoints crash; it may be nil.
+	Quarantine *quarantine.Tracker
 	// EndpointID returns the id of the endpoint with a key, for the log; empty if it is not known.
 	EndpointID func(key uint32) string
 	// Capacity is the number of cores that this instance may use; zero if it is not known. Instances with a higher
@@ -98,6 +101,8 @@
 	due bool
 	// direct holds the live instances in direct contact, indirect those in indirect contact only.
 	direct, indirect []peer.Member
+	// parts holds the evidence about parts of prompts that is due. It may be due between two lists.
+	parts []peer.PartEvidence
 }
 
 func (l periodicLists) all() []peer.Member { return append(slices.Clone(l.direct), l.indirect...) }
@@ -121,6 +126,11 @@
 	totalsInterval   time.Duration
 	totalsReceivedAt time.Time
 
+	// sentParts is the value of quarantine.Tracker.Changes up to which the evidence was sent. All evidence was sent at
+	// allPartsSentAt.
+	sentParts      uint64
+	allPartsSentAt time.Time
+
 	sentChanges uint64
 	sentAt      time.Time
 	listsSentAt time.Time
@@ -277,6 +287,7 @@
 	}
 	s.options.Load.SetPeerCounts(name, countsOf(m), now)
 	s.mergeLimits(m, now)
+	s.mergeParts(m, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.largestFleet = max(s.roster.largestFleet, int(m.LargestFleet))
@@ -293,6 +304,8 @@
 		s.otherAggregators[m.Address] = &recipient{received: now, stamp: m.Stamp, position: m.Position}
 	}
 	if s.roster.recordDirect(peer.Member{Address: m.Address, Capacity: m.Capacity}, now) {
+		// The sender may have started, or may have been cut off, since all evidence was sent the last time.
+		s.allPartsSentAt = time.Time{}
 		if s.roster.isFullMesh(now) {
 			// The sender may know no other instance than this one, which may fail before the next list is due.
 			s.listsSentAt = time.Time{}
@@ -335,7 +348,7 @@
 	}
 	s.setWatching(false)
 	changes := s.options.Load.Changes()
-	if changes == s.sentChanges && now.Sub(s.sentAt) < idleInterval-sendInterval/2 {
+	if changes == s.sentChanges && !s.hasNewParts() && now.Sub(s.sentAt) < idleInterval-sendInterval/2 {
 		return sendInterval
 	}
 	s.sentChanges, s.sentAt = changes, now
@@ -352,6 +365,7 @@
 		lists.due = true
 		lists.direct, lists.indirect = s.roster.liveMembers(now)
 	}
+	lists.parts = s.partsIfDue(now)
 	return lists
 }
 
--- a/internal/peer/loadshare.go
+++ b/internal/peer/loadshare.go
@@ -41,6 +41,24 @@
 	LargestFleet uint16
 	// Limits lists what endpoints have stated about their request rates. It is empty in most messages.
 	Limits []EndpointLimit
+	// Parts lists evidence about parts of prompts under which endpoints crash. It is empty in most messages.
+	Parts []PartEvidence
+}
+
+// PartEvidence is what is known about a part of prompts. Package quarantine explains the fields.
+type PartEvidence struct {
+	Part     uint64
+	Position uint8
+	Served   bool
+	Crashes  []PartCrash
+}
+
+// PartCrash is the crash of an endpoint before the first event of a request with the part.
+type PartCrash struct {
+	Endpoint   uint32
+	Responding bool
+	Refuted    bool
+	AgeMS      int64
 }
 
 // EndpointLimit is what an endpoint has stated about its request rate.
