Bound the traffic of the evidence about parts

All evidence went to every recipient every 5 s: at the bound of 64 parts with 8 crashes, 7.5 KB a message, an aggregator with 24 members would have sent 36 KB/s, 21 are allowed. It goes every 30 s now (6 KB/s), and at once to an instance that starts or whose contact was lost. A change goes with the next message and once more with the next list, in case one is lost.

--- a/internal/loadshare/parts.go
+++ b/internal/loadshare/parts.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// allPartsInterval is the time between two messages with all evidence about parts of prompts. They replace what was lost on
-	// the way, and what an instance has learned while it was cut off.
-	allPartsInterval = 5 * time.Second
+	// allPartsInterval is the time between two messages with all evidence about parts of prompts, which replace what was lost on
+	// the way. An instance that starts, or whose contact was lost, gets all evidence at once.
+	allPartsInterval = 30 * time.Second
 	// maxPartsSent bounds the parts in a message.
 	maxPartsSent = 64
 )
@@ -25,19 +25,24 @@
 	return s.options.Quarantine.Changes() != s.sentParts
 }
 
-// partsIfDue returns the evidence that has changed since the last call, or all evidence once per allPartsInterval. An instance
-// passes on what it has received too, because merging the same evidence again changes nothing. It must be called with the mutex
-// held.
-func (s *Sharer) partsIfDue(now time.Time) []peer.PartEvidence {
+// partsIfDue returns the evidence that has changed since the last call. With the periodic lists it returns what has changed since
+// the previous lists, because a message may have been lost, and once per allPartsInterval everything. An instance passes on what
+// it has received too, because merging the same evidence again changes nothing. It must be called with the mutex held.
+func (s *Sharer) partsIfDue(listsDue bool, now time.Time) []peer.PartEvidence {
 	if s.options.Quarantine == nil {
 		return nil
 	}
+	changes := s.options.Quarantine.Changes()
 	after := s.sentParts
+	s.sentParts = changes
+	if listsDue {
+		after = s.listedParts
+		s.listedParts = changes
+	}
 	if now.Sub(s.allPartsSentAt) >= allPartsInterval {
 		s.allPartsSentAt = now
 		after = 0
 	}
-	s.sentParts = s.options.Quarantine.Changes()
 	return encodeParts(s.options.Quarantine.Evidence(after, maxPartsSent, now))
 }
 
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -126,10 +126,10 @@
 	totalsInterval   time.Duration
 	totalsReceivedAt time.Time
 
-	// sentParts is the value of quarantine.Tracker.Changes up to which the evidence was sent. All evidence was sent at
-	// allPartsSentAt.
-	sentParts      uint64
-	allPartsSentAt time.Time
+	// sentParts is the value of quarantine.Tracker.Changes up to which the evidence was sent, and listedParts its value at the
+	// last periodic lists. All evidence was sent at allPartsSentAt.
+	sentParts, listedParts uint64
+	allPartsSentAt         time.Time
 
 	sentChanges uint64
 	sentAt      time.Time
@@ -365,7 +365,7 @@
 		lists.due = true
 		lists.direct, lists.indirect = s.roster.liveMembers(now)
 	}
-	lists.parts = s.partsIfDue(now)
+	lists.parts = s.partsIfDue(lists.due, now)
 	return lists
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -216,6 +216,9 @@
 func (t *Tracker) Evidence(after uint64, limit int, now time.Time) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if after >= t.changes {
+		return nil
+	}
 	var records []*record
 	for _, r := range t.records {
 		if r.changed > after {
