Do not cut a stream that has begun when its part is quarantined

A caller whose stream an endpoint was serving lost it when other instances' crashes put a part of its prompt in quarantine. The watch of the parts lasted to the end of the request; it ends with the first event now, because the endpoint that serves the request did not crash under the part. If such a stream fails, its retry is forbidden by the quarantine.

Found by reading. The spec "is served to its end if its stream has begun" fails without the change: the stream is reset.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -167,7 +167,7 @@
 // one. If they do, the next attempt counts as a retry in the budget. A part that may have crashed an endpoint must not reach
 // the next one.
 func (x *exchange) mayRetry(e *fleet.Endpoint, reason string) bool {
-	suspect, isSuspect := x.handler.options.Quarantine.Suspect(x.call.SharedParts)
+	suspect, isSuspect := x.handler.options.Quarantine.Suspect(x.call.SharedParts, time.Now())
 	allowed := !isSuspect && x.sent < x.profile.MaxAttempts && x.handler.options.RetryBudget.Take(x.service.Name, time.Now())
 	x.logAttemptFailed(e, reason, allowed, suspect)
 	return allowed
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -28,17 +28,17 @@
 }
 
 // watchParts returns a context that ends once a part of the prompt is in quarantine, also while the call waits for an endpoint
-// or for the first event of one.
-func (x *exchange) watchParts(ctx context.Context) (watched context.Context, stop func()) {
+// or for the first event of one. From the first event on, the call is served, and the watch has ended.
+func (x *exchange) watchParts(ctx context.Context) (watched context.Context, cancel func()) {
 	if len(x.call.SharedParts) == 0 {
 		return ctx, func() {}
 	}
-	watched, cancel := context.WithCancelCause(ctx)
-	stopWatch := x.handler.options.Quarantine.Watch(x.call.SharedParts, x.received,
-		func(part quarantine.Part, left time.Duration) { cancel(&quarantineError{part: part, left: left}) })
+	watched, cancelCause := context.WithCancelCause(ctx)
+	x.stopWatch = x.handler.options.Quarantine.Watch(x.call.SharedParts, x.received,
+		func(part quarantine.Part, left time.Duration) { cancelCause(&quarantineError{part: part, left: left}) })
 	return watched, func() {
-		stopWatch()
-		cancel(nil)
+		x.stopWatch()
+		cancelCause(nil)
 	}
 }
 
@@ -59,6 +59,7 @@
 // observeServed records that endpoints serve requests with the parts of the prompt.
 func (x *exchange) observeServed() {
 	if len(x.call.SharedParts) > 0 {
+		x.stopWatch()
 		x.logQuarantine(x.handler.options.Quarantine.ObserveServed(x.call.SharedParts, time.Now()))
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -66,6 +66,8 @@
 	relays []*relay
 	// events splits the streams of all attempts into events.
 	events eventSplitter
+	// stopWatch ends the watch of the prompt's parts; nil if there are none.
+	stopWatch func()
 	// eventsBefore is the number of events that earlier attempts have received.
 	eventsBefore int
 	// streamStarted is true once the head of a stream was sent to the caller.
@@ -85,8 +87,8 @@
 	x.handler.options.RetryBudget.CountRequest(x.service.Name, x.received)
 	ctx, cancel := context.WithDeadline(ctx, x.received.Add(x.timeLimit))
 	defer cancel()
-	ctx, stopWatch := x.watchParts(ctx)
-	defer stopWatch()
+	ctx, cancelWatched := x.watchParts(ctx)
+	defer cancelWatched()
 	defer x.releaseResponses()
 	if ctx.Err() != nil {
 		x.endCancelled(ctx)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -90,7 +90,7 @@
 
 // isSuspect reports whether the part may have caused a crash: no request with it has ever been served, and an endpoint crashed
 // when it had begun to respond to such a request, or several endpoints crashed where one was waiting.
-func (r *record) isSuspect() bool { return !r.served && r.score(nil) >= respondingWeight }
+func (r *record) isSuspect() bool { return !r.served && r.score(nil) >= suspectScore }
 
 // score weighs the crashes that no later request has refuted, except crashes that another part explains. The crashes under a
 // part that has been served before count only if the head of the response had arrived, and if they extend over settleTime.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -16,6 +16,8 @@
 	quarantineScore  = 5
 	respondingWeight = 2
 	waitingWeight    = 1
+	// suspectScore is the score from which a part that has never been served may have caused a crash.
+	suspectScore = 2 * waitingWeight
 	// settleTime is the least time between the first and the last crash under a part that has been served before. A domain that
 	// loses power takes many endpoints at the same moment, and a part that many requests share may be at several of them.
 	settleTime = 1500 * time.Millisecond
@@ -94,10 +96,14 @@
 	return 0, 0, false
 }
 
-// Suspect returns one of the parts that may have caused a crash and have never been served; false if there is none.
-func (t *Tracker) Suspect(parts []Part) (Part, bool) {
+// Suspect returns one of the parts that is in quarantine, or that may have caused a crash and has never been served. It returns
+// false if there is none.
+func (t *Tracker) Suspect(parts []Part, now time.Time) (Part, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if part, _, found := t.find(parts, now); found {
+		return part, true
+	}
 	for _, part := range parts {
 		if r := t.records[part]; r != nil && r.isSuspect() {
 			return part, true
