Quarantine a part after two crashes of endpoints that had begun to respond to it

Three crashes were needed. If all instances are restarted while a part crashes endpoints, the evidence is lost; three crashes more use up what may reach endpoints in all, and one request on its way exceeds it.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -39,11 +39,11 @@
 var _ = Describe("a part under which each endpoint crashes", func() {
 	// Guards against a part that goes on crashing endpoints, and against sound requests with the same first part that are
 	// refused: the first part is at every crash too, and may not be served in between.
-	It("is in quarantine after three crashes, and the part before it is not", func() {
+	It("is in quarantine after two crashes, and the part before it is not", func() {
 		t := quarantine.NewTracker()
 		t.ObserveServed([]quarantine.Part{systemPart}, start)
 		now := start
-		for endpoint := range uint32(3) {
+		for endpoint := range uint32(2) {
 			Expect(isQuarantined(t, crashPart, now)).To(BeFalse())
 			now = now.Add(time.Second)
 			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(endpoint), now)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -11,11 +11,12 @@
 
 const (
 	// quarantineScore is the score from which a part is in quarantine. A crash counts respondingWeight if the endpoint had begun
-	// to respond to a request with the part, and waitingWeight if such a request was only waiting there. Two crashes by chance
-	// at the moment of a response to the same rarely used part are possible on days with many crashes; three are not.
-	quarantineScore  = 5
-	respondingWeight = 2
-	waitingWeight    = 1
+	// to respond to a request with the part, and waitingWeight if such a request was only waiting there. At crashes that no part
+	// causes, one request in a hundred is at the begin of its response; two with the same part that has never been served are
+	// hardly possible. Requests that wait are at each crash.
+	quarantineScore  = 10
+	respondingWeight = 5
+	waitingWeight    = 2
 	// suspectScore is the score from which a part that has never been served may have caused a crash.
 	suspectScore = 2 * waitingWeight
 	// settleTime is the least time between the first and the last crash under a part that has been served before. A domain that
