Start the processes of tests in process groups of their own

KNOWN-RED: "keeps cold engines up while owners are paused" failed once; 60 s after SIGSTOP the stopped controller was still named as the owner. Cause: the controller did not stay stopped. If the last process outside a process group that ties it to the session ends, the kernel sends SIGHUP and SIGCONT to the group's stopped processes. That happens if the shell that has started the tests in the background ends while the spec has a process stopped; load only makes the spec take longer and the moment likelier.

The process tests and the soak share the fix.

Also: one function for the id of an endpoint in the log lines of loadshare.

--- a/internal/loadshare/limits.go
+++ b/internal/loadshare/limits.go
@@ -47,10 +47,7 @@
 }
 
 func (s *Sharer) logLimit(sender string, st limit.Statement) {
-	line := s.options.Log.Info().Str("peer", sender).Dur("age_ms", st.Age)
-	if s.options.EndpointID != nil {
-		line = line.Str("endpoint", s.options.EndpointID(st.Endpoint))
-	}
+	line := s.options.Log.Info().Str("peer", sender).Dur("age_ms", st.Age).Str("endpoint", s.endpointID(st.Endpoint))
 	if st.None {
 		line.Msg("endpoint_limit_ended")
 		return
--- a/internal/loadshare/parts.go
+++ b/internal/loadshare/parts.go
@@ -64,14 +64,6 @@
 	}
 }
 
-// endpointID returns the id of the endpoint with a key for the log; empty if it is not known.
-func (s *Sharer) endpointID(key uint32) string {
-	if s.options.EndpointID == nil {
-		return ""
-	}
-	return s.options.EndpointID(key)
-}
-
 func encodeParts(list []quarantine.Evidence) []peer.PartEvidence {
 	parts := make([]peer.PartEvidence, 0, len(list))
 	for _, e := range list {
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -253,6 +253,14 @@
 	s.totalsReceivedAt = now
 }
 
+// endpointID returns the id of the endpoint with a key for the log; empty if it is not known.
+func (s *Sharer) endpointID(key uint32) string {
+	if s.options.EndpointID == nil {
+		return ""
+	}
+	return s.options.EndpointID(key)
+}
+
 // Refused implements peer.Events.
 func (s *Sharer) Refused(remote, reason string) {
 	s.options.Log.Warn().Str("remote", remote).Str("reason", reason).Msg("peer_refused")
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -24,6 +25,15 @@
 	return dir, nil
 }
 
+// Command returns a command in a process group of its own. The kernel continues the stopped processes of a process group whose
+// last ancestor in the session ends, for example when the shell that has started the tests in the background ends. A process that
+// a test has stopped with SIGSTOP would run again.
+func Command(path string, arguments ...string) *exec.Cmd {
+	command := exec.Command(path, arguments...)
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	return command
+}
+
 // processHost returns a loopback address that depends on the ID of this test process. Outgoing connections and other test
 // processes use other addresses, and therefore cannot occupy the port of a server while it is restarted.
 func processHost() string {
--- a/test/process/entry_test.go
+++ b/test/process/entry_test.go
@@ -63,7 +63,7 @@
 		Callers: addresses[0], Readiness: addresses[1], Peers: addresses[2], Metrics: addresses[3],
 	}
 	Expect(settings.Write(p.settings)).To(Succeed())
-	p.command = exec.Command(filepath.Join(binaryDir, "acacia-entry"), "--settings", p.settings)
+	p.command = testkit.Command(filepath.Join(binaryDir, "acacia-entry"), "--settings", p.settings)
 	p.command.Stdout = p.output
 	Expect(p.command.Start()).To(Succeed())
 	DeferCleanup(func() { _ = p.command.Process.Kill() })
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -203,7 +203,7 @@
 func (f *fleet) start(name, binary string, arguments ...string) {
 	log, err := os.OpenFile(f.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
-	command := exec.Command(filepath.Join(binaryDir, binary), arguments...)
+	command := testkit.Command(filepath.Join(binaryDir, binary), arguments...)
 	command.Stdout, command.Stderr = log, log
 	Expect(command.Start()).To(Succeed())
 	_ = log.Close()
--- a/test/soak/entry_test.go
+++ b/test/soak/entry_test.go
@@ -70,7 +70,7 @@
 	defer log.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cmd = exec.Command(filepath.Join(binaryDir, "acacia-entry"), "--settings", e.path("entry.yaml"))
+	e.cmd = testkit.Command(filepath.Join(binaryDir, "acacia-entry"), "--settings", e.path("entry.yaml"))
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	if err := e.cmd.Start(); err != nil {
 		return err
