Admit a key by the catalog that its confirmation belongs to

Cause: admission read the catalog and then the time at which the newest catalog was confirmed. If the state changed in between, a request was admitted with the old catalog and the new confirmation. Both are read under one lock now.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -20,11 +20,12 @@
 
 // admit finds the profile, the team, the time limit and the service of a call, or refuses the call.
 func (x *exchange) admit() *outcome.Error {
-	catalog := x.handler.options.State.Snapshot().Catalog
+	snapshot, confirmedAt := x.handler.options.State.ConfirmedSnapshot()
+	catalog := snapshot.Catalog
 	if catalog == nil {
 		return refuseUnavailable(outcome.StageAdmission, codeNoCatalog, "no configuration has been loaded yet", unavailableRetryAfter)
 	}
-	x.catalog = catalog
+	x.catalog, x.catalogAge = catalog, clock.Boot()-confirmedAt
 	x.profile = catalog.Match(x.call.Host, x.call.Path)
 	if x.profile == nil {
 		return outcome.Refusal(http.StatusNotFound, outcome.StageAdmission, codeUnknownProfile, "no profile matches host and path", 0)
@@ -61,7 +62,6 @@
 		return nil
 	}
 	maxAge := x.handler.options.MaxCatalogAge
-	x.catalogAge = clock.Boot() - x.handler.options.State.ConfirmedAt()
 	if maxAge > 0 && x.catalogAge > maxAge {
 		return refuseUnavailable(outcome.StageAdmission, codeUnconfirmed, "the configuration has not been confirmed recently enough", unavailableRetryAfter)
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -63,6 +63,14 @@
 	return s.snapshot
 }
 
+// ConfirmedSnapshot returns the current snapshot, and the latest time at which it is known to have been the newest published
+// one. Reading the two one after the other could return an old snapshot with the time at which its successor was confirmed.
+func (s *State) ConfirmedSnapshot() (*Snapshot, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot, s.confirmed
+}
+
 // EndpointID returns the id of the endpoint with a key; empty if it is not known.
 func (s *State) EndpointID(key uint32) string {
 	if e := s.Snapshot().ByKey[key]; e != nil {
