Keep the crashes of a part in order of time

If another instance reported an earlier time of a known crash, the crashes were out of order: the quarantine was counted from a crash that was not the latest, and ended up to a message's delay too early.

Found by reading the diff. The spec "counts the quarantine from the latest crash" fails without the change.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -241,6 +241,19 @@
 		Expect(a.Evidence(0, 10, start.Add(3*time.Second))[0].Crashes[0].Age).To(Equal(3 * time.Second))
 	})
 
+	// Guards against a quarantine that ends too early because the latest crash is not the one that it counts from: another
+	// instance reports an earlier time for a crash.
+	It("counts the quarantine from the latest crash", func() {
+		t := quarantine.NewTracker()
+		t.ObserveCrash([]quarantine.Part{crashPart}, responding(1), start.Add(10*time.Minute))
+		t.ObserveCrash([]quarantine.Part{crashPart}, responding(2), start.Add(5*time.Minute))
+		t.Merge([]quarantine.Evidence{{Part: crashPart, Crashes: []quarantine.Crash{
+			{Endpoint: 1, Responding: true, Age: 10 * time.Minute},
+		}}}, start.Add(10*time.Minute))
+		t.Forget(start.Add(11 * time.Minute))
+		Expect(isQuarantined(t, crashPart, start.Add(62*time.Minute))).To(BeTrue())
+	})
+
 	// Guards against a malformed message that ends or begins a quarantine.
 	It("is ignored if it is not possible", func() {
 		t := quarantine.NewTracker()
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -43,7 +43,8 @@
 	part     Part
 	position uint8
 	served   bool
-	crashes  []crash
+	// crashes are ordered by time.
+	crashes []crash
 	// changed is the value of Tracker.changes at the last change.
 	changed uint64
 }
@@ -55,17 +56,18 @@
 		if c.endpoint != added.endpoint {
 			continue
 		}
-		before := *c
+		changed := added.responding && !c.responding || added.refuted && !c.refuted
 		c.responding = c.responding || added.responding
 		c.refuted = c.refuted || added.refuted
 		// Delays of messages between instances make a crash appear younger.
 		if added.at.Before(c.at) {
 			c.at = added.at
+			r.sortCrashes()
 		}
-		return c.responding != before.responding || c.refuted != before.refuted
+		return changed
 	}
 	r.crashes = append(r.crashes, added)
-	slices.SortFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	r.sortCrashes()
 	if len(r.crashes) <= maxCrashes {
 		return true
 	}
@@ -74,6 +76,11 @@
 	return isNew
 }
 
+// sortCrashes orders the crashes by time.
+func (r *record) sortCrashes() {
+	slices.SortFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+}
+
 // refute records that a request with the part was served. It reports whether the record has changed.
 func (r *record) refute() bool {
 	changed := !r.served
@@ -120,11 +127,11 @@
 // compareSuspicion orders the records by decreasing suspicion: first the parts that have never been served, then those with
 // the higher score, then those further behind in the prompt, which fewer requests share.
 func compareSuspicion(a, b *record) int {
-	switch {
-	case a.served != b.served && b.served:
+	if a.served != b.served {
+		if a.served {
+			return 1
+		}
 		return -1
-	case a.served != b.served:
-		return 1
 	}
 	return cmp.Or(
 		cmp.Compare(b.score(nil), a.score(nil)), cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part),
