Check for leaving endpoints and add periodic lists in one place each

Found by reading the whole change; behaviour stays the same. stillUsable repeated the check of isLeaving. The evidence about parts stood beside addLimits at four calls; addPeriodic adds both. A sharer without a tracker gets an empty one, so that four checks for nil go. Two specs of loadshare share the start of their instances.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -178,8 +178,7 @@
 func (x *exchange) stillUsable(p *attemptPlacement) error {
 	e := p.Primary
 	snapshot := x.handler.options.State.Snapshot()
-	current := x.handler.options.State.Endpoint(e.ID)
-	if current == nil || current.Started != e.Started || current.Leaving || snapshot.OutOfService[e.Domain] {
+	if x.isLeaving(e) || snapshot.OutOfService[e.Domain] {
 		return errWithdrawn
 	}
 	if x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) > 0 || x.isColdGrantExpired(p) {
--- a/internal/loadshare/aggregator.go
+++ b/internal/loadshare/aggregator.go
@@ -51,8 +51,7 @@
 	s.mu.Unlock()
 	s.setWatching(isWatcher)
 	message := s.newMessage(peer.ScopeMember, lists.direct, s.localCounts(now))
-	s.addLimits(&message, lists, now)
-	message.Parts = lists.parts
+	s.addPeriodic(&message, lists, now)
 	s.reconnect(ctx, seeds, message)
 	if aggregator != "" {
 		s.send(ctx, []string{aggregator}, message, sendTimeout)
@@ -64,8 +63,7 @@
 	others := slices.DeleteFunc(aggregators, func(address string) bool { return address == s.options.Address })
 	bytes := s.sendTotals(ctx, group, lists, now)
 	sum := s.newMessage(peer.ScopeGroup, lists.direct, s.groupCounts(group, now))
-	s.addLimits(&sum, lists, now)
-	sum.Parts = lists.parts
+	s.addPeriodic(&sum, lists, now)
 	for _, address := range others {
 		message := sum
 		if isWatcher {
@@ -123,8 +121,7 @@
 		}
 		otherCounts := totals.Minus(s.options.Load.PeerCounts(address))
 		message := s.newMessage(peer.ScopeTotals, sentLists.all(), otherCounts)
-		s.addLimits(&message, sentLists, now)
-		message.Parts = sentLists.parts
+		s.addPeriodic(&message, sentLists, now)
 		s.addPublished(&message, m)
 		size, sent := s.send(ctx, []string{address}, message, sendTimeout)
 		bytes += size
@@ -140,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	direct, indirect := s.roster.liveMembers(now)
-	return periodicLists{due: true, direct: direct, indirect: indirect, parts: s.allParts(now)}
+	return periodicLists{due: true, direct: direct, indirect: indirect, parts: s.partsSince(0, now)}
 }
 
 // setListed records that a recipient is sent a list of the live instances.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -93,6 +93,13 @@
 var _ = Describe("instances", func() {
 	const key = "a-key-of-sixteen-bytes"
 	endpoint := &fleet.Endpoint{ID: "i-1"}
+	// startAll starts an instance at each address. The first one is their seed.
+	startAll := func(addresses []string) (all []*instance) {
+		for _, address := range addresses {
+			all = append(all, start(address, address, key, addresses[0]))
+		}
+		return all
+	}
 
 	// Guards against instances that do not discover each other because a seed is down or its address is outdated.
 	It("discover each other through one live seed of several, and share their counts", func() {
@@ -112,10 +119,7 @@
 	// list the live instances in that message.
 	It("discover each other through a seed that fails after its first message", func() {
 		addresses := testkit.FreeAddresses(4)
-		var all []*instance
-		for _, address := range addresses[:3] {
-			all = append(all, start(address, address, key, addresses[0]))
-		}
+		all := startAll(addresses[:3])
 		for _, i := range all {
 			i.load.Add(load.Work{Primary: endpoint}, time.Now())
 			Eventually(func() int { return i.sharer.LiveCount(time.Now()) }, eventTimeout).Should(Equal(2))
@@ -130,10 +134,7 @@
 	// has started, or was cut off, and does not learn what the others know.
 	It("judge the parts of prompts by the crashes that all have seen", func() {
 		addresses := testkit.FreeAddresses(4)
-		var all []*instance
-		for _, address := range addresses[:3] {
-			all = append(all, start(address, address, key, addresses[0]))
-		}
+		all := startAll(addresses[:3])
 		for i, instance := range all {
 			instance.observeCrash(uint32(i))
 		}
--- a/internal/loadshare/parts.go
+++ b/internal/loadshare/parts.go
@@ -17,9 +17,6 @@
 
 // hasNewParts reports whether there is evidence that was not sent yet.
 func (s *Sharer) hasNewParts() bool {
-	if s.options.Quarantine == nil {
-		return false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.options.Quarantine.Changes() != s.sentParts
@@ -29,9 +26,6 @@
 // the previous lists, because a message may have been lost, and once per allPartsInterval everything. An instance passes on what
 // it has received too, because merging the same evidence again changes nothing. It must be called with the mutex held.
 func (s *Sharer) partsIfDue(listsDue bool, now time.Time) []peer.PartEvidence {
-	if s.options.Quarantine == nil {
-		return nil
-	}
 	changes := s.options.Quarantine.Changes()
 	after := s.sentParts
 	s.sentParts = changes
@@ -43,20 +37,18 @@
 		s.allPartsSentAt = now
 		after = 0
 	}
-	return encodeParts(s.options.Quarantine.Evidence(after, maxPartsSent, now))
+	return s.partsSince(after, now)
 }
 
-// allParts returns all evidence, as far as it fits into a message.
-func (s *Sharer) allParts(now time.Time) []peer.PartEvidence {
-	if s.options.Quarantine == nil {
-		return nil
-	}
-	return encodeParts(s.options.Quarantine.Evidence(0, maxPartsSent, now))
+// partsSince returns the evidence that has changed after a value of quarantine.Tracker.Changes, as far as it fits into a
+// message.
+func (s *Sharer) partsSince(after uint64, now time.Time) []peer.PartEvidence {
+	return encodeParts(s.options.Quarantine.Evidence(after, maxPartsSent, now))
 }
 
 // mergeParts applies the evidence of a message.
 func (s *Sharer) mergeParts(m *peer.LoadShare, now time.Time) {
-	if s.options.Quarantine == nil || len(m.Parts) == 0 {
+	if len(m.Parts) == 0 {
 		return
 	}
 	for _, c := range s.options.Quarantine.Merge(decodeParts(m.Parts), now) {
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -16,8 +16,7 @@
 	live, retry := s.roster.sendTargets(now)
 	s.mu.Unlock()
 	message := s.newMessage(peer.ScopeLocal, lists.direct, s.localCounts(now))
-	s.addLimits(&message, lists, now)
-	message.Parts = lists.parts
+	s.addPeriodic(&message, lists, now)
 	s.send(ctx, live, message, sendTimeout)
 	s.reconnect(ctx, retry, message)
 }
@@ -38,6 +37,12 @@
 	return m
 }
 
+// addPeriodic adds what is due besides the counts and the live instances.
+func (s *Sharer) addPeriodic(message *peer.LoadShare, lists periodicLists, now time.Time) {
+	s.addLimits(message, lists, now)
+	message.Parts = lists.parts
+}
+
 // send sends a message to several instances. It returns the number of bytes and the number of instances to which it was sent. It
 // does not retry: an unreachable instance receives the next message, and newlyUnresponsive reports it after contactTimeout.
 func (s *Sharer) send(
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -62,7 +62,7 @@
 	Health   *health.Tracker
 	// Rates holds the request rates that endpoints name.
 	Rates *limit.RateLimiter
-	// Quarantine holds the evidence about parts of prompts under which endpoints crash; it may be nil.
+	// Quarantine holds the evidence about parts of prompts under which endpoints crash; the default is an empty one.
 	Quarantine *quarantine.Tracker
 	// EndpointID returns the id of the endpoint with a key, for the log; empty if it is not known.
 	EndpointID func(key uint32) string
@@ -138,6 +138,9 @@
 
 // New starts listening on the peer port.
 func New(options Options) (*Sharer, error) {
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.NewTracker()
+	}
 	s := &Sharer{
 		options:          options,
 		roster:           newRoster(options.Address, capacityOf(options.Capacity)),
