Order revisions of the store within one era only, and keep what is newer than its copy

Cause: revisions of two histories were compared. The position and the revisions of known items never went back, so that all lists were dropped and each watch got 410 until the new history had passed the old position.

A position is now an era and a revision. A response of another era is never merged into the state of the known one: the store is listed again, or an aggregator sends its members the whole content; a list whose pages belong to two eras is repeated. A list of a new era replaces the content, so that a watch after it cannot get 410. The instances tell each other what they retain, also one that starts.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -113,6 +113,15 @@
 	return true
 }
 
+// RevertCatalog makes a catalog current, whatever its version.
+func (s *State) RevertCatalog(c *Catalog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.snapshot
+	next.Catalog = c
+	s.replaceSnapshot(&next)
+}
+
 // SetOutOfService replaces the set of failure domains that are out of service, and reports whether it changed.
 func (s *State) SetOutOfService(domains map[string]bool) bool {
 	s.mu.Lock()
--- a/internal/loadshare/aggregator.go
+++ b/internal/loadshare/aggregator.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/published"
@@ -24,10 +23,11 @@
 	// listed is true once this instance has sent the recipient a list of the live instances. The first message contains one,
 	// because this instance may be the only one that the recipient knows, and may fail before the next list is due.
 	listed bool
-	// received is the time of the instance's last message; stamp and position are the message's Stamp and Position.
+	// received is the time of the instance's last message. The other fields are what the message states.
 	received time.Time
 	stamp    int64
-	position int64
+	position published.Position
+	retained uint64
 }
 
 // sendViaAggregators sends to this instance's aggregator or, if it is an aggregator itself, to its members and the
@@ -48,12 +48,17 @@
 	repliesToAll := isAggregator || s.roster.selfIsSeed
 	group := copyMembers(s.group, func(m *recipient) bool { return m.subscribed || repliesToAll })
 	otherAggregators := copyMembers(s.otherAggregators, func(*recipient) bool { return true })
+	fromAggregator := recipient{}
+	if s.aggregator != nil {
+		fromAggregator = *s.aggregator
+	}
 	s.mu.Unlock()
 	s.setWatching(isWatcher)
 	message := s.newMessage(peer.ScopeMember, lists.direct, s.localCounts(now))
 	s.addPeriodic(&message, lists, now)
 	s.reconnect(ctx, seeds, message)
 	if aggregator != "" {
+		s.addRetained(&message, lists, fromAggregator)
 		s.send(ctx, []string{aggregator}, message, sendTimeout)
 	}
 	if !isAggregator && len(group) == 0 {
@@ -66,6 +71,7 @@
 	s.addPeriodic(&sum, lists, now)
 	for _, address := range others {
 		message := sum
+		s.addRetained(&message, lists, otherAggregators[address])
 		if isWatcher {
 			s.addPublished(&message, otherAggregators[address])
 		}
@@ -122,6 +128,7 @@
 		otherCounts := totals.Minus(s.options.Load.PeerCounts(address))
 		message := s.newMessage(peer.ScopeTotals, sentLists.all(), otherCounts)
 		s.addPeriodic(&message, sentLists, now)
+		s.addRetained(&message, sentLists, m)
 		s.addPublished(&message, m)
 		size, sent := s.send(ctx, []string{address}, message, sendTimeout)
 		bytes += size
@@ -148,38 +155,3 @@
 		m.listed = true
 	}
 }
-
-// addPublished adds the changes after a recipient's position. It adds nothing if no message of the recipient has
-// arrived yet.
-func (s *Sharer) addPublished(message *peer.LoadShare, to recipient) {
-	message.AgeMS = -1
-	if s.options.Feed == nil || to.stamp == 0 {
-		return
-	}
-	message.Echo = to.stamp
-	asOf, confirmed := s.options.Feed.Position()
-	items, complete := s.options.Feed.Since(to.position)
-	if !complete || confirmed == 0 {
-		return
-	}
-	message.Position = asOf
-	// Rounded up, because AgeMS must not be less than the true age.
-	message.AgeMS = (clock.Boot() - confirmed).Milliseconds() + 1
-	for _, it := range items {
-		message.Published = append(message.Published, peer.PublishedItem(it))
-	}
-}
-
-// applyPublished applies the published changes in an aggregator's message. The aggregator sent the message after it
-// had received the echoed stamp, hence its state was confirmed no earlier than that stamp less the stated age.
-func (s *Sharer) applyPublished(m *peer.LoadShare) {
-	if s.options.Feed == nil || m.Echo == 0 || m.AgeMS < 0 {
-		return
-	}
-	items := make([]published.Item, 0, len(m.Published))
-	for _, p := range m.Published {
-		items = append(items, published.Item(p))
-	}
-	confirmed := time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond
-	s.options.Feed.Accept(items, m.Position, confirmed)
-}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -231,18 +231,28 @@
 // fakeFeed is a Feed that records what it accepts.
 type fakeFeed struct {
 	mu        sync.Mutex
+	era       int64
 	asOf      int64
 	confirmed time.Duration
 	accepted  []published.Item
+	// retained is what this feed holds from earlier eras. retainedMessages counts the messages with such items.
+	retained         map[string]published.Item
+	retainedMessages int
 	// messages counts the messages that were accepted.
 	messages int
 	watching bool
 }
 
-func (f *fakeFeed) Position() (int64, time.Duration) {
+func (f *fakeFeed) Position() (published.Position, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.asOf, f.confirmed
+	return published.Position{Era: f.era, Revision: f.asOf}, f.confirmed
+}
+
+// revision returns the revision of the position.
+func (f *fakeFeed) revision() int64 {
+	position, _ := f.Position()
+	return position.Revision
 }
 
 func (f *fakeFeed) SetWatching(watching bool) {
@@ -257,24 +267,64 @@
 	return f.watching
 }
 
-func (f *fakeFeed) Since(after int64) ([]published.Item, bool) {
+func (f *fakeFeed) UpdateAfter(after published.Position) (published.Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after >= f.asOf {
-		return nil, true
+	isEarlierEra := after.Era > 0 && after.Era < f.era
+	whole := after.Revision == 0 || isEarlierEra
+	switch {
+	case !whole && after.Era != f.era:
+		return published.Update{}, false
+	case !whole && after.Revision >= f.asOf:
+		return published.Update{}, true
 	}
-	return []published.Item{{Key: "op/config", Value: []byte("new"), Revision: f.asOf}}, true
+	return published.Update{
+		Items: []published.Item{{Key: "op/config", Value: []byte("new"), Revision: f.asOf, Era: f.era}}, Whole: whole,
+	}, true
 }
 
-func (f *fakeFeed) Accept(items []published.Item, asOf int64, confirmed time.Duration) {
+func (f *fakeFeed) Accept(update published.Update, position published.Position, confirmed time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.accepted = append(f.accepted, items...)
+	f.accepted = append(f.accepted, update.Items...)
 	f.messages++
-	f.asOf = max(f.asOf, asOf)
+	if position.Era > f.era {
+		f.era, f.asOf = position.Era, 0
+	}
+	f.asOf = max(f.asOf, position.Revision)
 	f.confirmed = max(f.confirmed, confirmed)
 }
 
+// retains returns the number of items from earlier eras.
+func (f *fakeFeed) retains() int {
+	items, _ := f.Retained()
+	return len(items)
+}
+
+func (f *fakeFeed) ObservePosition(published.Position) {}
+
+func (f *fakeFeed) Retained() (items []published.Item, digest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, it := range f.retained {
+		items = append(items, it)
+		digest += uint64(it.Revision)
+	}
+	return items, digest
+}
+
+func (f *fakeFeed) AcceptRetained(items []published.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retainedMessages++
+	if f.retained == nil {
+		f.retained = make(map[string]published.Item)
+	}
+	for _, it := range items {
+		f.retained[it.Key] = it
+	}
+}
+
 var _ = Describe("a larger fleet", func() {
 	const key = "a-key-of-sixteen-bytes"
 	const size = 40
@@ -458,14 +508,11 @@
 		newest := clock.Boot()
 		for _, f := range feeds {
 			if f.isWatching() {
-				f.Accept(nil, 9, newest)
+				f.Accept(published.Update{}, published.Position{Revision: 9}, newest)
 			}
 		}
 		for _, f := range feeds {
-			Eventually(func() int64 {
-				asOf, _ := f.Position()
-				return asOf
-			}, eventTimeout).Should(BeEquivalentTo(9))
+			Eventually(f.revision, eventTimeout).Should(BeEquivalentTo(9))
 		}
 	})
 
@@ -479,13 +526,10 @@
 		startFleet(feeds...)
 		confirmed := clock.Boot()
 		for _, f := range feeds[:3] {
-			f.Accept(nil, 7, confirmed)
+			f.Accept(published.Update{}, published.Position{Revision: 7}, confirmed)
 		}
 		for _, f := range feeds[3:] {
-			Eventually(func() int64 {
-				asOf, _ := f.Position()
-				return asOf
-			}, eventTimeout).Should(BeEquivalentTo(7))
+			Eventually(f.revision, eventTimeout).Should(BeEquivalentTo(7))
 			_, at := f.Position()
 			Expect(at).To(BeNumerically("<=", confirmed))
 		}
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/clock"
@@ -14,9 +16,11 @@
 func (s *Sharer) sendDirect(ctx context.Context, lists periodicLists, now time.Time) {
 	s.mu.Lock()
 	live, retry := s.roster.sendTargets(now)
+	recipients := slices.Collect(maps.Values(copyMembers(s.group, func(*recipient) bool { return true })))
 	s.mu.Unlock()
 	message := s.newMessage(peer.ScopeLocal, lists.direct, s.localCounts(now))
 	s.addPeriodic(&message, lists, now)
+	s.addRetained(&message, lists, recipients...)
 	s.send(ctx, live, message, sendTimeout)
 	s.reconnect(ctx, retry, message)
 }
@@ -32,7 +36,9 @@
 		Stamp:  int64(clock.Boot()), AgeMS: -1,
 	}
 	if s.options.Feed != nil {
-		m.Position, _ = s.options.Feed.Position()
+		position, _ := s.options.Feed.Position()
+		m.Extension.Era, m.Position = position.Era, position.Revision
+		_, m.Extension.RetainedDigest = s.options.Feed.Retained()
 	}
 	return m
 }
@@ -48,7 +54,7 @@
 func (s *Sharer) send(
 	ctx context.Context, addresses []string, message peer.LoadShare, timeout time.Duration,
 ) (bytes, sent int) {
-	frame, err := peer.EncodeFrame(peer.KindLoadShare, 0, false, message)
+	frame, err := peer.EncodeFrame(peer.KindLoadShare, 0, false, &message)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("load_share_not_encoded")
 		return 0, 0
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -84,13 +84,19 @@
 
 // Feed holds the local state of what the platform has published. Its methods must not block.
 type Feed interface {
-	// Position returns the revision up to which all changes are known, and the boot-time at which that was confirmed.
-	Position() (asOf int64, confirmed time.Duration)
-	// Since returns the changes after a revision, and false if some of them may no longer be known.
-	Since(after int64) ([]published.Item, bool)
-	// Accept applies changes up to a revision, confirmed at a boot-time of this instance. If this instance had no
-	// state yet, the changes are the whole published state.
-	Accept(items []published.Item, asOf int64, confirmed time.Duration)
+	// Position returns the point up to which all changes are known, and the boot-time at which that was confirmed.
+	Position() (position published.Position, confirmed time.Duration)
+	// UpdateAfter returns what an instance at a position needs, and false if some changes may no longer be known.
+	UpdateAfter(after published.Position) (published.Update, bool)
+	// Accept applies an update up to a position, confirmed at a boot-time of this instance.
+	Accept(update published.Update, position published.Position, confirmed time.Duration)
+	// Retained returns what is known from earlier eras and held to be newer than the current content, and a hash of it that is
+	// 0 if there is nothing.
+	Retained() (items []published.Item, digest uint64)
+	// AcceptRetained applies what another instance retains.
+	AcceptRetained(items []published.Item)
+	// ObservePosition records the position that another instance has stated.
+	ObservePosition(position published.Position)
 	// SetWatching states whether this instance watches the platform for others.
 	SetWatching(watching bool)
 }
@@ -118,6 +124,8 @@
 	group map[string]*recipient
 	// otherAggregators holds the aggregators that have sent this one the counts of their groups.
 	otherAggregators map[string]*recipient
+	// aggregator is what the last message of this instance's aggregator has stated; nil if there was none.
+	aggregator *recipient
 
 	// roundInterval is the time between two rounds of messages of this instance as an aggregator. totalsInterval is
 	// the mean time between two messages from this instance's aggregator, the last of which arrived at
@@ -288,6 +296,8 @@
 
 func (s *Sharer) receive(m *peer.LoadShare, now time.Time) {
 	name := m.Address
+	s.observePosition(m)
+	s.applyRetained(m)
 	switch m.Scope {
 	case peer.ScopeTotals:
 		name = totalsName
@@ -307,12 +317,21 @@
 		previous := s.group[m.Address]
 		isMember := m.Scope == peer.ScopeMember
 		s.group[m.Address] = &recipient{
-			received: now, stamp: m.Stamp, position: m.Position, subscribed: isMember,
+			received: now, stamp: m.Stamp, position: positionOf(m), retained: m.Extension.RetainedDigest, subscribed: isMember,
 			listed: isMember && previous != nil && previous.listed,
 		}
 	}
 	if m.Scope == peer.ScopeGroup {
-		s.otherAggregators[m.Address] = &recipient{received: now, stamp: m.Stamp, position: m.Position}
+		s.otherAggregators[m.Address] = &recipient{
+			received: now, stamp: m.Stamp, position: positionOf(m), retained: m.Extension.RetainedDigest,
+		}
+	}
+	if m.Scope == peer.ScopeTotals {
+		s.aggregator = &recipient{received: now, position: positionOf(m), retained: m.Extension.RetainedDigest}
+	}
+	if m.Position == 0 && s.retainsItems() {
+		// The sender has just started. It must learn what this instance retains before it uses an outdated copy.
+		s.listsSentAt = time.Time{}
 	}
 	if s.roster.recordDirect(peer.Member{Address: m.Address, Capacity: m.Capacity}, now) {
 		// The sender may have started, or may have been cut off, since all evidence was sent the last time.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -32,6 +32,16 @@
 	Body  msgpack.RawMessage
 	// Compressed is true on the wire if Body is compressed with DEFLATE; it is false in received envelopes.
 	Compressed bool
+	// Extension follows the envelope in the payload; it may be empty.
+	Extension msgpack.RawMessage `msgpack:"-"`
+}
+
+// Extended is implemented by bodies with fields that earlier versions do not know. Structs are encoded as arrays, and a receiver
+// refuses an array of another length, so that a field can be added to a struct only if no earlier version receives it. An extension
+// is encoded with its field names after the envelope, where earlier versions ignore it.
+type Extended interface {
+	// Extended returns a pointer to the extension.
+	Extended() any
 }
 
 // FrameError reports bytes that are not a valid frame. The connection is unusable afterwards.
@@ -44,8 +54,7 @@
 // Error implements the error interface.
 func (e *FrameError) Error() string { return "peer frame " + e.Code + ": " + e.Detail }
 
-// encodeBody encodes structs as arrays, because field names would take bytes. Fields may be added at the end of a
-// struct: older receivers skip them.
+// encodeBody encodes structs as arrays, because field names would take bytes.
 func encodeBody(body any) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
@@ -74,6 +83,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if extended, ok := body.(Extended); ok {
+		extension, err := msgpack.Marshal(extended.Extended())
+		if err != nil {
+			return nil, err
+		}
+		payload = append(payload, extension...)
+	}
 	if len(payload) > MaxFrameBytes {
 		return nil, &FrameError{Code: "oversize", Detail: fmt.Sprintf("%d bytes", len(payload))}
 	}
@@ -87,6 +103,13 @@
 	if err := msgpack.Unmarshal(e.Body, into); err != nil {
 		return &FrameError{Code: "malformed", Detail: err.Error()}
 	}
+	extended, ok := into.(Extended)
+	if !ok || len(e.Extension) == 0 {
+		return nil
+	}
+	if err := msgpack.Unmarshal(e.Extension, extended.Extended()); err != nil {
+		return &FrameError{Code: "malformed", Detail: err.Error()}
+	}
 	return nil
 }
 
@@ -130,9 +153,14 @@
 
 func decodePayload(payload []byte) (Envelope, error) {
 	var envelope Envelope
-	if err := msgpack.Unmarshal(payload, &envelope); err != nil {
+	reader := bytes.NewReader(payload)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(reader)
+	if err := decoder.Decode(&envelope); err != nil {
 		return Envelope{}, &FrameError{Code: "malformed", Detail: err.Error()}
 	}
+	envelope.Extension = payload[len(payload)-reader.Len():]
 	if envelope.Compressed {
 		body, err := decompress(envelope.Body)
 		if err != nil {
--- a/internal/peer/loadshare.go
+++ b/internal/peer/loadshare.go
@@ -43,8 +43,37 @@
 	Limits []EndpointLimit
 	// Parts lists evidence about parts of prompts under which endpoints crash. It is empty in most messages.
 	Parts []PartEvidence
+	// Extension holds the fields that earlier versions do not know.
+	Extension LoadShareExtension `msgpack:"-"`
 }
 
+// LoadShareExtension is what a LoadShare states about the eras of what the platform has published. Revisions of different eras are
+// not comparable.
+type LoadShareExtension struct {
+	// Era is the era of LoadShare.Position. A sender whose version knows no eras sends no extension, hence 0.
+	Era int64 `msgpack:"era,omitempty"`
+	// Whole is true if LoadShare.Published is the whole content, and false if it lists the changes after the receiver's position.
+	Whole bool `msgpack:"whole,omitempty"`
+	// Retained lists what the sender knows from earlier eras and holds to be newer than the current content. It is empty in most
+	// messages. RetainedDigest is a hash of all that the sender retains; 0 if that is nothing.
+	Retained       []RetainedItem `msgpack:"retained,omitempty"`
+	RetainedDigest uint64         `msgpack:"digest,omitempty"`
+}
+
+// RetainedItem is the state of a key in an era that has ended.
+type RetainedItem struct {
+	Key      string `msgpack:"key"`
+	Value    []byte `msgpack:"value,omitempty"`
+	Era      int64  `msgpack:"era"`
+	Revision int64  `msgpack:"revision"`
+	Removed  bool   `msgpack:"removed,omitempty"`
+	// Replaced is, in a removal, the revision of the item that was removed.
+	Replaced int64 `msgpack:"replaced,omitempty"`
+}
+
+// Extended implements Extended.
+func (m *LoadShare) Extended() any { return &m.Extension }
+
 // PartEvidence is what is known about a part of prompts. Package quarantine explains the fields.
 type PartEvidence struct {
 	Part     uint64
--- a/internal/published/log.go
+++ b/internal/published/log.go
@@ -13,15 +13,6 @@
 // itself.
 const removalRetention = time.Minute
 
-// Item is the latest state of one key.
-type Item struct {
-	Key      string
-	Value    []byte
-	Revision int64
-	// Removed is true if the key was removed at Revision.
-	Removed bool
-}
-
 // removal is a removed key with the time at which the removal was stored.
 type removal struct {
 	item Item
@@ -33,29 +24,37 @@
 	mu       sync.Mutex
 	items    map[string]Item
 	removals []removal
-	asOf     int64
+	// position is the point up to which all changes are known. All items and removals belong to its era.
+	position Position
 	// completeAfter is the least revision after which all changes are known, including removals.
 	completeAfter int64
-	// confirmed is the boot-time at which the latest read of the platform began. The read confirmed all changes up to asOf.
+	// confirmed is the boot-time at which the latest read of the platform began. The read confirmed all changes up to position.
 	confirmed time.Duration
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{items: make(map[string]Item)} }
 
-// Put stores the items that are newer than the stored state, and returns these items.
+// Put stores the items of the current era that are newer than the stored state, and returns these items.
 func (l *Log) Put(items []Item, now time.Time) []Item {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
 	var newer []Item
 	for _, it := range items {
-		if known, ok := l.items[it.Key]; ok && known.Revision >= it.Revision {
+		if it.Era != l.position.Era {
+			continue
+		}
+		known, ok := l.items[it.Key]
+		if ok && known.Revision >= it.Revision {
 			continue
 		}
 		if l.isRemovedSince(it.Key, it.Revision) {
 			continue
 		}
+		if it.Removed && ok {
+			it.Replaced = known.Revision
+		}
 		newer = append(newer, it)
 		if !it.Removed {
 			l.items[it.Key] = it
@@ -90,7 +89,7 @@
 func (l *Log) Advance(asOf int64, confirmed time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.asOf = max(l.asOf, asOf)
+	l.position.Revision = max(l.position.Revision, asOf)
 	l.confirmed = max(l.confirmed, confirmed)
 }
 
@@ -99,17 +98,52 @@
 func (l *Log) Listed(asOf int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.asOf == 0 {
+	if l.position.Revision == 0 {
 		l.completeAfter = asOf
 	}
-	l.asOf = max(l.asOf, asOf)
+	l.position.Revision = max(l.position.Revision, asOf)
 }
 
-// Position returns the revision up to which all changes are known, and the boot-time at which that was confirmed.
-func (l *Log) Position() (asOf int64, confirmed time.Duration) {
+// Replace begins an era with the whole content of the platform at a position. It returns the previous state of each key,
+// including the removals that are still kept.
+func (l *Log) Replace(items []Item, at Position) (previous map[string]Item) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.asOf, l.confirmed
+	previous = l.items
+	for _, r := range l.removals {
+		if known, ok := previous[r.item.Key]; !ok || known.Revision < r.item.Revision {
+			previous[r.item.Key] = r.item
+		}
+	}
+	l.items, l.removals = make(map[string]Item, len(items)), nil
+	for _, it := range items {
+		l.items[it.Key] = it
+	}
+	l.position, l.completeAfter = at, at.Revision
+	return previous
+}
+
+// Item returns the latest state of a key. A key that is not known, or whose removal is no longer kept, is returned as removed at
+// revision 0.
+func (l *Log) Item(key string) Item {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if it, ok := l.items[key]; ok {
+		return it
+	}
+	for _, r := range slices.Backward(l.removals) {
+		if r.item.Key == key {
+			return r.item
+		}
+	}
+	return Item{Key: key, Removed: true, Era: l.position.Era}
+}
+
+// Position returns the point up to which all changes are known, and the boot-time at which that was confirmed.
+func (l *Log) Position() (position Position, confirmed time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.position, l.confirmed
 }
 
 // Keys returns the keys whose last change is not after a revision.
@@ -125,23 +159,25 @@
 	return keys
 }
 
-// All returns the latest state of all keys, for an instance that has read nothing yet. The result is false if this log is
-// empty because nothing was read yet.
-func (l *Log) All() ([]Item, bool) {
+// UpdateAfter returns what an instance at a position needs: the changes after it, or the whole content if the instance has read
+// nothing yet or its position belongs to an earlier era. The result is false if some changes may no longer be known, or the
+// position says nothing about this log. An instance whose version of acacialift knows no eras states era 0.
+func (l *Log) UpdateAfter(after Position) (Update, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Values(l.items)), l.asOf > 0
+	isEarlierEra := after.Era > 0 && after.Era < l.position.Era
+	switch {
+	case after.Revision == 0 || isEarlierEra:
+		return Update{Items: slices.Collect(maps.Values(l.items)), Whole: true}, l.position.Revision > 0
+	case after.Era != l.position.Era || after.Revision < l.completeAfter:
+		return Update{}, false
+	}
+	return Update{Items: l.since(after.Revision)}, true
 }
 
-// Since returns the changes after a revision. The result is false if some changes may no longer be known.
-func (l *Log) Since(after int64) ([]Item, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if after < l.completeAfter {
-		return nil, false
-	}
-	if after >= l.asOf {
-		return nil, true
+func (l *Log) since(after int64) []Item {
+	if after >= l.position.Revision {
+		return nil
 	}
 	var items []Item
 	for _, it := range l.items {
@@ -154,5 +190,5 @@
 			items = append(items, r.item)
 		}
 	}
-	return items, true
+	return items
 }
--- a/internal/published/log_test.go
+++ b/internal/published/log_test.go
@@ -87,22 +87,25 @@
 // passOn sends a member the changes that it does not have, and reports whether the aggregator still knew all of them.
 func passOn(aggregator, member *published.Log) bool {
 	after, _ := member.Position()
-	items, complete := aggregator.Since(after)
+	update, complete := aggregator.UpdateAfter(after)
 	if !complete {
 		return false
 	}
 	// The member's removals do not expire here, so that its whole content can be read.
-	member.Put(items, start)
-	asOf, confirmed := aggregator.Position()
-	member.Advance(asOf, confirmed)
+	position, confirmed := aggregator.Position()
+	if update.Whole {
+		member.Replace(update.Items, position)
+	}
+	member.Put(update.Items, start)
+	member.Advance(position.Revision, confirmed)
 	return true
 }
 
 // content returns the revision of each key that is present.
 func content(l *published.Log) map[string]int64 {
-	items, _ := l.Since(0)
+	update, _ := l.UpdateAfter(published.Position{})
 	state := make(map[string]int64)
-	for _, it := range items {
+	for _, it := range update.Items {
 		if !it.Removed {
 			state[it.Key] = it.Revision
 		}
