Restore the store from a copy in each round of the soak

Each round now takes a copy of the store, makes the store unavailable, restores the copy and writes again what is lost up to 2 s later.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -304,6 +304,21 @@
 	d.store.SetFault(platformtest.Fault{})
 }
 
+// restoreStore makes the store come back from a copy after a while, and writes what is lost again.
+func (d *deployment) restoreStore(s restoreStep, started time.Time) {
+	time.Sleep(time.Until(started.Add(s.copyAt)))
+	copied := d.store.Copy()
+	time.Sleep(time.Until(started.Add(s.at)))
+	end := d.record.markDisturbed(storeSubject)
+	defer end()
+	d.store.SetFault(platformtest.Fault{Status: http.StatusServiceUnavailable})
+	time.Sleep(s.length)
+	lost := d.store.Restore(copied)
+	d.store.SetFault(platformtest.Fault{})
+	time.Sleep(s.rewriteDelay)
+	d.store.WriteAgain(lost, copied)
+}
+
 // crashEndpoint stops an endpoint without draining it, removes it from the store after expiryTime, and starts a cold
 // replacement.
 func (d *deployment) crashEndpoint(s step) {
@@ -396,6 +411,8 @@
 		time.Sleep(limited.at)
 		d.limitEndpoint(limited)
 	})
+	restored := drawRestore(seed, steps[len(steps)-1].at)
+	running.Go(func() { d.restoreStore(restored, started) })
 	for _, s := range steps {
 		time.Sleep(time.Until(started.Add(s.at)))
 		running.Go(func() { d.runStep(s) })
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -119,6 +119,31 @@
 	}
 }
 
+// restoreStep is a store that is away for a while and comes back from a copy that was made earlier.
+type restoreStep struct {
+	copyAt, at, length, rewriteDelay time.Duration
+}
+
+const (
+	maxCopyAge       = 9 * time.Second
+	minRestoreLength = 200 * time.Millisecond
+	maxRestoreLength = 3 * time.Second
+	// maxRewriteDelay is the time within which operators and servers write again what is lost.
+	maxRewriteDelay = 2 * time.Second
+)
+
+// drawRestore returns the restoration of a round. It uses random numbers of its own, so that the plans of earlier seeds stay the same.
+func drawRestore(seed uint64, length time.Duration) restoreStep {
+	random := rand.New(rand.NewPCG(seed, 2))
+	at := warmUpTime + time.Duration(random.Int64N(int64(length)))
+	return restoreStep{
+		copyAt:       max(warmUpTime/2, at-time.Duration(random.Int64N(int64(maxCopyAge)))),
+		at:           at,
+		length:       minRestoreLength + time.Duration(random.Int64N(int64(maxRestoreLength-minRestoreLength))),
+		rewriteDelay: time.Duration(random.Int64N(int64(maxRewriteDelay))),
+	}
+}
+
 // drawSeries returns 1 to seriesBound-1 steps like the first, one second apart, on the same target or the next ones.
 func drawSeries(random *rand.Rand, first step) []step {
 	var series []step
