Treat a response without length as incomplete if its endpoint has been killed

Cause: the kernel of a killed process closes its connections in order, without a reset, so that a response with neither Content-Length nor chunks looks complete. Only streams without any event and with a shared part were checked, for the quarantine.

The relay now opens a connection to the endpoint after each response without length; if it is refused, the response counts as incomplete: it is resumed, retried or cut like one that is reset. An endpoint that was restarted within that time is not noticed.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -56,6 +56,13 @@
 	OnBody(data []byte) error
 }
 
+// UnframedReceiver is a Receiver that needs to know whether only the end of the connection ends the response. The kernel of an
+// endpoint whose process is killed closes the connection like an endpoint that has sent everything.
+type UnframedReceiver interface {
+	// OnUnframed is called before OnBody if the response has neither Content-Length nor chunked encoding.
+	OnUnframed()
+}
+
 // Error is a failed exchange.
 type Error struct {
 	// BytesSent is true if the kernel accepted at least one byte of the request.
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -70,6 +70,9 @@
 		return rr.receiverErr
 	}
 	if unframed {
+		if receiver, ok := rr.receiver.(UnframedReceiver); ok {
+			receiver.OnUnframed()
+		}
 		return rr.receiveBody(r)
 	}
 	rr.reuseTime = reuseTime(head.Header)
--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -21,8 +21,8 @@
 		x.mayHaveRun = x.mayHaveRun || !r.sentAt.IsZero() && r.classification.Verdict != NotRun
 		x.endCancelled(ctx)
 		return false
-	case crashed && err == nil:
-		return x.handleFailure(e, "stream_ended_by_crash")
+	case err == nil && (crashed || x.endedByKill(ctx, e, r)):
+		return x.handleFailure(e, "response_ended_by_crash")
 	case err != nil:
 		return x.handleError(e, err)
 	case r.classification.Verdict == NotRun, r.classification.Verdict == Misdirected:
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -83,6 +83,16 @@
 	if len(x.call.SharedParts) == 0 || x.events.count > x.eventsBefore || !endedByEndpoint(r, err) || x.isLeaving(e) {
 		return false
 	}
+	return x.refusesConnections(ctx, e)
+}
+
+// endedByKill reports whether a response without length has ended because the endpoint's process was killed, so that the rest of it
+// may be missing. An endpoint that is leaving may also have ended after the last byte; its response counts as incomplete too.
+func (x *exchange) endedByKill(ctx context.Context, e *fleet.Endpoint, r *relay) bool {
+	return r.unframed && x.refusesConnections(ctx, e)
+}
+
+func (x *exchange) refusesConnections(ctx context.Context, e *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	return x.handler.options.Client.Refuses(ctx, e.Address)
--- /dev/null
+++ b/internal/entry/order_test.go
@@ -0,0 +1,93 @@
+package entry_test
+
+import (
+	"net"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// unframedHead is the head of a stream that ends with its connection.
+var unframedHead = strings.Replace(streamHead, "Transfer-Encoding: chunked\r\n", "", 1)
+
+// events returns the events of a stream with consecutive ids.
+func events(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		text.WriteString(streamEvent(id))
+	}
+	return text.String()
+}
+
+// firstThen returns two endpoints. The one that gets the first request runs the first script, the other one the second.
+func firstThen(first func(e *fakeEndpoint, conn net.Conn, r receivedRequest), second func(net.Conn, receivedRequest)) []*fakeEndpoint {
+	var once sync.Once
+	endpoints := make([]*fakeEndpoint, 2)
+	for i := range endpoints {
+		endpoints[i] = newEndpoint(func(conn net.Conn, r receivedRequest) {
+			isFirst := false
+			once.Do(func() { isFirst = true })
+			if isFirst {
+				first(endpoints[i], conn, r)
+				return
+			}
+			second(conn, r)
+		})
+	}
+	return endpoints
+}
+
+// sendThenCrash returns a script that sends a response and ends the endpoint as a killed process does: the kernel closes its
+// listener and its connections, without a reset.
+func sendThenCrash(response string) func(*fakeEndpoint, net.Conn, receivedRequest) {
+	return func(e *fakeEndpoint, conn net.Conn, r receivedRequest) {
+		respond(response)(conn, r)
+		e.crash()
+	}
+}
+
+var _ = Describe("the events of a stream", func() {
+	rest := func(from, to int) func(net.Conn, receivedRequest) {
+		return respond(streamHead + chunk(events(from, to)) + "0\r\n\r\n")
+	}
+
+	// Guards against a stream that ends as complete before its last event: the kernel of a killed endpoint closes the connection, and
+	// a response without length or chunks then looks complete (rule ORDER, on machines with real processes).
+	It("continue at another endpoint if the first one was killed between two events of a response without length", func() {
+		endpoints := firstThen(sendThenCrash(unframedHead+events(1, 3)), rest(4, 6))
+		got := newRig(endpoints).call("/resume/")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 6)))
+	})
+
+	// Guards against the same for streams that may not be resumed.
+	It("do not end as complete if the endpoint was killed between two events of a response without length", func() {
+		endpoints := firstThen(sendThenCrash(unframedHead+events(1, 3)), rest(4, 6))
+		got := newRig(endpoints).call("/stream/")
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 3)))
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+	})
+
+	// Guards against a sound stream that is cut because it has no length.
+	It("end as complete with the connection of an endpoint that goes on", func() {
+		got := newRig([]*fakeEndpoint{newEndpoint(respondAndClose(unframedHead + events(1, 3)))}).call("/stream/")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 3)))
+	})
+
+	// Guards against responses without length that end with a killed endpoint and are forwarded as a whole answer.
+	DescribeTable("and other responses do not end as complete with a killed endpoint", func(path string) {
+		head := strings.ReplaceAll(unframedHead, "text/event-stream", "text/plain")
+		endpoints := firstThen(sendThenCrash(head+"hal"), respond(sealedResponse("whole")))
+		got := newRig(endpoints).call(path)
+		if path == "/safe/" {
+			Expect(got.body).To(Equal("whole"))
+			return
+		}
+		Expect(got.status).To(Equal(502))
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+	}, Entry("retried", "/safe/"), Entry("not retried", "/unsafe/"))
+})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -31,6 +31,8 @@
 	header         http.Header
 	body           bufferedResponse
 	streaming      bool
+	// unframed is true if only the end of the connection ends the response.
+	unframed bool
 	// onFirst is called at the first event of a stream, or at the end of a response that is not a stream.
 	onFirst func()
 }
@@ -58,6 +60,9 @@
 	return nil
 }
 
+// OnUnframed implements engine.UnframedReceiver.
+func (r *relay) OnUnframed() { r.unframed = true }
+
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
