Forward the events that arrive together with one out of order

Cause: the splitter recorded the events of a read one by one and returned none of them if a later one was out of order. The stream was then resumed after events that the caller had never got. Whether several events arrive in one read depends on the kernel and on the load.

The splitter now returns the events before the one out of order with the error, and they are forwarded first.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -17,6 +17,9 @@
 	errEventsOutOfOrder = errors.New("the events of the endpoint's stream are out of order")
 )
 
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
 // eventSplitter splits a stream into events, because only complete events are forwarded. An event must end with two line
 // feeds; two CR LF do not end it.
 type eventSplitter struct {
@@ -28,41 +31,45 @@
 }
 
 // add appends received bytes and returns the events that are complete now, with their separators. The remaining bytes stay
-// pending.
+// pending. If an event is out of order, add returns the ones before it with the error.
 func (e *eventSplitter) add(data []byte) ([]byte, error) {
 	e.pending = append(e.pending, data...)
-	end := bytes.LastIndex(e.pending, []byte("\n\n"))
-	if end < 0 {
-		if len(e.pending) > maxPendingEventBytes {
-			return nil, errEventTooLarge
+	var err error
+	complete := 0
+	for err == nil {
+		length := bytes.Index(e.pending[complete:], eventEnd)
+		if length < 0 {
+			break
 		}
-		return nil, nil
-	}
-	complete := e.pending[:end+2]
-	e.pending = append([]byte(nil), e.pending[end+2:]...)
-	for event := range bytes.SplitSeq(complete[:end], []byte("\n\n")) {
-		if err := e.record(event); err != nil {
-			return nil, err
+		if err = e.record(e.pending[complete : complete+length]); err == nil {
+			complete += length + len(eventEnd)
 		}
 	}
-	return complete, nil
+	events := e.pending[:complete]
+	e.pending = append([]byte(nil), e.pending[complete:]...)
+	if err == nil && len(e.pending) > maxPendingEventBytes {
+		err = errEventTooLarge
+	}
+	return events, err
 }
 
 // record counts an event and checks that a numeric id is greater than the previous id. An endpoint that starts a stream
 // from the beginning, although the request had a Last-Event-Id, would repeat ids.
 func (e *eventSplitter) record(event []byte) error {
-	e.count++
+	lastID := e.lastID
 	for line := range strings.Lines(string(event)) {
 		value, found := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "id:")
 		if !found {
 			continue
 		}
 		id := strings.TrimSpace(value)
-		if !mayFollow(e.lastID, id) {
+		if !mayFollow(lastID, id) {
 			return errEventsOutOfOrder
 		}
-		e.lastID = id
+		lastID = id
 	}
+	e.count++
+	e.lastID = lastID
 	return nil
 }
 
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// send returns a script that sends a response, for firstThen.
+func send(script func(net.Conn, receivedRequest)) func(*fakeEndpoint, net.Conn, receivedRequest) {
+	return func(_ *fakeEndpoint, conn net.Conn, r receivedRequest) { script(conn, r) }
+}
+
 var _ = Describe("the events of a stream", func() {
 	rest := func(from, to int) func(net.Conn, receivedRequest) {
 		return respond(streamHead + chunk(events(from, to)) + "0\r\n\r\n")
@@ -78,6 +83,15 @@
 		Expect(got.body).To(Equal(events(1, 3)))
 	})
 
+	// Guards against events that the caller never gets: they arrived with one that is out of order, were recorded and not forwarded, and
+	// the next endpoint resumed after them.
+	It("that precede one out of order are forwarded before the stream continues at another endpoint", func() {
+		bad := streamHead + chunk(events(1, 2)+streamEvent(2))
+		got := newRig(firstThen(send(respond(bad)), rest(3, 4))).call("/resume/")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 4)))
+	})
+
 	// Guards against responses without length that end with a killed endpoint and are forwarded as a whole answer.
 	DescribeTable("and other responses do not end as complete with a killed endpoint", func(path string) {
 		head := strings.ReplaceAll(unframedHead, "text/event-stream", "text/plain")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -75,17 +75,18 @@
 	return r.body.add(data)
 }
 
-// forwardEvents sends the events that are complete to the caller.
+// forwardEvents sends the events that are complete to the caller, also those that arrived together with one out of order: the stream is
+// resumed after them.
 func (r *relay) forwardEvents(data []byte) error {
-	complete, err := r.x.events.add(data)
-	if err != nil || len(complete) == 0 {
-		return err
+	complete, orderErr := r.x.events.add(data)
+	if len(complete) == 0 {
+		return orderErr
 	}
 	r.onFirst()
 	if err := r.x.sendEvents(r.header, complete); err != nil {
 		return errors.Join(errCallerWrite, err)
 	}
-	return nil
+	return orderErr
 }
 
 // copyHeader copies a response header without the headers that belong to a single connection.
