Check that a resumed stream goes on right after the caller's last event

Causes: the id of the event after which a caller itself resumes was forwarded but not checked, so that an endpoint that began too early or from the start was passed on; and ids only had to rise, so that an event lost at a resumption passed.

An attempt that resumes a stream must now begin after the caller's last event, and with the next number if the ids of this stream, or all seen of the service, are consecutive. Otherwise the attempt has failed: another endpoint is tried, or the request ends with 502 or a reset. A platform only promises rising ids; a service that has once shown a gap is not held to it.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -27,6 +27,8 @@
 	Key string
 	// Budget is how long the caller waits, counted from the arrival of the request; zero if the caller stated nothing.
 	Budget time.Duration
+	// LastEventID is the id of the event after which the caller resumes a stream; empty if it does not.
+	LastEventID string
 	// PromptTokens and MaxOutput are the tokens of the prompt and of the longest output; zero if the caller stated nothing.
 	PromptTokens, MaxOutput int64
 	// SharedParts are the parts of the prompt that other requests may share.
@@ -43,7 +45,7 @@
 	Team string
 	// TimeLeft is the remaining time of the request.
 	TimeLeft time.Duration
-	// LastEventID is the id of the last event that the caller has; empty for a first attempt.
+	// LastEventID is the id of the last event that the caller has; empty if it has none.
 	LastEventID string
 }
 
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"strconv"
 	"strings"
 )
 
@@ -12,8 +11,8 @@
 
 var (
 	errEventTooLarge = errors.New("an event of the endpoint's stream is too large")
-	// errEventsOutOfOrder means that the id of an event is not greater than the previous id, for example because an
-	// endpoint has started a resumed stream from the beginning.
+	// errEventsOutOfOrder means that the id of an event is not greater than the previous id, or that an event is missing, for example
+	// because an endpoint has started a resumed stream at the wrong event.
 	errEventsOutOfOrder = errors.New("the events of the endpoint's stream are out of order")
 )
 
@@ -24,8 +23,13 @@
 // feeds; two CR LF do not end it.
 type eventSplitter struct {
 	pending []byte
-	// lastID is the id of the last complete event with an id; empty if there was none.
+	// lastID is the id of the last complete event with an id, or the one after which the caller resumes the stream; empty if there was
+	// none.
 	lastID string
+	// isResuming is true from the start of an attempt that resumes the stream until its first event with an id. If mustFollow is true
+	// too, that id must be the next number.
+	isResuming, mustFollow bool
+	numbering              numbering
 	// count is the number of complete events in all attempts of the request.
 	count int
 }
@@ -53,8 +57,14 @@
 	return events, err
 }
 
+// beginAttempt prepares for the events of another endpoint. consecutive is true if streams of the service have consecutive numbers.
+func (e *eventSplitter) beginAttempt(consecutive bool) {
+	e.isResuming = e.lastID != ""
+	e.mustFollow = e.numbering.isConsecutive() || consecutive && !e.numbering.hasGaps
+}
+
 // record counts an event and checks that a numeric id is greater than the previous id. An endpoint that starts a stream
-// from the beginning, although the request had a Last-Event-Id, would repeat ids.
+// from the beginning, although the request had a Last-Event-Id, would repeat ids, and one that starts too late would leave some out.
 func (e *eventSplitter) record(event []byte) error {
 	lastID := e.lastID
 	for line := range strings.Lines(string(event)) {
@@ -63,21 +73,30 @@
 			continue
 		}
 		id := strings.TrimSpace(value)
-		if !mayFollow(lastID, id) {
+		if !e.mayFollow(lastID, id) {
 			return errEventsOutOfOrder
 		}
-		lastID = id
+		if !e.isResuming {
+			e.numbering.observe(lastID, id)
+		}
+		lastID, e.isResuming = id, false
 	}
 	e.count++
 	e.lastID = lastID
 	return nil
 }
 
-// mayFollow reports whether the id is greater than the last one. If either is not a number, it returns true.
-func mayFollow(last, id string) bool {
-	a, errA := strconv.ParseInt(last, 10, 64)
-	b, errB := strconv.ParseInt(id, 10, 64)
-	return errA != nil || errB != nil || b > a
+// mayFollow reports whether the id is greater than the last one, and at a resumption the next one if the numbers are consecutive. If
+// either is not a number, it returns true.
+func (e *eventSplitter) mayFollow(last, id string) bool {
+	a, b, ok := numbers(last, id)
+	switch {
+	case !ok:
+		return true
+	case e.isResuming && e.mustFollow:
+		return b == a+1
+	}
+	return b > a
 }
 
 // isComplete reports whether no incomplete event is pending.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -90,6 +90,10 @@
 	ctx, cancelWatched := x.watchParts(ctx)
 	defer cancelWatched()
 	defer x.releaseResponses()
+	if x.profile.Resumable {
+		x.events.lastID = x.call.LastEventID
+	}
+	defer func() { x.handler.numbering.observe(x.service.Name, x.events.numbering) }()
 	if ctx.Err() != nil {
 		x.endCancelled(ctx)
 		return
@@ -128,6 +132,7 @@
 	}
 	defer reserved.release()
 	x.eventsBefore = x.events.count
+	x.events.beginAttempt(x.handler.numbering.isConsecutive(x.service.Name))
 	r := &relay{x: x, endpoint: primary, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
 	r.onFirst = func() {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -67,6 +67,8 @@
 	options HandlerOptions
 	// responseMemory bounds the memory of all buffered responses.
 	responseMemory *budget.Budget
+	// numbering is what the streams of each service have shown about the numbers of their events.
+	numbering serviceNumbering
 	// shutdownAt is the boot-time at which a graceful shutdown aborts the remaining requests; zero unless one has begun.
 	shutdownAt atomic.Int64
 	// started is the time at which the instance began to discover its peers.
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -92,6 +92,45 @@
 		Expect(got.body).To(Equal(events(1, 4)))
 	})
 
+	// Guards against an event that is lost at a resumption: the endpoint begins one event too late, and the ids only had to rise.
+	It("are not forwarded from an endpoint that resumes too late", func() {
+		got := newRig(firstThen(send(respondAndReset(streamHead+chunk(events(1, 3)))), rest(5, 6))).call("/resume/")
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 3)))
+	})
+
+	// Guards against ids that rise by more than one and are taken for a loss.
+	It("may have ids with gaps of their own, also after a resumption", func() {
+		first, second := streamEvent(10)+streamEvent(20), streamEvent(30)+streamEvent(40)
+		got := newRig(firstThen(send(respondAndReset(streamHead+chunk(first))), respond(streamHead+chunk(second)+"0\r\n\r\n"))).call("/resume/")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(first + second))
+	})
+
+	// Guards against a number that goes back for a caller that resumes a stream itself, at another instance: only events after the
+	// caller's last one may reach it. An endpoint that begins too early or from the start counts as failed.
+	DescribeTable("reach a caller that resumes only after its last event", func(from int) {
+		got := newRig(firstThen(send(rest(from, 8)), rest(6, 8))).call("/resume/", "Last-Event-Id", "5")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(events(6, 8)))
+	}, Entry("one too early", 5), Entry("from the start", 1))
+
+	// Guards against an event that is lost for a caller that resumes, after the numbers of the service have been seen to rise by one.
+	It("reach a caller that resumes without a loss", func() {
+		endpoints := firstThen(send(rest(1, 3)), func(conn net.Conn, r receivedRequest) {
+			first := 6
+			if len(r.request.Header.Get("X-Late")) > 0 {
+				first = 7
+			}
+			rest(first, 8)(conn, r)
+		})
+		r := newRig(endpoints)
+		Expect(r.call("/resume/").body).To(Equal(events(1, 3)))
+		got := r.call("/resume/", "Last-Event-Id", "5", "X-Late", "1")
+		Expect(got.status).To(Equal(502))
+		Expect(r.call("/resume/", "Last-Event-Id", "5").body).To(Equal(events(6, 8)))
+	})
+
 	// Guards against responses without length that end with a killed endpoint and are forwarded as a whole answer.
 	DescribeTable("and other responses do not end as complete with a killed endpoint", func(path string) {
 		head := strings.ReplaceAll(unframedHead, "text/event-stream", "text/plain")
