Match each response to its request before a refusal is believed

Cause: a response without a request id was taken for the response to the current request also on a connection that had carried an earlier one; a second copy of an earlier refusal was then believed. Streams that must not run twice used kept connections, and connections were kept after responses that named no request, those to orders among them.

A response without an id on a kept connection now counts as a failure with unknown outcome. Requests that may run only once use a new connection, streams included. A connection is kept only after a response that names its request; orders use connections of their own.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -42,6 +42,9 @@
 	// Fresh forces a new connection. It is meant for requests that must not run twice: if the endpoint closes an idle
 	// connection while a request is sent on it, it is unknown whether the request runs.
 	Fresh bool
+	// Alone forces a new connection that is closed after the response. It is meant for requests whose responses do not name them: a
+	// second copy of such a response could be taken for the response to a later request.
+	Alone bool
 }
 
 // Receiver handles a response as it arrives. An error from a method ends the exchange. While a method blocks, nothing
@@ -63,6 +66,15 @@
 	OnUnframed()
 }
 
+// MatchingReceiver is a Receiver that checks whether a response names its request.
+type MatchingReceiver interface {
+	// OnReused is called before OnHead if the connection has carried an earlier request. A response that names no request may then
+	// be a second copy of the response to that one.
+	OnReused()
+	// IsMatched reports, after OnHead, whether the response has named the request. If not, the connection is not kept.
+	IsMatched() bool
+}
+
 // Error is a failed exchange.
 type Error struct {
 	// BytesSent is true if the kernel accepted at least one byte of the request.
@@ -205,7 +217,7 @@
 // 304), or, with AllowUnframed, a connection that is closed without a reset. Bytes after that are not read. The response may
 // be complete before the request is sent completely. Cancelling the context closes the connection.
 func (c *Client) Do(ctx context.Context, req Request, beforeWrite func() error, receiver Receiver) error {
-	head, err := encodeHead(req, c.options.Reuse)
+	head, err := encodeHead(req, c.options.Reuse && !req.Alone)
 	if err != nil {
 		return &Error{Err: err}
 	}
@@ -232,7 +244,14 @@
 		receiver: receiver, bodyless: req.Method == http.MethodHead,
 		allowUnframed: c.options.AllowUnframed, mayDiscard: reused,
 	}
+	matching, checksMatch := receiver.(MatchingReceiver)
+	if checksMatch && reused {
+		matching.OnReused()
+	}
 	err = rr.receive(conn.reader, c.options.MaxHeadBytes)
+	if req.Alone || checksMatch && !matching.IsMatched() {
+		rr.reuseTime = 0
+	}
 	if err == nil && c.keepForReuse(req.Address, conn, x, rr, stop) {
 		return nil
 	}
@@ -246,7 +265,7 @@
 
 // connect returns an idle connection if reuse is allowed, or a new one.
 func (c *Client) connect(ctx context.Context, req Request) (conn *poolConn, reused bool, err error) {
-	if c.options.Reuse && !req.Fresh {
+	if c.options.Reuse && !req.Fresh && !req.Alone {
 		if conn = c.pool.take(req.Address, time.Now()); conn != nil {
 			return conn, true, nil
 		}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -131,12 +131,6 @@
 
 var _ = Describe("memory for a prompt that exceeds the memory of one engine", func() {
 	const prompt = "150000,100"
-	withLongObjective := func(c *fleet.Catalog, o *entry.HandlerOptions) {
-		withEngine(c, o)
-		for i := range c.Profiles {
-			c.Profiles[i].Objective = 10 * time.Second
-		}
-	}
 	succeed := func(conn net.Conn, r receivedRequest) { respond(streamHead+chunk(streamEvent(1))+"0\r\n\r\n")(conn, r) }
 	reset := func(conn net.Conn, r receivedRequest) { respondAndReset("")(conn, r) }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -73,6 +73,8 @@
 	FaultyAddress string
 	// Reason explains verdicts other than Accepted.
 	Reason string
+	// NamesCall is true if the response states the id of the call.
+	NamesCall bool
 }
 
 // EndpointStatus is what an endpoint states about itself in the head of a response.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -158,8 +158,8 @@
 	return choice.Work(need, x.timeLimit-now.Sub(x.received))
 }
 
-// request builds the request to an endpoint. A request of a non-idempotent profile uses a new connection: if the endpoint
-// closes an idle connection while a request is being sent, it is not known whether the request runs.
+// request builds the request to an endpoint. A request that may run only once uses a new connection: if the endpoint closes an idle
+// connection while a request is being sent, it is not known whether the request runs.
 func (x *exchange) request(choice placement.Choice, reservations []Reservation) engine.Request {
 	return engine.Request{
 		Method:  x.call.Method,
@@ -167,7 +167,7 @@
 		Host:    x.call.Host,
 		Address: choice.Primary.Address,
 		Body:    x.call.Body,
-		Fresh:   x.profile.Kind == fleet.NonIdempotent,
+		Fresh:   !x.profile.Retryable(),
 		Header: x.handler.options.Protocol.Header(x.call, Dispatch{
 			Endpoint:     choice.Primary,
 			Helpers:      choice.Helpers,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -31,6 +31,8 @@
 	header         http.Header
 	body           bufferedResponse
 	streaming      bool
+	// reused is true if the connection has carried an earlier request.
+	reused bool
 	// unframed is true if only the end of the connection ends the response.
 	unframed bool
 	// onFirst is called at the first event of a stream, or at the end of a response that is not a stream.
@@ -44,6 +46,10 @@
 		r.classification = classification
 		return engine.ErrMismatchedResponse
 	}
+	if r.reused && !classification.NamesCall {
+		// The response may be a second copy of one to an earlier request. Then this request may be running.
+		classification = Classification{Verdict: Invalid, Reason: "response_without_id_on_reused_connection"}
+	}
 	r.classification, r.classified = classification, true
 	if classification.Verdict == Accepted || classification.Verdict == NotRun {
 		endpointStatus := r.x.handler.options.Protocol.EndpointStatus(status, header)
@@ -60,6 +66,12 @@
 	return nil
 }
 
+// OnReused implements engine.MatchingReceiver.
+func (r *relay) OnReused() { r.reused = true }
+
+// IsMatched implements engine.MatchingReceiver.
+func (r *relay) IsMatched() bool { return r.classification.NamesCall }
+
 // OnUnframed implements engine.UnframedReceiver.
 func (r *relay) OnUnframed() { r.unframed = true }
 
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -133,7 +133,7 @@
 	defer cancel()
 	x.handler.options.Metrics.ControlRequestSent()
 	response, err := x.handler.options.Client.Fetch(ctx, engine.Request{
-		Method: c.Method, Target: c.Target, Address: e.Address, Header: c.Header, Body: c.Body,
+		Method: c.Method, Target: c.Target, Address: e.Address, Header: c.Header, Body: c.Body, Alone: true,
 	}, maxControlResponseBytes)
 	if err != nil {
 		return err
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -283,6 +283,14 @@
 	}
 }
 
+// withLongObjective makes the endpoints engines with little memory beside the longest prompts, which may take long.
+func withLongObjective(c *fleet.Catalog, o *entry.HandlerOptions) {
+	withEngine(c, o)
+	for i := range c.Profiles {
+		c.Profiles[i].Objective = 10 * time.Second
+	}
+}
+
 // reply is a response as the caller received it.
 type reply struct {
 	status int
