--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -288,6 +288,9 @@
 	defer f.mu.Unlock()
 	f.accepted = append(f.accepted, update.Items...)
 	f.messages++
+	if position.Era < f.era {
+		return
+	}
 	if position.Era > f.era {
 		f.era, f.asOf = position.Era, 0
 	}
