Never send the content of one era with the position of another

Position and UpdateAfter are two calls; a source that begins an era between them made a message with the whole content of the new era under the position of the old one. A member would have merged it as the whole content of the old era and removed the servers that are not in it, until the next message 200 ms later.

An update states its era, and a message whose two parts differ carries neither. Spec "is not mixed with the content of an era that begins while a message is made": failed before.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -241,6 +241,8 @@
 	// messages counts the messages that were accepted.
 	messages int
 	watching bool
+	// beginsEra makes UpdateAfter return the content of the next era, which begins after each call of Position.
+	beginsEra bool
 }
 
 func (f *fakeFeed) Position() (published.Position, time.Duration) {
@@ -270,16 +272,19 @@
 func (f *fakeFeed) UpdateAfter(after published.Position) (published.Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.beginsEra {
+		return published.Update{Items: []published.Item{{Key: "op/config", Revision: f.asOf, Era: f.era + 1}}, Era: f.era + 1, Whole: true}, true
+	}
 	isEarlierEra := after.Era > 0 && after.Era < f.era
 	whole := after.Revision == 0 || isEarlierEra
 	switch {
 	case !whole && after.Era != f.era:
 		return published.Update{}, false
 	case !whole && after.Revision >= f.asOf:
-		return published.Update{}, true
+		return published.Update{Era: f.era}, true
 	}
 	return published.Update{
-		Items: []published.Item{{Key: "op/config", Value: []byte("new"), Revision: f.asOf, Era: f.era}}, Whole: whole,
+		Items: []published.Item{{Key: "op/config", Value: []byte("new"), Revision: f.asOf, Era: f.era}}, Era: f.era, Whole: whole,
 	}, true
 }
 
--- a/internal/loadshare/published.go
+++ b/internal/loadshare/published.go
@@ -45,7 +45,8 @@
 	message.Echo = to.stamp
 	position, confirmed := s.options.Feed.Position()
 	update, complete := s.options.Feed.UpdateAfter(to.position)
-	if !complete || confirmed == 0 {
+	// The feed may have begun another era between the two calls. The next message then carries the content.
+	if !complete || confirmed == 0 || update.Era != position.Era {
 		return
 	}
 	message.Extension.Era, message.Position = position.Era, position.Revision
@@ -60,7 +61,9 @@
 	if s.options.Feed == nil || m.Echo == 0 || m.AgeMS < 0 {
 		return
 	}
-	update := published.Update{Items: decodeItems(m.Published, m.Extension.Era), Whole: m.Extension.Whole}
+	update := published.Update{
+		Items: decodeItems(m.Published, m.Extension.Era), Era: m.Extension.Era, Whole: m.Extension.Whole,
+	}
 	confirmed := time.Duration(m.Echo) - time.Duration(m.AgeMS)*time.Millisecond
 	s.options.Feed.Accept(update, positionOf(m), confirmed)
 }
--- a/internal/loadshare/published_test.go
+++ b/internal/loadshare/published_test.go
@@ -61,6 +61,30 @@
 		}
 	})
 
+	// Guards against content of a new era that is sent with a position of the one before, because the store is restored while a message
+	// is made. Members would take it for the whole content of the earlier era and remove what is not in it.
+	It("is not mixed with the content of an era that begins while a message is made", func() {
+		const size = 16
+		addresses := testkit.FreeAddresses(size)
+		feeds := make([]*fakeFeed, size)
+		for i := range feeds {
+			feeds[i] = &fakeFeed{era: 1, asOf: 30, confirmed: clock.Boot(), beginsEra: true}
+			startWithFeed(fmt.Sprint("i-", i), addresses[i], key, feeds[i], addresses[:3]...)
+		}
+		Eventually(func() (watching bool) {
+			for _, f := range feeds {
+				watching = watching || f.isWatching()
+			}
+			return watching
+		}, eventTimeout).Should(BeTrue())
+		time.Sleep(time.Second)
+		for _, f := range feeds {
+			f.mu.Lock()
+			Expect(f.accepted).To(BeEmpty())
+			f.mu.Unlock()
+		}
+	})
+
 	// Guards against a fleet whose members stay in the era that has ended, or all read the restored store themselves.
 	It("is accompanied by the whole content for members of an earlier era", func() {
 		const size = 16
--- a/internal/published/log.go
+++ b/internal/published/log.go
@@ -168,11 +168,11 @@
 	isEarlierEra := after.Era > 0 && after.Era < l.position.Era
 	switch {
 	case after.Revision == 0 || isEarlierEra:
-		return Update{Items: slices.Collect(maps.Values(l.items)), Whole: true}, l.position.Revision > 0
+		return Update{Items: slices.Collect(maps.Values(l.items)), Era: l.position.Era, Whole: true}, l.position.Revision > 0
 	case after.Era != l.position.Era || after.Revision < l.completeAfter:
 		return Update{}, false
 	}
-	return Update{Items: l.since(after.Revision)}, true
+	return Update{Items: l.since(after.Revision), Era: l.position.Era}, true
 }
 
 func (l *Log) since(after int64) []Item {
--- a/internal/published/position.go
+++ b/internal/published/position.go
@@ -35,6 +35,8 @@
 // Update is what an instance passes on to another one.
 type Update struct {
 	Items []Item
+	// Era is the era of all items.
+	Era int64
 	// Whole is true if Items is the whole content, and false if it holds the changes after a position.
 	Whole bool
 }
