--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -114,21 +115,37 @@
 	ended                                  chan struct{}
 }
 
-func freeAddresses(n int) []string {
-	var listeners []net.Listener
+// The ports of the stand-ins and the machines lie below those that the kernel gives to outgoing connections. A server or machine that
+// starts again then finds its port free.
+const (
+	firstPort = 20000
+	portCount = 11000
+)
+
+// listen opens a listener at a free port of the loopback address.
+func listen() (net.Listener, error) {
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
+// freeAddresses returns addresses at which nothing listens.
+func freeAddresses(n int) ([]string, error) {
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listen()
 		if err != nil {
-			panic(err)
+			return nil, err
 		}
-		listeners = append(listeners, l)
+		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
 	}
-	for _, l := range listeners {
-		_ = l.Close()
-	}
-	return addresses
+	return addresses, nil
 }
 
 // settingsText is what deploy/settings.yaml.tmpl gives for a machine of the site vtag-core.
@@ -160,7 +177,10 @@
 
 // addMachines writes the settings of machines, the first three of which are seeds. It does not start them.
 func (d *deployment) addMachines(zones ...string) error {
-	addresses := freeAddresses(4 * len(zones))
+	addresses, err := freeAddresses(4 * len(zones))
+	if err != nil {
+		return err
+	}
 	var seeds []string
 	for i := range zones[:min(len(zones), 3)] {
 		seeds = append(seeds, addresses[4*i+2])
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -33,11 +33,13 @@
 
 // start listens at the server's address, the first time at a free one, and registers the server.
 func (s *server) start(cold time.Duration) error {
-	address := s.address
-	if address == "" {
-		address = "127.0.0.1:0"
+	var listener net.Listener
+	var err error
+	if s.address == "" {
+		listener, err = listen()
+	} else {
+		listener, err = net.Listen("tcp", s.address)
 	}
-	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -13,8 +13,8 @@
 )
 
 // store is a stand-in of the platform's store: range and watch calls, one revision counter, and an era that rises when it
-// comes back from a copy. While it is away it accepts connections and calls and answers nothing, and the calls that were
-// waiting are never answered.
+// comes back from a copy. While it is away it accepts connections and calls and answers nothing, or resets them if resets is
+// true; calls that were waiting are never answered.
 type store struct {
 	address string
 	server  *http.Server
@@ -25,6 +25,7 @@
 	items    map[string]storeItem
 	history  []storeItem
 	away     bool
+	resets   bool
 	changed  chan struct{}
 	// version8Again is true once the operator has written a lost configuration again.
 	version8Again bool
@@ -47,7 +48,7 @@
 }
 
 func startStore() (*store, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -123,9 +124,21 @@
 	return s.away
 }
 
+// ignore resets the connection of a call, or waits until the caller closes it.
+func (s *store) ignore(w http.ResponseWriter, r *http.Request) {
+	if !s.resets {
+		<-r.Context().Done()
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.isAway() {
-		<-r.Context().Done()
+		s.ignore(w, r)
 		return
 	}
 	switch r.URL.Path {
@@ -178,7 +191,7 @@
 		case s.away || s.era != era:
 			// The store that had this call is gone. Nothing answers the call any more.
 			s.mu.Unlock()
-			<-r.Context().Done()
+			s.ignore(w, r)
 			return
 		case after > s.revision:
 			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
