Never end a stream that has begun with a response that is no stream

Cause: handleBuffered takes each complete response below 500 for a success, whether or not events of an earlier attempt have left. succeed then writes the body into the stream; its status and header are ignored, because the head was sent.

A complete response that is no event stream now fails the attempt once events have left, whatever its status. The attempt is repeated if the profile allows it; otherwise the caller's connection is reset. Only a server error counts against the endpoint, since another one may have the state. The two ways of retrying after a failure are one function.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -36,6 +36,8 @@
 		return x.handleFailure(e, "stream_cut_in_event")
 	case impliesNotRun(r.status):
 		return x.handleFailure(e, "unconfirmed_status_"+strconv.Itoa(r.status))
+	case x.streamStarted:
+		return x.handleNotResumed(e, r)
 	}
 	return x.handleBuffered(e, r)
 }
@@ -76,11 +78,27 @@
 
 // handleFailure handles a failed attempt in which the call may have run.
 func (x *exchange) handleFailure(e *fleet.Endpoint, reason string) bool {
-	x.mayHaveRun = true
-	x.events.dropPending()
 	if x.handler.options.Health.Failure(e.Key(), time.Now()) {
 		x.logSuspect(e, reason)
 	}
+	return x.retryOrFail(e, reason)
+}
+
+// handleNotResumed handles a complete response that is not an event stream, although the caller has events of the stream already: an
+// error, a redirection or a response without content. Nothing of it may follow them. Only a server error counts against the
+// endpoint, because another one may be able to resume the stream.
+func (x *exchange) handleNotResumed(e *fleet.Endpoint, r *relay) bool {
+	reason := "stream_not_resumed_" + strconv.Itoa(r.status)
+	if r.status >= http.StatusInternalServerError {
+		return x.handleFailure(e, reason)
+	}
+	return x.retryOrFail(e, reason)
+}
+
+// retryOrFail ends an attempt in which the call may have run. It returns true if the call is to be retried.
+func (x *exchange) retryOrFail(e *fleet.Endpoint, reason string) bool {
+	x.mayHaveRun = true
+	x.events.dropPending()
 	if x.profile.Retryable() && x.mayRetry(e, reason) {
 		return true
 	}
@@ -151,16 +169,8 @@
 		x.succeed(e, r)
 		return false
 	}
-	x.mayHaveRun = true
 	x.failureResponse = r
-	if x.handler.options.Health.Failure(e.Key(), now) {
-		x.logSuspect(e, "status "+strconv.Itoa(r.status))
-	}
-	if x.profile.Retryable() && x.mayRetry(e, "status "+strconv.Itoa(r.status)) {
-		return true
-	}
-	x.finishFailed()
-	return false
+	return x.handleFailure(e, "status "+strconv.Itoa(r.status))
 }
 
 // mayRetry logs a failed attempt and reports whether the profile, the retry budget and the parts of the prompt allow another
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -1,12 +1,18 @@
 package entry_test
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/entry"
+	"github.com/acacialift/acacialift/internal/fleet"
 )
 
 // unframedHead is the head of a stream that ends with its connection.
@@ -144,3 +150,56 @@
 		Expect(totalRequests(endpoints...)).To(Equal(1))
 	}, Entry("retried", "/safe/"), Entry("not retried", "/unsafe/"))
 })
+
+// notStreams are complete responses to a request that resumes a stream, none of which is the rest of it.
+var notStreams = map[string]func(net.Conn, receivedRequest){
+	"409 with a length":                 respond("HTTP/1.1 409 X\r\n" + sealedHeaders + "Content-Type: application/json\r\nContent-Length: 8\r\n\r\n{\"e\":1}\n"),
+	"404 without a seal":                respond("HTTP/1.1 404 X\r\nContent-Length: 4\r\n\r\ngone"),
+	"410 in chunks":                     respond("HTTP/1.1 410 X\r\n" + sealedHeaders + "Transfer-Encoding: chunked\r\n\r\n" + chunk("gone") + "0\r\n\r\n"),
+	"302":                               respond("HTTP/1.1 302 X\r\n" + sealedHeaders + "Location: /other\r\nContent-Length: 0\r\n\r\n"),
+	"204":                               respond("HTTP/1.1 204 X\r\n" + sealedHeaders + "\r\n"),
+	"200 with JSON":                     respond("HTTP/1.1 200 OK\r\n" + sealedHeaders + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"),
+	"200 with text":                     respond("HTTP/1.1 200 OK\r\n" + sealedHeaders + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nsorry\n"),
+	"206 with the type of a stream":     respond("HTTP/1.1 206 X\r\n" + sealedHeaders + "Content-Type: text/event-stream\r\nContent-Length: 18\r\n\r\nid: 4\ndata: piece\n"),
+	"422 with the type of a stream":     respond("HTTP/1.1 422 X\r\n" + sealedHeaders + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("error: no state\n\n") + "0\r\n\r\n"),
+	"400 that ends with its connection": respondAndClose("HTTP/1.1 400 X\r\n" + sealedHeaders + "\r\nno state"),
+	"500":                               respond("HTTP/1.1 500 X\r\n" + sealedHeaders + "Content-Length: 4\r\n\r\noops"),
+	"503 that may have run":             respond("HTTP/1.1 503 X\r\n" + sealedHeaders + "Content-Length: 4\r\n\r\nbusy"),
+}
+
+var _ = Describe("a stream that has begun and is resumed at an endpoint that does not continue it", func() {
+	started := func(conn net.Conn, r receivedRequest) { respondAndReset(streamHead+chunk(events(1, 3)))(conn, r) }
+	names := slices.Sorted(maps.Keys(notStreams))
+	for _, name := range names {
+		// Guards against the text of a failure in the middle of a stream, and against a truncated stream that ends as complete
+		// (review/1, MIXED and ORDER).
+		It("breaks off: "+name, func() {
+			got := newRig(firstThen(send(started), notStreams[name])).call("/resume/")
+			Expect(got.err).To(HaveOccurred())
+			Expect(got.body).To(Equal(events(1, 3)))
+		})
+
+		// Guards against a stream that breaks off although a further attempt may resume it.
+		It("is resumed at a third one if the profile allows it: "+name, func() {
+			var attempts atomic.Int32
+			script := func(conn net.Conn, r receivedRequest) {
+				switch attempts.Add(1) {
+				case 1:
+					started(conn, r)
+				case 2:
+					notStreams[name](conn, r)
+				default:
+					respond(streamHead+chunk(events(4, 6))+"0\r\n\r\n")(conn, r)
+				}
+			}
+			endpoints := []*fakeEndpoint{newEndpoint(script), newEndpoint(script), newEndpoint(script)}
+			got := newRig(endpoints, func(c *fleet.Catalog, _ *entry.HandlerOptions) {
+				for i := range c.Profiles {
+					c.Profiles[i].MaxAttempts = 3
+				}
+			}).call("/resume/")
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.body).To(Equal(events(1, 6)))
+		})
+	}
+})
