Forward only events of the same stream after a stream has begun

Cause: the splitter took everything up to two line feeds for an event; only ids were compared, and text has none.

Bytes after the first event must now consist of fields, and the first event of a resumed attempt must have an id. Comments may come at any time. The attempt fails otherwise and is repeated or broken off like any other.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strings"
+	"unicode"
 )
 
 // maxPendingEventBytes bounds the bytes that are buffered for an event whose end has not arrived.
@@ -14,6 +15,8 @@
 	// errEventsOutOfOrder means that the id of an event is not greater than the previous id, or that an event is missing, for example
 	// because an endpoint has started a resumed stream at the wrong event.
 	errEventsOutOfOrder = errors.New("the events of the endpoint's stream are out of order")
+	// errNoEvent means that bytes in the place of an event are none, for example the text of a failure.
+	errNoEvent = errors.New("the endpoint's stream contains bytes that are no event")
 )
 
 // eventEnd ends an event.
@@ -65,10 +68,18 @@
 
 // record counts an event and checks that a numeric id is greater than the previous id. An endpoint that starts a stream
 // from the beginning, although the request had a Last-Event-Id, would repeat ids, and one that starts too late would leave some out.
+// Bytes that follow an event must be an event too, and the first one of an attempt that resumes the stream must have an id: an
+// endpoint may send the text of a failure in its place, with the status and the content type of a stream.
 func (e *eventSplitter) record(event []byte) error {
 	lastID := e.lastID
+	isComment := true
 	for line := range strings.Lines(string(event)) {
-		value, found := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "id:")
+		line = strings.TrimRight(line, "\r\n")
+		if e.count > 0 && !isField(line) {
+			return errNoEvent
+		}
+		isComment = isComment && strings.HasPrefix(line, ":")
+		value, found := strings.CutPrefix(line, "id:")
 		if !found {
 			continue
 		}
@@ -81,11 +92,26 @@
 		}
 		lastID, e.isResuming = id, false
 	}
+	if e.count > 0 && e.isResuming && !isComment {
+		return errNoEvent
+	}
 	e.count++
 	e.lastID = lastID
 	return nil
 }
 
+// isField reports whether a line of an event is a field or a comment: a name of letters, digits and hyphens, or none, before a colon.
+// A name without a colon is a field without a value only if the specification of event streams defines it.
+func isField(line string) bool {
+	name, _, found := strings.Cut(line, ":")
+	if !found {
+		return name == "data" || name == "event" || name == "id" || name == "retry"
+	}
+	return strings.IndexFunc(name, func(r rune) bool {
+		return r != '-' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+	}) < 0
+}
+
 // mayFollow reports whether the id is greater than the last one, and at a resumption the next one if the numbers are consecutive. If
 // either is not a number, it returns true.
 func (e *eventSplitter) mayFollow(last, id string) bool {
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -165,6 +165,10 @@
 	"400 that ends with its connection": respondAndClose("HTTP/1.1 400 X\r\n" + sealedHeaders + "\r\nno state"),
 	"500":                               respond("HTTP/1.1 500 X\r\n" + sealedHeaders + "Content-Length: 4\r\n\r\noops"),
 	"503 that may have run":             respond("HTTP/1.1 503 X\r\n" + sealedHeaders + "Content-Length: 4\r\n\r\nbusy"),
+	"a failure's text as a stream":      respond(streamHead + chunk("{\"error\":\"no state\"}\n\n") + "0\r\n\r\n"),
+	"a failure's text as a field of a stream":    respond(streamHead + chunk("error: no state\n\n") + "0\r\n\r\n"),
+	"a failure with its head in a stream":        respond(streamHead + chunk("HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\noops\nid: 4\ndata: piece\n\n") + "0\r\n\r\n"),
+	"a failure's text that ends with connection": respondAndClose(unframedHead + "no state\n\n"),
 }
 
 var _ = Describe("a stream that has begun and is resumed at an endpoint that does not continue it", func() {
