Do not resume a stream after an event without an id

The last complete event must now have an id, comments apart. Otherwise the stream breaks off.

Evidence: the spec "are not repeated by another endpoint if the last one had no id" failed before. The one with comments guards the other direction.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -99,7 +99,7 @@
 func (x *exchange) retryOrFail(e *fleet.Endpoint, reason string) bool {
 	x.mayHaveRun = true
 	x.events.dropPending()
-	if x.profile.Retryable() && x.mayRetry(e, reason) {
+	if x.profile.Retryable() && x.events.canResume() && x.mayRetry(e, reason) {
 		return true
 	}
 	x.finishFailed()
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -33,6 +33,8 @@
 	// too, that id must be the next number.
 	isResuming, mustFollow bool
 	numbering              numbering
+	// isUnnumbered is true if the last complete event had no id, so that no endpoint can continue after it.
+	isUnnumbered bool
 	// count is the number of complete events in all attempts of the request.
 	count int
 }
@@ -72,7 +74,7 @@
 // endpoint may send the text of a failure in its place, with the status and the content type of a stream.
 func (e *eventSplitter) record(event []byte) error {
 	lastID := e.lastID
-	isComment := true
+	isComment, isNumbered := true, false
 	for line := range strings.Lines(string(event)) {
 		line = strings.TrimRight(line, "\r\n")
 		if e.count > 0 && !isField(line) {
@@ -90,13 +92,16 @@
 		if !e.isResuming {
 			e.numbering.observe(lastID, id)
 		}
-		lastID, e.isResuming = id, false
+		lastID, e.isResuming, isNumbered = id, false, true
 	}
 	if e.count > 0 && e.isResuming && !isComment {
 		return errNoEvent
 	}
 	e.count++
 	e.lastID = lastID
+	if !isComment {
+		e.isUnnumbered = !isNumbered
+	}
 	return nil
 }
 
@@ -125,6 +130,9 @@
 	return b > a
 }
 
+// canResume reports whether another endpoint can continue the stream after the last complete event, or begin it.
+func (e *eventSplitter) canResume() bool { return !e.isUnnumbered }
+
 // isComplete reports whether no incomplete event is pending.
 func (e *eventSplitter) isComplete() bool { return len(e.pending) == 0 }
 
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -137,6 +137,22 @@
 		Expect(r.call("/resume/", "Last-Event-Id", "5").body).To(Equal(events(6, 8)))
 	})
 
+	// Guards against events that come twice: an endpoint cannot continue after an event without an id and begins anew.
+	It("are not repeated by another endpoint if the last one had no id", func() {
+		unnumbered := streamHead + chunk("data: one\n\n")
+		got := newRig(firstThen(send(respondAndReset(unnumbered)), respond(unnumbered+"0\r\n\r\n"))).call("/resume/")
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(Equal("data: one\n\n"))
+	})
+
+	// Guards against a stream that is not resumed because the endpoint has sent a comment, for example to keep the connection open.
+	It("are continued at another endpoint after a comment", func() {
+		first := streamHead + chunk(": wait\n\n"+streamEvent(1)+": wait\n\n")
+		got := newRig(firstThen(send(respondAndReset(first)), rest(2, 3))).call("/resume/")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(": wait\n\n" + streamEvent(1) + ": wait\n\n" + events(2, 3)))
+	})
+
 	// Guards against responses without length that end with a killed endpoint and are forwarded as a whole answer.
 	DescribeTable("and other responses do not end as complete with a killed endpoint", func(path string) {
 		head := strings.ReplaceAll(unframedHead, "text/event-stream", "text/plain")
