Refuse parts that cannot be told apart only together, and try them again

Cause: the part that crashes engines and a new one come with the same first requests, so that their evidence is equal. A tie was broken by the position in the prompt, which is no evidence, and a part in quarantine gets no more evidence.

- Crashes record the calls that were there (two hashes).
Parts with the same calls at all crashes form a set, and a request is refused only if it has all of them.
One that has some of them is served and tells them apart.
- Of equal sets the largest explains the crashes, then the one in fewer calls: a sound part is in others too.
A call that met several crashes with its retries counts less than several calls.
Two of N requests that could be a trial become one at N instances.
- Retry-After names the next trial.

Whether a part is refused is asked without using up a trial.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -69,7 +69,7 @@
 	if !x.checkCrash(ctx, e, r, err) {
 		return false
 	}
-	crash := quarantine.Crash{Endpoint: e.Key(), Responding: r.classified}
+	crash := quarantine.Crash{Endpoint: e.Key(), Responding: r.classified, Calls: []uint32{quarantine.CallKey(x.call.ID)}}
 	x.handler.options.Metrics.EndpointCrashed()
 	x.logCrash(e, crash.Responding)
 	x.logQuarantine(x.handler.options.Quarantine.ObserveCrash(x.call.SharedParts, crash, time.Now()))
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -363,6 +363,7 @@
 			p.metrics.SetGauge("endpoint_dials", p.client.Dials())
 			peers := p.sharer.LiveCount(now)
 			p.fleetShare.ObservePeers(peers)
+			p.quarantine.SetInstances(peers + 1)
 			p.metrics.SetGauge("peers", int64(peers))
 		}
 	}
--- a/internal/loadshare/parts.go
+++ b/internal/loadshare/parts.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/peer"
@@ -25,7 +26,7 @@
 // partsIfDue returns the evidence that has changed since the last call. With the periodic lists it returns what has changed since
 // the previous lists, because a message may have been lost, and once per allPartsInterval everything. An instance passes on what
 // it has received too, because merging the same evidence again changes nothing. It must be called with the mutex held.
-func (s *Sharer) partsIfDue(listsDue bool, now time.Time) []peer.PartEvidence {
+func (s *Sharer) partsIfDue(listsDue bool, now time.Time) []quarantine.Evidence {
 	changes := s.options.Quarantine.Changes()
 	after := s.sentParts
 	s.sentParts = changes
@@ -42,8 +43,14 @@
 
 // partsSince returns the evidence that has changed after a value of quarantine.Tracker.Changes, as far as it fits into a
 // message.
-func (s *Sharer) partsSince(after uint64, now time.Time) []peer.PartEvidence {
-	return encodeParts(s.options.Quarantine.Evidence(after, maxPartsSent, now))
+func (s *Sharer) partsSince(after uint64, now time.Time) []quarantine.Evidence {
+	return s.options.Quarantine.Evidence(after, maxPartsSent, now)
+}
+
+// addParts adds evidence to a message.
+func addParts(m *peer.LoadShare, list []quarantine.Evidence) {
+	m.Parts = encodeParts(list)
+	m.Extension.PartCalls = encodeCalls(list)
 }
 
 // mergeParts applies the evidence of a message.
@@ -51,7 +58,7 @@
 	if len(m.Parts) == 0 {
 		return
 	}
-	for _, c := range s.options.Quarantine.Merge(decodeParts(m.Parts), now) {
+	for _, c := range s.options.Quarantine.Merge(decodeParts(m), now) {
 		c.Log(s.options.Log.Warn().Str("peer", m.Address), s.endpointID)
 	}
 }
@@ -70,13 +77,38 @@
 	return parts
 }
 
-func decodeParts(parts []peer.PartEvidence) []quarantine.Evidence {
-	list := make([]quarantine.Evidence, 0, len(parts))
-	for _, p := range parts {
+// encodeCalls returns the calls at the crashes for LoadShareExtension.PartCalls.
+func encodeCalls(list []quarantine.Evidence) []uint32 {
+	var calls []uint32
+	for _, e := range list {
+		for _, c := range e.Crashes {
+			var fixed [peer.CallsPerCrash]uint32
+			copy(fixed[:], c.Calls)
+			calls = append(calls, fixed[:]...)
+		}
+	}
+	return calls
+}
+
+// takeCalls removes the calls of one crash from those of a message. A sender of an earlier version states none.
+func takeCalls(calls *[]uint32) []uint32 {
+	if len(*calls) < peer.CallsPerCrash {
+		return nil
+	}
+	first := (*calls)[:peer.CallsPerCrash]
+	*calls = (*calls)[peer.CallsPerCrash:]
+	return slices.DeleteFunc(slices.Clone(first), func(call uint32) bool { return call == 0 })
+}
+
+func decodeParts(m *peer.LoadShare) []quarantine.Evidence {
+	list := make([]quarantine.Evidence, 0, len(m.Parts))
+	calls := m.Extension.PartCalls
+	for _, p := range m.Parts {
 		e := quarantine.Evidence{Part: quarantine.Part(p.Part), Position: p.Position, Served: p.Served}
 		for _, c := range p.Crashes {
 			e.Crashes = append(e.Crashes, quarantine.Crash{
 				Endpoint: c.Endpoint, Responding: c.Responding, Refuted: c.Refuted, Age: time.Duration(c.AgeMS) * time.Millisecond,
+				Calls: takeCalls(&calls),
 			})
 		}
 		list = append(list, e)
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -46,7 +46,7 @@
 // addPeriodic adds what is due besides the counts and the live instances.
 func (s *Sharer) addPeriodic(message *peer.LoadShare, lists periodicLists, now time.Time) {
 	s.addLimits(message, lists, now)
-	message.Parts = lists.parts
+	addParts(message, lists.parts)
 }
 
 // send sends a message to several instances. It returns the number of bytes and the number of instances to which it was sent. It
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -108,7 +108,7 @@
 	// direct holds the live instances in direct contact, indirect those in indirect contact only.
 	direct, indirect []peer.Member
 	// parts holds the evidence about parts of prompts that is due. It may be due between two lists.
-	parts []peer.PartEvidence
+	parts []quarantine.Evidence
 }
 
 func (l periodicLists) all() []peer.Member { return append(slices.Clone(l.direct), l.indirect...) }
--- a/internal/peer/loadshare.go
+++ b/internal/peer/loadshare.go
@@ -47,8 +47,8 @@
 	Extension LoadShareExtension `msgpack:"-"`
 }
 
-// LoadShareExtension is what a LoadShare states about the eras of what the platform has published. Revisions of different eras are
-// not comparable.
+// LoadShareExtension is what a LoadShare states beyond its first version: mostly the eras of what the platform has published, because
+// revisions of different eras are not comparable.
 type LoadShareExtension struct {
 	// Era is the era of LoadShare.Position. A sender whose version knows no eras sends no extension, hence 0.
 	Era int64 `msgpack:"era,omitempty"`
@@ -58,8 +58,14 @@
 	// messages. RetainedDigest is a hash of all that the sender retains; 0 if that is nothing.
 	Retained       []RetainedItem `msgpack:"retained,omitempty"`
 	RetainedDigest uint64         `msgpack:"digest,omitempty"`
+	// PartCalls lists hashes of the calls at the crashes of LoadShare.Parts, CallsPerCrash for each crash in their order, and zeros
+	// where there are fewer.
+	PartCalls []uint32 `msgpack:"calls,omitempty"`
 }
 
+// CallsPerCrash is the number of hashes in LoadShareExtension.PartCalls for a crash.
+const CallsPerCrash = 2
+
 // RetainedItem is the state of a key in an era that has ended.
 type RetainedItem struct {
 	Key      string `msgpack:"key"`
@@ -82,7 +88,7 @@
 	Crashes  []PartCrash
 }
 
-// PartCrash is the crash of an endpoint before the first event of a request with the part.
+// PartCrash is the crash of an endpoint at which requests with the part were.
 type PartCrash struct {
 	Endpoint   uint32
 	Responding bool
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -22,7 +22,7 @@
 			endpoints = append(endpoints, id)
 		}
 	}
-	event = event.Str("part", c.Part.String()).Int("crashes", len(c.Crashes)).Int("responding", responding).
+	event = event.Str("part", c.Part.String()).Str("with", Join(c.Companions)).Int("crashes", len(c.Crashes)).Int("responding", responding).
 		Int("refuted", refuted).Bool("served", c.Served).Str("endpoints", strings.Join(endpoints, ","))
 	if len(c.Crashes) > 0 {
 		event = event.Dur("first_age_ms", c.Crashes[0].Age).Dur("last_age_ms", c.Crashes[len(c.Crashes)-1].Age)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -1,9 +1,10 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Crash is the crash of an endpoint before the first event of a request.
@@ -17,8 +18,16 @@
 	Refuted bool
 	// Age is the time since the crash.
 	Age time.Duration
+	// Calls are hashes of the calls with the part that were at the endpoint, at most MaxCalls.
+	Calls []uint32
 }
 
+// MaxCalls bounds the calls of a crash that are told apart.
+const MaxCalls = 2
+
+// CallKey returns the hash of a call's id that Crash.Calls holds. It is never zero.
+func CallKey(id string) uint32 { return max(uint32(xxhash.Sum64String(id)), 1) }
+
 // Evidence is what is known about a part. Instances exchange it. The evidence of several instances can be merged in any order
 // and any number of times.
 type Evidence struct {
@@ -36,6 +45,19 @@
 	endpoint            uint32
 	responding, refuted bool
 	at                  time.Time
+	// calls are the smallest hashes, in ascending order.
+	calls []uint32
+}
+
+// addCalls adds hashes of calls and reports whether the crash has changed.
+func (c *crash) addCalls(added []uint32) bool {
+	calls := slices.Concat(c.calls, added)
+	slices.Sort(calls)
+	calls = slices.Compact(calls)
+	calls = calls[:min(len(calls), MaxCalls)]
+	changed := !slices.Equal(calls, c.calls)
+	c.calls = calls
+	return changed
 }
 
 // record is the evidence about one part.
@@ -59,6 +81,7 @@
 		changed := added.responding && !c.responding || added.refuted && !c.refuted
 		c.responding = c.responding || added.responding
 		c.refuted = c.refuted || added.refuted
+		changed = c.addCalls(added.calls) || changed
 		// Delays of messages between instances make a crash appear younger.
 		if added.at.Before(c.at) {
 			c.at = added.at
@@ -99,13 +122,17 @@
 // when it had begun to respond to such a request, or several endpoints crashed where one was waiting.
 func (r *record) isSuspect() bool { return !r.served && r.score(nil) >= suspectScore }
 
-// score weighs the crashes that no later request has refuted, except crashes that another part explains. The crashes under a
-// part that has been served before count only if the head of the response had arrived, and if they extend over settleTime.
+// counts reports whether a crash is evidence against the part. The crashes under a part that has been served before count only
+// if the head of the response had arrived.
+func (r *record) counts(c crash) bool { return !c.refuted && (c.responding || !r.served) }
+
+// score weighs the crashes that no later request has refuted, except crashes that another part explains. Those under a part that
+// has been served before must extend over settleTime.
 func (r *record) score(explained map[uint32]bool) int {
 	score := 0
 	var first, last time.Time
 	for _, c := range r.crashes {
-		if c.refuted || explained[c.endpoint] || r.served && !c.responding {
+		if !r.counts(c) || explained[c.endpoint] {
 			continue
 		}
 		if first.IsZero() {
@@ -124,18 +151,45 @@
 	return score
 }
 
-// compareSuspicion orders the records by decreasing suspicion: first the parts that have never been served, then those with
-// the higher score, then those further behind in the prompt, which fewer requests share.
-func compareSuspicion(a, b *record) int {
-	if a.served != b.served {
-		if a.served {
-			return 1
+// callCount returns the number of different calls at the crashes.
+func (r *record) callCount() int {
+	var calls []uint32
+	for _, c := range r.crashes {
+		if r.counts(c) {
+			calls = append(calls, c.calls...)
 		}
-		return -1
 	}
-	return cmp.Or(
-		cmp.Compare(b.score(nil), a.score(nil)), cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part),
-	)
+	slices.Sort(calls)
+	return len(slices.Compact(calls))
+}
+
+// momentCount returns the number of different moments of the crashes. Endpoints that crash together count once.
+func (r *record) momentCount() int {
+	count := 0
+	var last time.Time
+	for _, c := range r.crashes {
+		if r.counts(c) && (count == 0 || c.at.Sub(last) >= sameMoment) {
+			count++
+			last = c.at
+		}
+	}
+	return count
+}
+
+// accompanies reports whether all crashes under the other part can as well be crashes under this one: the same calls were there.
+func (r *record) accompanies(other *record) bool {
+	for _, c := range other.crashes {
+		if other.counts(c) && !slices.ContainsFunc(r.crashes, func(own crash) bool { return r.counts(own) && own.covers(c) }) {
+			return false
+		}
+	}
+	return r.served == other.served
+}
+
+// covers reports whether the crash is the other one, with at least its calls and its weight.
+func (c *crash) covers(other crash) bool {
+	return c.endpoint == other.endpoint && (c.responding || !other.responding) &&
+		!slices.ContainsFunc(other.calls, func(call uint32) bool { return !slices.Contains(c.calls, call) })
 }
 
 // evidence returns the record as it is sent to other instances.
@@ -143,7 +197,7 @@
 	e := Evidence{Part: r.part, Position: r.position, Served: r.served}
 	for _, c := range r.crashes {
 		e.Crashes = append(e.Crashes, Crash{
-			Endpoint: c.endpoint, Responding: c.responding, Refuted: c.refuted, Age: now.Sub(c.at),
+			Endpoint: c.endpoint, Responding: c.responding, Refuted: c.refuted, Age: now.Sub(c.at), Calls: c.calls,
 		})
 	}
 	return e
--- /dev/null
+++ b/internal/quarantine/suspicion_test.go
@@ -0,0 +1,141 @@
+package quarantine_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/quarantine"
+)
+
+// newPart is a part that no request had before.
+const newPart = quarantine.Part(0x410aa002)
+
+// observedBy is a crash at the begin of a response to a call.
+func observedBy(call, endpoint uint32) quarantine.Crash {
+	return quarantine.Crash{Endpoint: endpoint, Responding: true, Calls: []uint32{call}}
+}
+
+var _ = Describe("parts that were together at all crashes", func() {
+	served := []quarantine.Part{systemPart}
+
+	// Guards against a sound part that is refused for the one that crashes endpoints, at any place in the prompt (review/3, LOST).
+	DescribeTable("are refused together, and the sound ones alone are served", func(prompt ...quarantine.Part) {
+		t := quarantine.NewTracker()
+		t.ObserveServed(served, start)
+		for call := range uint32(2) {
+			t.ObserveCrash(prompt, observedBy(call, call), start.Add(time.Duration(call)*500*time.Millisecond))
+		}
+		now := start.Add(time.Second)
+		Expect(areQuarantined(t, now, prompt...)).To(BeTrue())
+		sound := []quarantine.Part{systemPart, newPart, otherPart}
+		Expect(areQuarantined(t, now, sound...)).To(BeFalse())
+		t.ObserveServed(sound, now)
+		Expect(areQuarantined(t, now, systemPart, crashPart)).To(BeTrue())
+		Expect(areQuarantined(t, now, crashPart)).To(BeTrue())
+		Expect(areQuarantined(t, now, sound...)).To(BeFalse())
+	},
+		Entry("first of two", crashPart, newPart),
+		Entry("first of three", crashPart, newPart, otherPart),
+		Entry("second of three", newPart, crashPart, otherPart),
+		Entry("last of three", newPart, otherPart, crashPart),
+		Entry("behind one that was served", systemPart, crashPart, newPart),
+	)
+
+	// Guards against a part that goes on crashing endpoints in the company of others, because it is refused only with one of them.
+	It("are told apart by a crash in other company", func() {
+		t := quarantine.NewTracker()
+		for call := range uint32(2) {
+			t.ObserveCrash([]quarantine.Part{crashPart, newPart}, observedBy(call, call), start)
+		}
+		Expect(areQuarantined(t, start, crashPart, otherPart)).To(BeFalse())
+		t.ObserveCrash([]quarantine.Part{crashPart, otherPart}, observedBy(2, 2), start)
+		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
+		Expect(isQuarantined(t, newPart, start)).To(BeFalse())
+		Expect(isQuarantined(t, otherPart, start)).To(BeFalse())
+	})
+
+	// Guards against a sound part that is refused because another call with it was at the crashed endpoints too.
+	It("include a part that other calls had at the same endpoints", func() {
+		t := quarantine.NewTracker()
+		for call := range uint32(2) {
+			t.ObserveCrash([]quarantine.Part{crashPart, newPart}, observedBy(call, call), start)
+			t.ObserveCrash([]quarantine.Part{otherPart, newPart}, observedBy(100+call, call), start)
+		}
+		Expect(areQuarantined(t, start, crashPart, newPart)).To(BeTrue())
+		Expect(isQuarantined(t, newPart, start)).To(BeFalse())
+	})
+
+	// Guards against a call whose retries met several crashes and hides the part that caused them.
+	It("do not include parts of a retried call that met the same crashes", func() {
+		t := quarantine.NewTracker()
+		for endpoint := range uint32(2) {
+			t.ObserveCrash([]quarantine.Part{otherPart}, observedBy(9, endpoint), start)
+			t.ObserveCrash([]quarantine.Part{crashPart}, observedBy(endpoint, endpoint), start)
+		}
+		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
+		Expect(isQuarantined(t, otherPart, start)).To(BeFalse())
+	})
+})
+
+var _ = Describe("a trial", func() {
+	quarantined := func(crashes uint32) *quarantine.Tracker {
+		t := quarantine.NewTracker()
+		for call := range crashes {
+			t.ObserveCrash([]quarantine.Part{newPart}, observedBy(call, call), start.Add(time.Duration(call)*time.Second))
+		}
+		return t
+	}
+
+	// Guards against a wrong quarantine that lasts an hour because nothing with the part is sent any more (review/3, LOST).
+	It("ends the quarantine of a sound part within seconds", func() {
+		t := quarantined(2)
+		Expect(isAdmitted(t, start.Add(2*time.Second), newPart)).To(BeFalse())
+		now := start.Add(4 * time.Second)
+		Expect(isAdmitted(t, now, newPart)).To(BeTrue())
+		Expect(isAdmitted(t, now, newPart)).To(BeFalse())
+		t.ObserveServed([]quarantine.Part{newPart}, now)
+		Expect(isQuarantined(t, newPart, now)).To(BeFalse())
+	})
+
+	// Guards against more than three requests that reach endpoints after the fifth crash (rule BUDGET).
+	It("crashes few further endpoints if the part is not sound", func() {
+		t := quarantined(2)
+		trials := []time.Duration{}
+		for elapsed := time.Second; elapsed < 10*time.Minute; elapsed += 100 * time.Millisecond {
+			now := start.Add(elapsed)
+			if isAdmitted(t, now, newPart) {
+				trials = append(trials, elapsed)
+				t.ObserveCrash([]quarantine.Part{newPart}, observedBy(uint32(elapsed), uint32(elapsed)), now)
+			}
+		}
+		Expect(trials).To(Equal([]time.Duration{
+			3 * time.Second, 11 * time.Second, 43 * time.Second, 171 * time.Second,
+		}))
+	})
+
+	// Guards against a request that is told to return after an hour although the next trial is near, or before any request is served.
+	It("is what a refused request is told to wait for", func() {
+		for crashes, want := range map[uint32]time.Duration{2: 2 * time.Second, 3: 8 * time.Second, 4: 32 * time.Second, 8: time.Hour} {
+			t := quarantined(crashes)
+			var told time.Duration
+			newest := start.Add(time.Duration(crashes-1) * time.Second)
+			t.Watch([]quarantine.Part{newPart}, newest, func(_ quarantine.Part, left time.Duration) { told = left })()
+			Expect(told).To(Equal(want))
+		}
+	})
+
+	// Guards against trials of all instances of a fleet at the same moment.
+	It("is made by few of the instances", func() {
+		admitted := 0
+		for range 295 {
+			t := quarantined(2)
+			t.SetInstances(295)
+			if isAdmitted(t, start.Add(4*time.Second), newPart) {
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically("<=", 15))
+	})
+})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,9 +34,11 @@
 	maxServed = 4096
 )
 
-// Change is the beginning or the end of a part's quarantine.
+// Change is the beginning or the end of the quarantine of a part, or of several parts together.
 type Change struct {
 	Evidence
+	// Companions are the parts that a request must have too to be in quarantine, because they were in the same calls.
+	Companions []Part
 	// Quarantined is true at the beginning, false at the end.
 	Quarantined bool
 }
@@ -50,8 +53,14 @@
 type Tracker struct {
 	mu      sync.Mutex
 	records map[Part]*record
-	// quarantined maps the parts in quarantine to the end of the quarantine.
-	quarantined map[Part]time.Time
+	// quarantined are the sets of parts in quarantine, and byPart the same by the first part of the set.
+	quarantined []*suspicion
+	byPart      map[Part]*suspicion
+	// trials holds the time of the latest trial of a part.
+	trials map[Part]time.Time
+	// trialShare is the share of the requests that could be a trial that become one; random returns numbers from 0 to 1.
+	trialShare float64
+	random     func() float64
 	// served and servedBefore are the two generations of parts that this instance has seen served.
 	served, servedBefore map[Part]struct{}
 	watches              map[*watch]struct{}
@@ -62,23 +71,24 @@
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: make(map[Part]*record), quarantined: make(map[Part]time.Time),
+		records: make(map[Part]*record), trials: make(map[Part]time.Time), trialShare: 1, random: rand.Float64,
 		served: make(map[Part]struct{}), watches: make(map[*watch]struct{}),
 	}
 }
 
-// Watch calls onQuarantine once one of the parts is in quarantine, possibly at once, with the remaining time of the quarantine.
-// The caller must call stop at the end of the request.
+// Watch calls onQuarantine once the parts are in quarantine, possibly at once, with one of them and the time until a request with them may
+// be served. A request that is let through as a trial is not watched. The caller must call stop at the end of the request.
 func (t *Tracker) Watch(parts []Part, now time.Time, onQuarantine func(Part, time.Duration)) (stop func()) {
 	w := &watch{parts: parts, onQuarantine: onQuarantine}
 	t.mu.Lock()
-	part, left, found := t.find(parts, now)
-	if !found {
+	matches := t.find(parts, now)
+	isTrial := len(matches) > 0 && t.takeTrial(matches, now)
+	if len(matches) == 0 {
 		t.watches[w] = struct{}{}
 	}
 	t.mu.Unlock()
-	if found {
-		onQuarantine(part, left)
+	if len(matches) > 0 && !isTrial {
+		onQuarantine(matches[0].parts[0], matches[0].retryDelay(now))
 	}
 	return func() {
 		t.mu.Lock()
@@ -87,24 +97,35 @@
 	}
 }
 
-// find returns the first of the parts that is in quarantine, and the remaining time. It must be called with the mutex held.
-func (t *Tracker) find(parts []Part, now time.Time) (part Part, left time.Duration, found bool) {
+// find returns the quarantined sets that the parts include. It must be called with the mutex held.
+func (t *Tracker) find(parts []Part, now time.Time) []*suspicion {
+	var found []*suspicion
 	for _, part := range parts {
-		if until, found := t.quarantined[part]; found && now.Before(until) {
-			return part, until.Sub(now), true
+		if s := t.byPart[part]; s != nil && now.Before(s.until) && s.includedIn(parts) {
+			found = append(found, s)
 		}
 	}
-	return 0, 0, false
+	return found
 }
 
-// Suspect returns one of the parts that is in quarantine, or that may have caused a crash and has never been served. It returns
-// false if there is none.
-func (t *Tracker) Suspect(parts []Part, now time.Time) (Part, bool) {
+// Quarantined returns one of the parts for which a request with these parts is in quarantine. It returns false if there is none.
+func (t *Tracker) Quarantined(parts []Part, now time.Time) (Part, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if part, _, found := t.find(parts, now); found {
+	if found := t.find(parts, now); len(found) > 0 {
+		return found[0].parts[0], true
+	}
+	return 0, false
+}
+
+// Suspect returns a part for which a request with these parts is in quarantine, or one that may have caused a crash and has never been
+// served. It returns false if there is none.
+func (t *Tracker) Suspect(parts []Part, now time.Time) (Part, bool) {
+	if part, found := t.Quarantined(parts, now); found {
 		return part, true
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, part := range parts {
 		if r := t.records[part]; r != nil && r.isSuspect() {
 			return part, true
@@ -169,6 +190,7 @@
 	r.position, r.served = max(r.position, e.Position), r.served || e.Served
 	for _, c := range crashes {
 		added := crash{endpoint: c.Endpoint, responding: c.Responding, refuted: c.Refuted, at: now.Add(-c.Age)}
+		added.addCalls(c.Calls)
 		changed = r.addCrash(added) || changed
 	}
 	if changed {
@@ -185,6 +207,7 @@
 			return cmp.Or(t.compareQuarantine(b, a), cmp.Compare(a.changed, b.changed))
 		})
 		delete(t.records, oldest.part)
+		delete(t.trials, oldest.part)
 	}
 	_, served := t.served[part]
 	_, servedBefore := t.servedBefore[part]
@@ -193,17 +216,14 @@
 	return r
 }
 
-// compareQuarantine orders records in quarantine before others.
+// compareQuarantine orders records of parts in quarantine before others.
 func (t *Tracker) compareQuarantine(a, b *record) int {
-	_, aFound := t.quarantined[a.part]
-	_, bFound := t.quarantined[b.part]
-	switch {
-	case aFound == bFound:
-		return 0
-	case aFound:
-		return -1
-	}
-	return 1
+	return compareBool(t.isQuarantined(a.part), t.isQuarantined(b.part))
+}
+
+// isQuarantined reports whether the part is in a set in quarantine. It must be called with the mutex held.
+func (t *Tracker) isQuarantined(part Part) bool {
+	return slices.ContainsFunc(t.quarantined, func(s *suspicion) bool { return slices.Contains(s.parts, part) })
 }
 
 // touch must be called with the mutex held.
@@ -242,7 +262,7 @@
 	return list
 }
 
-// Counts returns the number of parts in quarantine, and of all parts with evidence.
+// Counts returns the number of parts or sets of parts in quarantine, and of all parts with evidence.
 func (t *Tracker) Counts() (quarantined, suspected int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -255,6 +275,7 @@
 	for part, r := range t.records {
 		if now.Sub(r.newest()) > recordLifetime {
 			delete(t.records, part)
+			delete(t.trials, part)
 		}
 	}
 	return t.unlockAndEvaluate(len(t.quarantined) > 0, now)
@@ -267,8 +288,12 @@
 		t.mu.Unlock()
 		return nil
 	}
-	before := t.quarantined
+	before := t.byPart
 	t.quarantined = t.evaluate(now)
+	t.byPart = make(map[Part]*suspicion, len(t.quarantined))
+	for _, s := range t.quarantined {
+		t.byPart[s.parts[0]] = s
+	}
 	changes := t.changesSince(before, now)
 	var notify []func()
 	if len(changes) > 0 {
@@ -281,41 +306,16 @@
 	return changes
 }
 
-// evaluate returns the parts in quarantine. Requests with a part that crashes endpoints have other parts too, which are at the
-// same crashes. The most suspicious part therefore explains its crashes, and they count for no other part. It must be called
-// with the mutex held.
-func (t *Tracker) evaluate(now time.Time) map[Part]time.Time {
-	var candidates []*record
-	for _, r := range t.records {
-		if r.score(nil) >= quarantineScore && now.Sub(r.newest()) < quarantineTime {
-			candidates = append(candidates, r)
-		}
-	}
-	slices.SortFunc(candidates, compareSuspicion)
-	quarantined := make(map[Part]time.Time)
-	explained := make(map[uint32]bool)
-	for _, r := range candidates {
-		if r.score(explained) < quarantineScore {
-			continue
-		}
-		quarantined[r.part] = r.newest().Add(quarantineTime)
-		for _, c := range r.crashes {
-			explained[c.endpoint] = true
-		}
-	}
-	return quarantined
-}
-
 // changesSince must be called with the mutex held.
-func (t *Tracker) changesSince(before map[Part]time.Time, now time.Time) []Change {
+func (t *Tracker) changesSince(before map[Part]*suspicion, now time.Time) []Change {
 	var changes []Change
-	for part := range t.quarantined {
-		if _, found := before[part]; !found {
-			changes = append(changes, Change{Evidence: t.records[part].evidence(now), Quarantined: true})
+	for part, s := range t.byPart {
+		if old := before[part]; old == nil || !slices.Equal(old.parts, s.parts) {
+			changes = append(changes, Change{Evidence: t.records[part].evidence(now), Companions: s.parts[1:], Quarantined: true})
 		}
 	}
 	for part := range before {
-		if _, found := t.quarantined[part]; found {
+		if t.byPart[part] != nil {
 			continue
 		}
 		change := Change{Evidence: Evidence{Part: part}}
@@ -327,14 +327,14 @@
 	return changes
 }
 
-// takeWatches removes the watches of requests with a part in quarantine and returns their calls. It must be called with the
-// mutex held.
+// takeWatches removes the watches of requests that are in quarantine now and returns their calls. It must be called with the mutex
+// held.
 func (t *Tracker) takeWatches(now time.Time) []func() {
 	var calls []func()
 	for w := range t.watches {
-		if part, left, found := t.find(w.parts, now); found {
+		if found := t.find(w.parts, now); len(found) > 0 {
 			delete(t.watches, w)
-			calls = append(calls, func() { w.onQuarantine(part, left) })
+			calls = append(calls, func() { w.onQuarantine(found[0].parts[0], found[0].retryDelay(now)) })
 		}
 	}
 	return calls
