Take a response for proof that a part is sound only once it is established

Cause: an attempt counted as a crash only without any event, and the first event refuted all earlier evidence, because a part that crashes engines was thought to crash them before.

- A response shows that its parts are sound once it is complete with a 2xx status and, if it is a stream, with an event of this attempt, or after eight events and a second: long streams need not end first.
A refusal and the empty rest of a resumed stream show nothing.
- A crash before that is evidence, with or without events; logged with their number.
- After a crash during the events a retry is withheld only from parts in quarantine.
Each such crash ends all streams that the engine has just begun, most of them sound.
- A stream that has begun is still not ended by a quarantine; while it waits to be resumed, it is watched again.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -10,6 +10,7 @@
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/quarantine"
 )
 
 // handleResult processes the end of an attempt. It returns true if the request is to be retried.
@@ -177,12 +178,21 @@
 // one. If they do, the next attempt counts as a retry in the budget. A part that may have crashed an endpoint must not reach
 // the next one.
 func (x *exchange) mayRetry(e *fleet.Endpoint, reason string) bool {
-	suspect, isSuspect := x.handler.options.Quarantine.Suspect(x.call.SharedParts, time.Now())
+	suspect, isSuspect := x.suspectPart()
 	allowed := !isSuspect && x.sent < x.profile.MaxAttempts && x.handler.options.RetryBudget.Take(x.service.Name, time.Now())
 	x.logAttemptFailed(e, reason, allowed, suspect)
 	return allowed
 }
 
+// suspectPart returns a part of the prompt that forbids a retry. After a crash during the events of a stream it must be in quarantine: all
+// streams that an endpoint has just begun end with its crash, so that it is weak evidence against a part of one of them.
+func (x *exchange) suspectPart() (quarantine.Part, bool) {
+	if x.events.count > x.eventsBefore {
+		return x.handler.options.Quarantine.Quarantined(x.call.SharedParts, time.Now())
+	}
+	return x.handler.options.Quarantine.Suspect(x.call.SharedParts, time.Now())
+}
+
 // handleNotReserved handles an attempt that ended before the request was sent, because a reservation of memory failed.
 func (x *exchange) handleNotReserved(ctx context.Context, choice placement.Choice, err error) bool {
 	for _, r := range choice.Reservations {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -27,17 +27,41 @@
 	return "endpoints crash under part " + e.part.String() + " of the prompt"
 }
 
-// watchParts returns a context that ends once a part of the prompt is in quarantine, also while the call waits for an endpoint
-// or for the first event of one. From the first event on, the call is served, and the watch has ended.
+// partsWatch watches the parts of a prompt while a call waits for an endpoint or for the first event of one. The zero value watches
+// nothing.
+type partsWatch struct {
+	start func(now time.Time) (stop func())
+	stop  func()
+}
+
+// pause ends the watch at the first event of an attempt: a stream that has begun is not ended.
+func (w *partsWatch) pause() {
+	if w.stop != nil {
+		w.stop()
+		w.stop = nil
+	}
+}
+
+// resume begins the watch again for a retry.
+func (w *partsWatch) resume() {
+	if w.start != nil && w.stop == nil {
+		w.stop = w.start(time.Now())
+	}
+}
+
+// watchParts returns a context that ends once the parts of the prompt are in quarantine and watched.
 func (x *exchange) watchParts(ctx context.Context) (watched context.Context, cancel func()) {
 	if len(x.call.SharedParts) == 0 {
 		return ctx, func() {}
 	}
 	watched, cancelCause := context.WithCancelCause(ctx)
-	x.stopWatch = x.handler.options.Quarantine.Watch(x.call.SharedParts, x.received,
-		func(part quarantine.Part, left time.Duration) { cancelCause(&quarantineError{part: part, left: left}) })
+	x.watch.start = func(now time.Time) func() {
+		return x.handler.options.Quarantine.Watch(x.call.SharedParts, now,
+			func(part quarantine.Part, left time.Duration) { cancelCause(&quarantineError{part: part, left: left}) })
+	}
+	x.watch.resume()
 	return watched, func() {
-		x.stopWatch()
+		x.watch.pause()
 		cancelCause(nil)
 	}
 }
@@ -59,28 +83,27 @@
 // observeServed records that endpoints serve requests with the parts of the prompt.
 func (x *exchange) observeServed() {
 	if len(x.call.SharedParts) > 0 {
-		x.stopWatch()
 		x.logQuarantine(x.handler.options.Quarantine.ObserveServed(x.call.SharedParts, time.Now()))
 	}
 }
 
-// observeCrash records whether an attempt has ended because the endpoint crashed before the first event, and reports it.
+// observeCrash records whether an attempt has ended because the endpoint crashed before the response was established, and reports it.
 func (x *exchange) observeCrash(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
 	if !x.checkCrash(ctx, e, r, err) {
 		return false
 	}
 	crash := quarantine.Crash{Endpoint: e.Key(), Responding: r.classified, Calls: []uint32{quarantine.CallKey(x.call.ID)}}
 	x.handler.options.Metrics.EndpointCrashed()
-	x.logCrash(e, crash.Responding)
+	x.logCrash(e, crash.Responding, r.events())
 	x.logQuarantine(x.handler.options.Quarantine.ObserveCrash(x.call.SharedParts, crash, time.Now()))
 	return true
 }
 
-// checkCrash reports whether an attempt has ended because the endpoint crashed before the first event arrived. A connection
+// checkCrash reports whether an attempt has ended because the endpoint crashed before the response was established. A connection
 // that ends early has other causes too, for example a faulty response or a reset on the way. The endpoint has crashed only if
 // it refuses a new connection right after that. An endpoint that was leaving may have ended as planned.
 func (x *exchange) checkCrash(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
-	if len(x.call.SharedParts) == 0 || x.events.count > x.eventsBefore || !endedByEndpoint(r, err) || x.isLeaving(e) {
+	if len(x.call.SharedParts) == 0 || r.isEstablished || !endedByEndpoint(r, err) || x.isLeaving(e) {
 		return false
 	}
 	return x.refusesConnections(ctx, e)
@@ -99,14 +122,14 @@
 }
 
 // endedByEndpoint reports whether the endpoint closed or reset the connection of a request before the response was complete.
-// A stream without any event has no end of its own: if the response has no length, its end and that of the connection look
-// the same.
+// A stream without any event has no end of its own, and if the response has no length, its end and that of the connection look the
+// same.
 func endedByEndpoint(r *relay, err error) bool {
 	var failure *engine.Error
 	if errors.As(err, &failure) {
 		return failure.BytesSent && errors.Is(err, engine.ErrIncomplete)
 	}
-	return err == nil && r.streaming
+	return err == nil && r.streaming && (r.unframed || r.events() == 0)
 }
 
 // isLeaving reports whether the endpoint has announced its end or is no longer published.
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,11 @@
 }
 
 func newCrashingEngines(count int) *crashingEngines {
+	return newEnginesCrashingAfter(count, func() int { return 0 })
+}
+
+// newEnginesCrashingAfter returns engines that send a number of events before they crash.
+func newEnginesCrashingAfter(count int, eventCount func() int) *crashingEngines {
 	engines := &crashingEngines{}
 	for range count {
 		var e *fakeEndpoint
@@ -47,6 +54,12 @@
 			}
 			engines.arrivals.Add(1)
 			respond(streamHead)(conn, r)
+			last, _ := strconv.Atoi(r.request.Header.Get("Last-Event-Id"))
+			for range eventCount() {
+				last++
+				respond(chunk(streamEvent(last)))(conn, r)
+				time.Sleep(5 * time.Millisecond)
+			}
 			e.crash()
 		})
 		engines.endpoints = append(engines.endpoints, e)
@@ -70,7 +83,7 @@
 		var log testkit.LogBuffer
 		r := newRig(engines.endpoints, withEngine, withLog(&log))
 		r.callWithParts(1, systemPart, crashPart)
-		Expect(log.String()).To(ContainSubstring(`"responding":true,"team":"","parts":"a1979a9a31e,12ca9047f126","message":"endpoint_crashed"`))
+		Expect(log.String()).To(ContainSubstring(`"responding":true,"events":0,"team":"","parts":"a1979a9a31e,12ca9047f126","message":"endpoint_crashed"`))
 		Expect(log.String()).To(ContainSubstring(`"attempt_events":0`))
 	})
 
@@ -147,6 +160,72 @@
 	})
 })
 
+var _ = Describe("a part of prompts under which endpoints crash after some events", func() {
+	// Guards against a first event that is taken for proof that a part is sound: the part is never found, and each request with it
+	// crashes an endpoint, and a second one when its stream is resumed (review/4, LOST and BUDGET).
+	DescribeTable("reaches few endpoints, and requests without it are served", func(eventCount func() int, prompt ...string) {
+		const calls, maxArrivals = 20, 6
+		engines := newEnginesCrashingAfter(24, eventCount)
+		r := newRig(engines.endpoints, withEngine)
+		sound := slices.DeleteFunc(slices.Clone(prompt), func(part string) bool { return part == crashPart })
+		served := 0
+		for own := 0; own < 2*calls; own += 2 {
+			if r.callWithParts(own, sound...).body == streamEvent(1) {
+				served++
+			}
+			Expect(r.callWithParts(own+1, prompt...).body).NotTo(Equal(streamEvent(1)))
+		}
+		Expect(engines.arrivals.Load()).To(BeNumerically("<=", maxArrivals))
+		Expect(served).To(Equal(calls))
+	},
+		Entry("one, second of two", func() int { return 1 }, systemPart, crashPart),
+		Entry("one, third of three", func() int { return 1 }, systemPart, "410aa001:300", crashPart),
+		Entry("three, first of three", func() int { return 3 }, crashPart, systemPart, "410aa001:300"),
+		Entry("any number up to four, second of three", func() int { return rand.IntN(5) }, systemPart, crashPart, "410aa001:300"),
+	)
+
+	crashAfter := func(events int, gap time.Duration) func(*fakeEndpoint, net.Conn, receivedRequest) {
+		return func(e *fakeEndpoint, conn net.Conn, r receivedRequest) {
+			respond(streamHead)(conn, r)
+			for id := range events {
+				respond(chunk(streamEvent(id+1)))(conn, r)
+				time.Sleep(gap)
+			}
+			e.crash()
+		}
+	}
+
+	// Guards against sound streams that are broken off instead of resumed because their parts are suspected of each crash.
+	It("is resumed once if it is new and the endpoint has crashed during the events", func() {
+		r := newRig(firstThen(crashAfter(3, time.Millisecond), respond(streamHead+chunk(events(4, 5))+"0\r\n\r\n")), withEngine)
+		Expect(r.callWithParts(1, systemPart, crashPart).body).To(Equal(events(1, 5)))
+	})
+
+	// Guards against sound parts that are suspected of the crash of an endpoint that has served them for long.
+	It("is not suspected of a crash during a stream that has gone on for a second", func() {
+		var log testkit.LogBuffer
+		r := newRig(firstThen(crashAfter(11, 120*time.Millisecond), respond(streamHead+chunk(events(12, 12))+"0\r\n\r\n")), withEngine, withLog(&log))
+		Expect(r.callWithParts(1, systemPart, crashPart).body).To(Equal(events(1, 12)))
+		Expect(log.String()).NotTo(ContainSubstring("endpoint_crashed"))
+	})
+
+	// Guards against a refusal, or an empty rest of a stream, that is taken for proof that a part is sound.
+	DescribeTable("is not shown to be sound by", func(response string) {
+		var parts *quarantine.Tracker
+		r := newRig([]*fakeEndpoint{newEndpoint(respond(response))}, withEngine, func(_ *fleet.Catalog, options *entry.HandlerOptions) {
+			parts = options.Quarantine
+		})
+		crash := quarantine.Crash{Endpoint: 1, Responding: true}
+		parts.ObserveCrash([]quarantine.Part{0x12ca9047f126}, crash, time.Now())
+		r.callWithParts(1, crashPart)
+		_, found := parts.Suspect([]quarantine.Part{0x12ca9047f126}, time.Now())
+		Expect(found).To(BeTrue())
+	},
+		Entry("a refusal of the request", "HTTP/1.1 400 X\r\n"+sealedHeaders+"Content-Length: 2\r\n\r\nno"),
+		Entry("a stream without events", streamHead+"0\r\n\r\n"),
+	)
+})
+
 // isQuarantineReply matches the reply to a request that ended because of the quarantine of a part.
 func isQuarantineReply(status int, outcome string) OmegaMatcher {
 	body := func(r reply) string { return r.body }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -66,8 +66,8 @@
 	relays []*relay
 	// events splits the streams of all attempts into events.
 	events eventSplitter
-	// stopWatch ends the watch of the prompt's parts; nil if there are none.
-	stopWatch func()
+	// watch is the watch of the prompt's parts.
+	watch partsWatch
 	// eventsBefore is the number of events that earlier attempts have received.
 	eventsBefore int
 	// streamStarted is true once the head of a stream was sent to the caller.
@@ -100,6 +100,11 @@
 	}
 	for x.attempt(ctx) {
 		x.handler.options.Metrics.Retried()
+		x.watch.resume()
+		if ctx.Err() != nil {
+			x.endCancelled(ctx)
+			return
+		}
 	}
 }
 
@@ -138,7 +143,7 @@
 	r.onFirst = func() {
 		if request.PrefillDone() {
 			p.schedulerPlacement.PrefillDone()
-			x.observeServed()
+			x.watch.pause()
 		}
 		if x.firstEventAt.IsZero() {
 			x.firstEventAt = time.Now()
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -15,6 +15,9 @@
 // succeed ends the call with an endpoint's response.
 func (x *exchange) succeed(e *fleet.Endpoint, r *relay) {
 	x.handler.options.Health.Success(e.Key(), time.Now())
+	if !r.isEstablished && r.showsSound() {
+		x.observeServed()
+	}
 	if r.streaming && !x.streamStarted {
 		if err := x.sendEvents(r.header, nil); err != nil {
 			x.abort("caller_write_failed")
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -100,13 +100,14 @@
 		Msg("endpoint_suspected")
 }
 
-// logCrash logs that an endpoint has crashed before the first event of the request. responding is true if the head of the
-// response had arrived.
-func (x *exchange) logCrash(e *fleet.Endpoint, responding bool) {
+// logCrash logs that an endpoint has crashed before its response to the request was established. responding is true if the head of the
+// response had arrived, and events is the number of its events that had.
+func (x *exchange) logCrash(e *fleet.Endpoint, responding bool, events int) {
 	x.handler.options.Log.Warn().
 		Str("request_id", x.call.ID).
 		Str("endpoint", e.ID).
 		Bool("responding", responding).
+		Int("events", events).
 		Str("team", x.team.Name).
 		Str("parts", loggedParts(x.call.SharedParts)).
 		Msg("endpoint_crashed")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -35,10 +35,21 @@
 	reused bool
 	// unframed is true if only the end of the connection ends the response.
 	unframed bool
-	// onFirst is called at the first event of a stream, or at the end of a response that is not a stream.
+	// onFirst is called at each event of a stream, or at the end of a response that is not a stream.
 	onFirst func()
+	// firstEventAt is the time of the first event of the attempt.
+	firstEventAt time.Time
+	// isEstablished is true once the response has gone on for long enough that the endpoint will not crash because of the prompt.
+	isEstablished bool
 }
 
+const (
+	// A stream is established after establishedEvents and establishedTime. A part of the prompt that crashes endpoints may let them write
+	// some events before. Longer ones would delay the evidence for sound parts.
+	establishedEvents = 8
+	establishedTime   = time.Second
+)
+
 // OnHead implements engine.Receiver.
 func (r *relay) OnHead(status int, header http.Header) error {
 	classification := r.x.handler.options.Protocol.Classify(r.x.call, status, header)
@@ -95,12 +106,36 @@
 		return orderErr
 	}
 	r.onFirst()
+	r.observeEvents(time.Now())
 	if err := r.x.sendEvents(r.header, complete); err != nil {
 		return errors.Join(errCallerWrite, err)
 	}
 	return orderErr
 }
 
+// observeEvents checks whether the stream is established by the events so far.
+func (r *relay) observeEvents(now time.Time) {
+	if r.firstEventAt.IsZero() {
+		r.firstEventAt = now
+	}
+	if !r.isEstablished && r.events() >= establishedEvents && now.Sub(r.firstEventAt) >= establishedTime {
+		r.isEstablished = true
+		r.x.observeServed()
+	}
+}
+
+// events returns the number of complete events of the attempt, which must be the latest one of the request.
+func (r *relay) events() int { return r.x.events.count - r.x.eventsBefore }
+
+// showsSound reports whether a complete response shows that the endpoint does not crash because of the prompt: it has processed the
+// prompt, and not refused it or only confirmed that the stream has ended.
+func (r *relay) showsSound() bool {
+	if r.streaming {
+		return r.events() > 0
+	}
+	return r.status >= http.StatusOK && r.status < http.StatusMultipleChoices
+}
+
 // copyHeader copies a response header without the headers that belong to a single connection.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -7,12 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Crash is the crash of an endpoint before the first event of a request.
+// Crash is the crash of an endpoint at which a request was waiting, or had just begun to be served.
 type Crash struct {
 	// Endpoint is the key of the endpoint's incarnation, which crashes only once.
 	Endpoint uint32
-	// Responding is true if the head of the response had arrived. The endpoint had then begun to respond to this request, and
-	// to few others at the same time.
+	// Responding is true if the head of the response had arrived, and perhaps some events. The endpoint had then begun to respond to
+	// this request, and to few others at the same time.
 	Responding bool
 	// Refuted is true if a request with the part was served after the crash.
 	Refuted bool
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -134,7 +134,8 @@
 	return 0, false
 }
 
-// ObserveServed records that a request with the parts was served. A part under which each endpoint crashes is never served.
+// ObserveServed records that a request with the parts was served, at least so far that the endpoint would have crashed before under a
+// part that crashes each endpoint.
 func (t *Tracker) ObserveServed(parts []Part, now time.Time) []Change {
 	t.mu.Lock()
 	changed := false
@@ -156,7 +157,7 @@
 	t.served[part] = struct{}{}
 }
 
-// ObserveCrash records that an endpoint crashed before the first event of a request with the parts.
+// ObserveCrash records that an endpoint crashed while a request with the parts was waiting there, or had just begun to be served.
 func (t *Tracker) ObserveCrash(parts []Part, c Crash, now time.Time) []Change {
 	evidence := make([]Evidence, len(parts))
 	for i, part := range parts {
