Begin trials of quarantined parts at one rate, whatever the fleet's size and load

The first trial comes 5 s after the latest crash now, later ones by a factor of 8; crashes 0.1 s apart are two moments. Each instance estimates the requests of all from the ones it refuses, so that the fleet begins about one trial a second when one is due: with few requests a sound part waits no longer, with many instances few begin together.

--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -10,15 +9,17 @@
 const (
 	// firstTrialDelay is the time from the latest crash to the first trial: a request with parts in quarantine that is let through, so
 	// that a wrong quarantine ends. It is multiplied by trialDelayFactor for each further moment at which endpoints have crashed.
-	firstTrialDelay  = 2 * time.Second
-	trialDelayFactor = 4
+	firstTrialDelay  = 5 * time.Second
+	trialDelayFactor = 8
 	// minTrialMoments is the number of moments up to which the delay is firstTrialDelay.
 	minTrialMoments = 2
 	// sameMoment is the time between crashes from which they count as several moments.
-	sameMoment = 300 * time.Millisecond
-	// fleetTrials is how many of the requests that could be a trial at all instances together become one, before the first instance
-	// has told the others.
-	fleetTrials = 2
+	sameMoment = 100 * time.Millisecond
+	// fleetTrialRate is the number of trials per second that all instances begin together once a trial is due, until they learn of the
+	// result of one. If the part is not sound, each of them crashes an endpoint.
+	fleetTrialRate = 1
+	// minRetryDelay is the least time after which a refused request may come again.
+	minRetryDelay = time.Second
 	// maxCandidates bounds the parts that are compared with each other.
 	maxCandidates = 64
 )
@@ -31,6 +32,33 @@
 	until time.Time
 	// nextTrial is the time from which a request may be let through.
 	nextTrial time.Time
+	trials    *trials
+}
+
+// trials is what an instance knows about the requests that may be trials of a part.
+type trials struct {
+	latest time.Time
+	// refused counts the requests that this instance has refused since refusedSince.
+	refused      int
+	refusedSince time.Time
+}
+
+// countRefused counts a refused request.
+func (t *trials) countRefused(now time.Time) {
+	if t.refused == 0 {
+		t.refusedSince = now
+	}
+	t.refused++
+}
+
+// share returns the share of the requests at this instance that become trials, for fleetTrialRate at all instances. The requests that
+// all of them get are estimated from the ones refused here, in at least the time since the latest crash.
+func (t *trials) share(instances int, newestCrash, now time.Time) float64 {
+	elapsed := now.Sub(newestCrash)
+	if t.refused > 0 {
+		elapsed = max(elapsed, now.Sub(t.refusedSince))
+	}
+	return fleetTrialRate * elapsed.Seconds() / float64(max(t.refused, 1)*instances)
 }
 
 // includedIn reports whether all parts are among the given ones.
@@ -40,7 +68,7 @@
 
 // retryDelay returns the time until a request with the parts may be served.
 func (s *suspicion) retryDelay(now time.Time) time.Duration {
-	return min(max(s.nextTrial.Sub(now), firstTrialDelay), s.until.Sub(now))
+	return min(max(s.nextTrial.Sub(now), minRetryDelay), s.until.Sub(now))
 }
 
 // trialDelay returns the time from the latest crash, or the latest trial, to the next trial.
@@ -102,7 +130,12 @@
 			continue
 		}
 		s := &suspicion{parts: append([]Part{c.part}, c.companions...), until: c.newest().Add(quarantineTime)}
-		s.nextTrial = later(c.newest(), t.trials[c.part]).Add(trialDelay(c.momentCount()))
+		s.trials = t.trials[c.part]
+		if s.trials == nil {
+			s.trials = &trials{}
+			t.trials[c.part] = s.trials
+		}
+		s.nextTrial = later(c.newest(), s.trials.latest).Add(trialDelay(c.momentCount()))
 		quarantined = append(quarantined, s)
 		for _, crash := range c.crashes {
 			explained[crash.endpoint] = true
@@ -141,25 +174,24 @@
 	return b
 }
 
-// SetInstances sets the number of instances that may let a request through at the same time.
+// SetInstances sets the number of instances that may begin trials.
 func (t *Tracker) SetInstances(count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.trialShare = math.Min(1, fleetTrials/float64(max(count, 1)))
+	t.instances = max(count, 1)
 }
 
 // takeTrial reports whether a request with quarantined parts is let through. It must be called with the mutex held.
 func (t *Tracker) takeTrial(matches []*suspicion, now time.Time) bool {
 	for _, s := range matches {
-		if now.Before(s.nextTrial) {
+		newest := t.records[s.parts[0]].newest()
+		if now.Before(s.nextTrial) || t.instances > 1 && t.random() >= s.trials.share(t.instances, newest, now) {
+			s.trials.countRefused(now)
 			return false
 		}
 	}
-	if t.trialShare < 1 && t.random() >= t.trialShare {
-		return false
-	}
 	for _, s := range matches {
-		t.trials[s.parts[0]] = now
+		s.trials.latest = now
 		s.nextTrial = now.Add(trialDelay(t.records[s.parts[0]].momentCount()))
 	}
 	return true
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -56,11 +56,11 @@
 	// quarantined are the sets of parts in quarantine, and byPart the same by the first part of the set.
 	quarantined []*suspicion
 	byPart      map[Part]*suspicion
-	// trials holds the time of the latest trial of a part.
-	trials map[Part]time.Time
-	// trialShare is the share of the requests that could be a trial that become one; random returns numbers from 0 to 1.
-	trialShare float64
-	random     func() float64
+	// trials belongs to the first parts of sets in quarantine.
+	trials map[Part]*trials
+	// instances is the number of instances that may begin trials; random returns numbers from 0 to 1.
+	instances int
+	random    func() float64
 	// served and servedBefore are the two generations of parts that this instance has seen served.
 	served, servedBefore map[Part]struct{}
 	watches              map[*watch]struct{}
@@ -71,7 +71,7 @@
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: make(map[Part]*record), trials: make(map[Part]time.Time), trialShare: 1, random: rand.Float64,
+		records: make(map[Part]*record), trials: make(map[Part]*trials), instances: 1, random: rand.Float64,
 		served: make(map[Part]struct{}), watches: make(map[*watch]struct{}),
 	}
 }
