Know a request that crashes engines by its last part too

Cause: a request was known by its shared parts alone. Those of this one are shared with sound requests that are served, and its last part, which no other has, was ignored. Each crash was seen and logged, and refuted by the next sound request. Ruled out: crashes that are not noticed (39 crashes, each with an endpoint_crashed line with the shared part), and a conviction that comes too late (none came).

The last part is evidence like the others, with three differences: it does not forbid the first retry, because a new one is at each crash; a crash at which the request only waited counts 1 instead of 2; and it is not kept as served, so that shared parts are not displaced. The message takes twice as many parts with the same bytes, those at the most crashes first.

The spec "a request under which endpoints crash" failed before.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -188,9 +188,9 @@
 // streams that an endpoint has just begun end with its crash, so that it is weak evidence against a part of one of them.
 func (x *exchange) suspectPart() (quarantine.Part, bool) {
 	if x.events.count > x.eventsBefore {
-		return x.handler.options.Quarantine.Quarantined(x.call.SharedParts, time.Now())
+		return x.handler.options.Quarantine.Quarantined(x.call.Prompt, time.Now())
 	}
-	return x.handler.options.Quarantine.Suspect(x.call.SharedParts, time.Now())
+	return x.handler.options.Quarantine.Suspect(x.call.Prompt, time.Now())
 }
 
 // handleNotReserved handles an attempt that ended before the request was sent, because a reservation of memory failed.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -31,8 +31,8 @@
 	LastEventID string
 	// PromptTokens and MaxOutput are the tokens of the prompt and of the longest output; zero if the caller stated nothing.
 	PromptTokens, MaxOutput int64
-	// SharedParts are the parts of the prompt that other requests may share.
-	SharedParts []quarantine.Part
+	// Prompt is what the parts of the prompt are known by.
+	Prompt quarantine.Prompt
 }
 
 // Dispatch is what an endpoint receives in addition to the call itself.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -51,12 +51,12 @@
 
 // watchParts returns a context that ends once the parts of the prompt are in quarantine and watched.
 func (x *exchange) watchParts(ctx context.Context) (watched context.Context, cancel func()) {
-	if len(x.call.SharedParts) == 0 {
+	if x.call.Prompt.IsEmpty() {
 		return ctx, func() {}
 	}
 	watched, cancelCause := context.WithCancelCause(ctx)
 	x.watch.start = func(now time.Time) func() {
-		return x.handler.options.Quarantine.Watch(x.call.SharedParts, now,
+		return x.handler.options.Quarantine.Watch(x.call.Prompt, now,
 			func(part quarantine.Part, left time.Duration) { cancelCause(&quarantineError{part: part, left: left}) })
 	}
 	x.watch.resume()
@@ -82,8 +82,8 @@
 
 // observeServed records that endpoints serve requests with the parts of the prompt.
 func (x *exchange) observeServed() {
-	if len(x.call.SharedParts) > 0 {
-		x.logQuarantine(x.handler.options.Quarantine.ObserveServed(x.call.SharedParts, time.Now()))
+	if !x.call.Prompt.IsEmpty() {
+		x.logQuarantine(x.handler.options.Quarantine.ObserveServed(x.call.Prompt, time.Now()))
 	}
 }
 
@@ -95,7 +95,7 @@
 	crash := quarantine.Crash{Endpoint: e.Key(), Responding: r.classified, Calls: []uint32{quarantine.CallKey(x.call.ID)}}
 	x.handler.options.Metrics.EndpointCrashed()
 	x.logCrash(e, crash.Responding, r.events())
-	x.logQuarantine(x.handler.options.Quarantine.ObserveCrash(x.call.SharedParts, crash, time.Now()))
+	x.logQuarantine(x.handler.options.Quarantine.ObserveCrash(x.call.Prompt, crash, time.Now()))
 	return true
 }
 
@@ -103,7 +103,7 @@
 // that ends early has other causes too, for example a faulty response or a reset on the way. The endpoint has crashed only if
 // it refuses a new connection right after that. An endpoint that was leaving may have ended as planned.
 func (x *exchange) checkCrash(ctx context.Context, e *fleet.Endpoint, r *relay, err error) bool {
-	if len(x.call.SharedParts) == 0 || r.isEstablished || !endedByEndpoint(r, err) || x.isLeaving(e) {
+	if x.call.Prompt.IsEmpty() || r.isEstablished || !endedByEndpoint(r, err) || x.isLeaving(e) {
 		return false
 	}
 	return x.refusesConnections(ctx, e)
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -30,6 +30,9 @@
 	crashPart  = "12ca9047f126:900"
 )
 
+// sharedParts is a prompt without a part of its own.
+func sharedParts(parts ...quarantine.Part) quarantine.Prompt { return quarantine.Prompt{Shared: parts} }
+
 // crashingEngines are model endpoints that crash when they begin to respond to a prompt with crashPart. They serve all other
 // prompts.
 type crashingEngines struct {
@@ -83,7 +86,7 @@
 		var log testkit.LogBuffer
 		r := newRig(engines.endpoints, withEngine, withLog(&log))
 		r.callWithParts(1, systemPart, crashPart)
-		Expect(log.String()).To(ContainSubstring(`"responding":true,"events":0,"team":"","parts":"a1979a9a31e,12ca9047f126","message":"endpoint_crashed"`))
+		Expect(log.String()).To(ContainSubstring(`"responding":true,"events":0,"team":"","parts":"a1979a9a31e,12ca9047f126","own_part":"f0000001","message":"endpoint_crashed"`))
 		Expect(log.String()).To(ContainSubstring(`"attempt_events":0`))
 	})
 
@@ -217,9 +220,9 @@
 			parts = options.Quarantine
 		})
 		crash := quarantine.Crash{Endpoint: 1, Responding: true}
-		parts.ObserveCrash([]quarantine.Part{0x12ca9047f126}, crash, time.Now())
+		parts.ObserveCrash(sharedParts(0x12ca9047f126), crash, time.Now())
 		r.callWithParts(1, crashPart)
-		_, found := parts.Suspect([]quarantine.Part{0x12ca9047f126}, time.Now())
+		_, found := parts.Suspect(sharedParts(0x12ca9047f126), time.Now())
 		Expect(found).To(BeTrue())
 	},
 		Entry("a refusal of the request", "HTTP/1.1 400 X\r\n"+sealedHeaders+"Content-Length: 2\r\n\r\nno"),
@@ -227,6 +230,22 @@
 	)
 })
 
+var _ = Describe("a request under which endpoints crash", func() {
+	// Guards against a request that is sent again and again, whose parts but the last one are sound (day deadly.toml, BUDGET).
+	It("reaches few endpoints, and requests with the same shared part are served", func() {
+		const calls, maxArrivals = 20, 3
+		engines := newCrashingEngines(24)
+		r := newRig(engines.endpoints, withEngine)
+		Expect(r.callWithParts(0, systemPart).body).To(Equal(streamEvent(1)))
+		for own := range calls {
+			deadly := r.call("/resume/", partsHeader, systemPart+","+crashPart, "Acacialift-Token-Usage", "1060,80")
+			Expect(deadly.status).NotTo(Equal(200))
+			Expect(r.callWithParts(own, systemPart).body).To(Equal(streamEvent(1)))
+		}
+		Expect(engines.arrivals.Load()).To(BeNumerically("<=", maxArrivals))
+	})
+})
+
 // isQuarantineReply matches the reply to a request that ended because of the quarantine of a part.
 func isQuarantineReply(status int, outcome string) OmegaMatcher {
 	body := func(r reply) string { return r.body }
@@ -375,7 +394,7 @@
 		endpoints := crashOnce(response)
 		r := newRig(endpoints, withEngine, func(_ *fleet.Catalog, options *entry.HandlerOptions) {
 			if servedBefore {
-				options.Quarantine.ObserveServed([]quarantine.Part{0xa1979a9a31e}, time.Now())
+				options.Quarantine.ObserveServed(sharedParts(0xa1979a9a31e), time.Now())
 			}
 		})
 		Expect(r.callWithParts(1, systemPart).body).To(Equal(streamEvent(1)))
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -22,7 +22,8 @@
 		Int("helpers", len(choice.Helpers)).
 		Str("helper_ids", idsOf(choice.Helpers)).
 		Int64("prompt_tokens", x.call.PromptTokens).
-		Str("parts", loggedParts(x.call.SharedParts)).
+		Str("parts", loggedParts(x.call.Prompt.Shared)).
+		Str("own_part", x.call.Prompt.Own.String()).
 		Dur("predicted_ms", choice.Predicted).
 		Dur("budget_ms", x.call.Budget).
 		Dur("time_limit_ms", x.profile.TimeLimit).
@@ -109,7 +110,8 @@
 		Bool("responding", responding).
 		Int("events", events).
 		Str("team", x.team.Name).
-		Str("parts", loggedParts(x.call.SharedParts)).
+		Str("parts", loggedParts(x.call.Prompt.Shared)).
+		Str("own_part", x.call.Prompt.Own.String()).
 		Msg("endpoint_crashed")
 }
 
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -82,7 +82,7 @@
 
 // observeCrash makes the instance see an endpoint crash under crashPart.
 func (i *instance) observeCrash(endpoint uint32) {
-	i.parts.ObserveCrash([]quarantine.Part{crashPart}, quarantine.Crash{Endpoint: endpoint, Responding: true}, time.Now())
+	i.parts.ObserveCrash(quarantine.Prompt{Shared: []quarantine.Part{crashPart}}, quarantine.Crash{Endpoint: endpoint, Responding: true}, time.Now())
 }
 
 func (i *instance) isQuarantined() bool {
--- a/internal/loadshare/parts.go
+++ b/internal/loadshare/parts.go
@@ -13,7 +13,7 @@
 	// the way. An instance that starts, or whose contact was lost, gets all evidence at once.
 	allPartsInterval = 30 * time.Second
 	// maxPartsSent bounds the parts in a message.
-	maxPartsSent = 64
+	maxPartsSent = 128
 )
 
 // hasNewParts reports whether there is evidence that was not sent yet.
--- a/internal/loadshare/parts_test.go
+++ b/internal/loadshare/parts_test.go
@@ -15,11 +15,18 @@
 
 // TestEvidenceInMessageIsBounded guards against messages that grow with the number of crashes or parts.
 func TestEvidenceInMessageIsBounded(t *testing.T) {
+	for _, c := range []struct{ crashes, parts int }{{crashes: 20, parts: 64}, {crashes: 1, parts: maxPartsSent}} {
+		testEvidenceInMessage(t, uint32(c.crashes), c.parts)
+	}
+}
+
+// testEvidenceInMessage checks the message after a number of crashes for each of 200 parts.
+func testEvidenceInMessage(t *testing.T, crashes uint32, want int) {
 	tracker := quarantine.NewTracker()
 	now := time.Now()
-	for i := range 100 {
+	for i := range 200 {
 		part := quarantine.Part(0xf00000000000 + uint64(i))
-		for endpoint := range uint32(20) {
+		for endpoint := range crashes {
 			tracker.Merge([]quarantine.Evidence{{
 				Part: part, Position: 5, Crashes: []quarantine.Crash{
 					{Endpoint: 1<<31 + endpoint, Age: time.Hour, Calls: []uint32{1<<31 + endpoint, 1<<31 + uint32(i)}},
@@ -39,8 +46,8 @@
 		t.Fatal(err)
 	}
 	t.Logf("%d parts: %d bytes", len(parts), len(full)-len(empty))
-	if len(parts) != maxPartsSent || len(full)-len(empty) > maxPartsBytes {
-		t.Fatalf("%d parts take %d bytes, %d allowed", len(parts), len(full)-len(empty), maxPartsBytes)
+	if len(parts) != want || len(full)-len(empty) > maxPartsBytes {
+		t.Fatalf("%d parts take %d bytes, %d allowed; %d parts expected", len(parts), len(full)-len(empty), maxPartsBytes, want)
 	}
 }
 
--- a/internal/quarantine/benchmark_test.go
+++ b/internal/quarantine/benchmark_test.go
@@ -12,7 +12,7 @@
 func trackerWithParts(count int) *quarantine.Tracker {
 	t := quarantine.NewTracker()
 	for i := range count {
-		t.ObserveCrash([]quarantine.Part{quarantine.Part(1000 + i)}, waiting(uint32(i)), start)
+		t.ObserveCrash(shared(quarantine.Part(1000+i)), waiting(uint32(i)), start)
 	}
 	return t
 }
@@ -22,10 +22,10 @@
 	for _, count := range []int{0, 32, 1024} {
 		b.Run(fmt.Sprintf("parts=%d", count), func(b *testing.B) {
 			t := trackerWithParts(count)
-			parts := []quarantine.Part{systemPart, otherPart}
+			prompt := quarantine.Prompt{Shared: []quarantine.Part{systemPart, otherPart}, Own: newPart}
 			for b.Loop() {
-				stop := t.Watch(parts, start, func(quarantine.Part, time.Duration) {})
-				t.ObserveServed(parts, start)
+				stop := t.Watch(prompt, start, func(quarantine.Part, time.Duration) {})
+				t.ObserveServed(prompt, start)
 				stop()
 			}
 		})
@@ -37,11 +37,11 @@
 	for _, count := range []int{0, 32, 1000} {
 		b.Run(fmt.Sprintf("parts=%d", count), func(b *testing.B) {
 			t := trackerWithParts(count)
-			parts := []quarantine.Part{systemPart, otherPart}
+			prompt := quarantine.Prompt{Shared: []quarantine.Part{systemPart, otherPart}, Own: newPart}
 			endpoint := uint32(1 << 20)
 			for b.Loop() {
 				endpoint++
-				t.ObserveCrash(parts, responding(endpoint), start)
+				t.ObserveCrash(prompt, responding(endpoint), start)
 			}
 		})
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -22,6 +22,9 @@
 	otherPart  = quarantine.Part(0x4d719d55fb1e)
 )
 
+// shared is a prompt without a part of its own.
+func shared(parts ...quarantine.Part) quarantine.Prompt { return quarantine.Prompt{Shared: parts} }
+
 // isQuarantined reports whether requests with the part, and no other one, are refused, except trials.
 func isQuarantined(t *quarantine.Tracker, part quarantine.Part, now time.Time) bool {
 	return areQuarantined(t, now, part)
@@ -29,14 +32,14 @@
 
 // areQuarantined reports whether requests with the parts are refused, except trials.
 func areQuarantined(t *quarantine.Tracker, now time.Time, parts ...quarantine.Part) bool {
-	_, found := t.Quarantined(parts, now)
+	_, found := t.Quarantined(shared(parts...), now)
 	return found
 }
 
 // isAdmitted reports whether a request with the parts that comes at this time is let through.
 func isAdmitted(t *quarantine.Tracker, now time.Time, parts ...quarantine.Part) bool {
 	refused := false
-	t.Watch(parts, now, func(quarantine.Part, time.Duration) { refused = true })()
+	t.Watch(shared(parts...), now, func(quarantine.Part, time.Duration) { refused = true })()
 	return !refused
 }
 
@@ -52,17 +55,17 @@
 	// refused: the first part is at every crash too, and may not be served in between.
 	It("is in quarantine after two crashes, and the part before it is not", func() {
 		t := quarantine.NewTracker()
-		t.ObserveServed([]quarantine.Part{systemPart}, start)
+		t.ObserveServed(shared(systemPart), start)
 		now := start
 		for endpoint := range uint32(2) {
 			Expect(isQuarantined(t, crashPart, now)).To(BeFalse())
 			now = now.Add(time.Second)
-			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(endpoint), now)
+			t.ObserveCrash(shared(systemPart, crashPart), responding(endpoint), now)
 		}
 		Expect(isQuarantined(t, crashPart, now)).To(BeTrue())
 		for endpoint := range uint32(10) {
 			now = now.Add(time.Second)
-			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(100+endpoint), now)
+			t.ObserveCrash(shared(systemPart, crashPart), responding(100+endpoint), now)
 		}
 		Expect(isQuarantined(t, systemPart, now)).To(BeFalse())
 		Expect(isQuarantined(t, crashPart, now)).To(BeTrue())
@@ -73,12 +76,12 @@
 	It("is refused with the part before it if neither has been served", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(5) {
-			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(endpoint), start)
+			t.ObserveCrash(shared(systemPart, crashPart), responding(endpoint), start)
 		}
 		Expect(areQuarantined(t, start, systemPart, crashPart)).To(BeTrue())
 		Expect(areQuarantined(t, start, systemPart, otherPart)).To(BeFalse())
 		Expect(areQuarantined(t, start, otherPart, crashPart)).To(BeFalse())
-		t.ObserveServed([]quarantine.Part{systemPart, otherPart}, start)
+		t.ObserveServed(shared(systemPart, otherPart), start)
 		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
 		Expect(isQuarantined(t, systemPart, start)).To(BeFalse())
 	})
@@ -88,7 +91,7 @@
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(5) {
 			Expect(isQuarantined(t, crashPart, start)).To(BeFalse())
-			t.ObserveCrash([]quarantine.Part{crashPart}, waiting(endpoint), start)
+			t.ObserveCrash(shared(crashPart), waiting(endpoint), start)
 		}
 		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
 	})
@@ -97,7 +100,7 @@
 	It("is not concluded from one crash that several requests have observed", func() {
 		t := quarantine.NewTracker()
 		for range 10 {
-			t.ObserveCrash([]quarantine.Part{crashPart}, responding(1), start)
+			t.ObserveCrash(shared(crashPart), responding(1), start)
 		}
 		Expect(isQuarantined(t, crashPart, start)).To(BeFalse())
 	})
@@ -105,9 +108,9 @@
 	// Guards against a part that became harmful later, for example with a new version of the engine, and is never found.
 	It("is found although it has been served before", func() {
 		t := quarantine.NewTracker()
-		t.ObserveServed([]quarantine.Part{crashPart}, start)
+		t.ObserveServed(shared(crashPart), start)
 		for endpoint := range uint32(4) {
-			t.ObserveCrash([]quarantine.Part{crashPart}, responding(endpoint), start.Add(time.Duration(endpoint)*time.Second))
+			t.ObserveCrash(shared(crashPart), responding(endpoint), start.Add(time.Duration(endpoint)*time.Second))
 		}
 		Expect(isQuarantined(t, crashPart, start.Add(4*time.Second))).To(BeTrue())
 	})
@@ -116,13 +119,13 @@
 	It("gets another chance after an hour, and one crash suffices for the next quarantine", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(3) {
-			t.ObserveCrash([]quarantine.Part{crashPart}, responding(endpoint), start)
+			t.ObserveCrash(shared(crashPart), responding(endpoint), start)
 		}
 		Expect(isQuarantined(t, crashPart, start.Add(59*time.Minute))).To(BeTrue())
 		later := start.Add(61 * time.Minute)
 		Expect(isQuarantined(t, crashPart, later)).To(BeFalse())
 		Expect(t.Forget(later)).To(HaveLen(1))
-		t.ObserveCrash([]quarantine.Part{crashPart}, responding(9), later)
+		t.ObserveCrash(shared(crashPart), responding(9), later)
 		Expect(isQuarantined(t, crashPart, later)).To(BeTrue())
 	})
 })
@@ -131,13 +134,13 @@
 	// Guards against a sound part that is refused because endpoints crash for another reason.
 	It("is acquitted when a request with it is served", func() {
 		t := quarantine.NewTracker()
-		t.ObserveServed([]quarantine.Part{otherPart}, start)
+		t.ObserveServed(shared(otherPart), start)
 		for endpoint := range uint32(20) {
 			now := start.Add(time.Duration(endpoint) * time.Second)
-			t.ObserveCrash([]quarantine.Part{otherPart}, responding(endpoint), now)
+			t.ObserveCrash(shared(otherPart), responding(endpoint), now)
 			Expect(isQuarantined(t, otherPart, now)).To(BeFalse())
 			if endpoint%2 == 1 {
-				t.ObserveServed([]quarantine.Part{otherPart}, now)
+				t.ObserveServed(shared(otherPart), now)
 			}
 		}
 	})
@@ -145,11 +148,11 @@
 	// Guards against a shared part that is refused because a domain has lost power and took many endpoints at the same moment.
 	It("is not refused after the crash of many endpoints at once if it has been served before", func() {
 		t := quarantine.NewTracker()
-		t.ObserveServed([]quarantine.Part{systemPart}, start)
+		t.ObserveServed(shared(systemPart), start)
 		for endpoint := range uint32(20) {
 			now := start.Add(time.Duration(endpoint) * 50 * time.Millisecond)
-			t.ObserveCrash([]quarantine.Part{systemPart}, responding(endpoint), now)
-			t.ObserveCrash([]quarantine.Part{systemPart}, waiting(100+endpoint), now)
+			t.ObserveCrash(shared(systemPart), responding(endpoint), now)
+			t.ObserveCrash(shared(systemPart), waiting(100+endpoint), now)
 			Expect(isQuarantined(t, systemPart, now)).To(BeFalse())
 		}
 	})
@@ -158,10 +161,10 @@
 	It("is released when a request with it is served", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(3) {
-			t.ObserveCrash([]quarantine.Part{otherPart}, responding(endpoint), start)
+			t.ObserveCrash(shared(otherPart), responding(endpoint), start)
 		}
 		Expect(isQuarantined(t, otherPart, start)).To(BeTrue())
-		changes := t.ObserveServed([]quarantine.Part{otherPart}, start)
+		changes := t.ObserveServed(shared(otherPart), start)
 		Expect(changes).To(HaveLen(1))
 		Expect(changes[0].Quarantined).To(BeFalse())
 		Expect(isQuarantined(t, otherPart, start)).To(BeFalse())
@@ -170,15 +173,15 @@
 	// Guards against a retry that takes the crash to the next endpoint, and against one that is withheld without need.
 	It("is suspect after one crash until it has been served", func() {
 		t := quarantine.NewTracker()
-		t.ObserveServed([]quarantine.Part{systemPart}, start)
-		t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(1), start)
-		part, found := t.Suspect([]quarantine.Part{systemPart, crashPart}, start)
+		t.ObserveServed(shared(systemPart), start)
+		t.ObserveCrash(shared(systemPart, crashPart), responding(1), start)
+		part, found := t.Suspect(shared(systemPart, crashPart), start)
 		Expect(found).To(BeTrue())
 		Expect(part).To(Equal(crashPart))
-		_, found = t.Suspect([]quarantine.Part{systemPart, otherPart}, start)
+		_, found = t.Suspect(shared(systemPart, otherPart), start)
 		Expect(found).To(BeFalse())
-		t.ObserveServed([]quarantine.Part{crashPart}, start)
-		_, found = t.Suspect([]quarantine.Part{crashPart}, start)
+		t.ObserveServed(shared(crashPart), start)
+		_, found = t.Suspect(shared(crashPart), start)
 		Expect(found).To(BeFalse())
 	})
 
@@ -186,11 +189,11 @@
 	It("is suspect after the second crash if requests with it were only waiting", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(2) {
-			_, found := t.Suspect([]quarantine.Part{otherPart}, start)
+			_, found := t.Suspect(shared(otherPart), start)
 			Expect(found).To(BeFalse())
-			t.ObserveCrash([]quarantine.Part{otherPart}, waiting(endpoint), start)
+			t.ObserveCrash(shared(otherPart), waiting(endpoint), start)
 		}
-		_, found := t.Suspect([]quarantine.Part{otherPart}, start)
+		_, found := t.Suspect(shared(otherPart), start)
 		Expect(found).To(BeTrue())
 	})
 })
@@ -201,7 +204,7 @@
 		t := quarantine.NewTracker()
 		notified := make(map[string]int)
 		watch := func(name string, parts ...quarantine.Part) func() {
-			return t.Watch(parts, start, func(part quarantine.Part, left time.Duration) {
+			return t.Watch(shared(parts...), start, func(part quarantine.Part, left time.Duration) {
 				Expect(part).To(Equal(crashPart))
 				Expect(left).To(Equal(5 * time.Second))
 				notified[name]++
@@ -210,9 +213,9 @@
 		defer watch("waiting", systemPart, crashPart)()
 		defer watch("sound", systemPart, otherPart)()
 		watch("ended", crashPart)()
-		t.ObserveServed([]quarantine.Part{systemPart}, start)
+		t.ObserveServed(shared(systemPart), start)
 		for endpoint := range uint32(6) {
-			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(endpoint), start)
+			t.ObserveCrash(shared(systemPart, crashPart), responding(endpoint), start)
 		}
 		Expect(notified).To(Equal(map[string]int{"waiting": 1}))
 	})
@@ -225,7 +228,7 @@
 	It("is judged together, also by an instance that has started later", func() {
 		instances := []*quarantine.Tracker{quarantine.NewTracker(), quarantine.NewTracker(), quarantine.NewTracker()}
 		for i, t := range instances {
-			t.ObserveCrash([]quarantine.Part{systemPart, crashPart}, responding(uint32(i)), start)
+			t.ObserveCrash(shared(systemPart, crashPart), responding(uint32(i)), start)
 		}
 		started := quarantine.NewTracker()
 		for _, t := range instances {
@@ -237,18 +240,18 @@
 	// Guards against a sound part that is refused by instances that have not served it themselves.
 	It("contains that a part has been served by another instance", func() {
 		a, b := quarantine.NewTracker(), quarantine.NewTracker()
-		a.ObserveServed([]quarantine.Part{otherPart}, start)
-		b.ObserveCrash([]quarantine.Part{otherPart}, responding(1), start)
+		a.ObserveServed(shared(otherPart), start)
+		b.ObserveCrash(shared(otherPart), responding(1), start)
 		a.Merge(all(b, start), start)
 		b.Merge(all(a, start), start)
-		_, found := b.Suspect([]quarantine.Part{otherPart}, start)
+		_, found := b.Suspect(shared(otherPart), start)
 		Expect(found).To(BeFalse())
 	})
 
 	// Guards against messages between instances that never end because each message counts as new evidence.
 	It("does not change when it returns with a delay", func() {
 		a, b := quarantine.NewTracker(), quarantine.NewTracker()
-		a.ObserveCrash([]quarantine.Part{crashPart}, responding(1), start)
+		a.ObserveCrash(shared(crashPart), responding(1), start)
 		b.Merge(all(a, start), start.Add(time.Second))
 		changes := a.Changes()
 		a.Merge(all(b, start.Add(2*time.Second)), start.Add(3*time.Second))
@@ -261,8 +264,8 @@
 	// instance reports an earlier time for a crash.
 	It("counts the quarantine from the latest crash", func() {
 		t := quarantine.NewTracker()
-		t.ObserveCrash([]quarantine.Part{crashPart}, responding(1), start.Add(10*time.Minute))
-		t.ObserveCrash([]quarantine.Part{crashPart}, responding(2), start.Add(5*time.Minute))
+		t.ObserveCrash(shared(crashPart), responding(1), start.Add(10*time.Minute))
+		t.ObserveCrash(shared(crashPart), responding(2), start.Add(5*time.Minute))
 		t.Merge([]quarantine.Evidence{{Part: crashPart, Crashes: []quarantine.Crash{
 			{Endpoint: 1, Responding: true, Age: 10 * time.Minute},
 		}}}, start.Add(10*time.Minute))
@@ -284,14 +287,14 @@
 	It("is bounded, and parts in quarantine are kept and sent first", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(3) {
-			t.ObserveCrash([]quarantine.Part{crashPart}, responding(endpoint), start)
+			t.ObserveCrash(shared(crashPart), responding(endpoint), start)
 		}
 		for i := range uint32(5000) {
-			t.ObserveCrash([]quarantine.Part{quarantine.Part(i)}, responding(10+i), start)
-			t.ObserveServed([]quarantine.Part{quarantine.Part(1_000_000 + i)}, start)
+			t.ObserveCrash(shared(quarantine.Part(i)), responding(10+i), start)
+			t.ObserveServed(shared(quarantine.Part(1_000_000+i)), start)
 		}
 		for endpoint := range uint32(100) {
-			t.ObserveCrash([]quarantine.Part{otherPart}, waiting(10_000+endpoint), start)
+			t.ObserveCrash(shared(otherPart), waiting(10_000+endpoint), start)
 		}
 		_, records := t.Counts()
 		Expect(records).To(BeNumerically("<=", 1024))
@@ -319,14 +322,14 @@
 		parts := []quarantine.Part{1, 2, 3}
 		for endpoint := range uint32(rapid.IntRange(0, 8).Draw(t, "crashes")) {
 			at := rapid.IntRange(0, instances-1).Draw(t, "instance")
-			shared := parts[:rapid.IntRange(1, len(parts)).Draw(t, "parts")]
+			prompt := parts[:rapid.IntRange(1, len(parts)).Draw(t, "parts")]
 			crash := quarantine.Crash{
 				Endpoint: endpoint, Responding: rapid.Bool().Draw(t, "responding"),
 				Calls: rapid.SliceOfN(rapid.Uint32Range(0, 5), 0, 4).Draw(t, "calls"),
 			}
-			trackers[at].ObserveCrash(shared, crash, start)
+			trackers[at].ObserveCrash(shared(prompt...), crash, start)
 			if rapid.IntRange(0, 3).Draw(t, "served") == 0 {
-				trackers[at].ObserveServed(parts[:rapid.IntRange(1, 2).Draw(t, "served parts")], start)
+				trackers[at].ObserveServed(shared(parts[:rapid.IntRange(1, 2).Draw(t, "served parts")]...), start)
 			}
 		}
 		// Two rounds, because an instance may have served a part before it learns of a crash under it.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 // and any number of times.
 type Evidence struct {
 	Part Part
-	// Position is the largest index of the part in a prompt.
+	// Position is the largest index of the part in a prompt, or ownPosition if only one request has the part.
 	Position uint8
 	// Served is true if a request with the part has been served at any time.
 	Served bool
@@ -40,6 +41,9 @@
 	Crashes []Crash
 }
 
+// ownPosition is the position of a part that only one request or its session has.
+const ownPosition = math.MaxUint8
+
 // crash is a Crash at a time on the clock of this instance.
 type crash struct {
 	endpoint            uint32
@@ -139,11 +143,7 @@
 			first = c.at
 		}
 		last = c.at
-		if c.responding {
-			score += respondingWeight
-		} else {
-			score += waitingWeight
-		}
+		score += r.weight(c)
 	}
 	if r.served && last.Sub(first) < settleTime {
 		return 0
@@ -151,6 +151,17 @@
 	return score
 }
 
+// weight returns what a crash counts for the score.
+func (r *record) weight(c crash) int {
+	switch {
+	case c.responding:
+		return respondingWeight
+	case r.position == ownPosition:
+		return ownWaitingWeight
+	}
+	return waitingWeight
+}
+
 // callCount returns the number of different calls at the crashes.
 func (r *record) callCount() int {
 	var calls []uint32
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -61,9 +61,9 @@
 	return fleetTrialRate * elapsed.Seconds() / float64(max(t.refused, 1)*instances)
 }
 
-// includedIn reports whether all parts are among the given ones.
-func (s *suspicion) includedIn(parts []Part) bool {
-	return !slices.ContainsFunc(s.parts, func(p Part) bool { return !slices.Contains(parts, p) })
+// includedIn reports whether the prompt has all parts.
+func (s *suspicion) includedIn(prompt Prompt) bool {
+	return !slices.ContainsFunc(s.parts, func(p Part) bool { return !prompt.includes(p) })
 }
 
 // retryDelay returns the time until a request with the parts may be served.
--- a/internal/quarantine/suspicion_test.go
+++ b/internal/quarantine/suspicion_test.go
@@ -34,15 +34,15 @@
 	// Guards against a sound part that is refused for the one that crashes endpoints, at any place in the prompt (review/3, LOST).
 	DescribeTable("are refused together, and the sound ones alone are served", func(prompt ...quarantine.Part) {
 		t := quarantine.NewTracker()
-		t.ObserveServed(served, start)
+		t.ObserveServed(shared(served...), start)
 		for call := range uint32(2) {
-			t.ObserveCrash(prompt, observedBy(call, call), start.Add(time.Duration(call)*500*time.Millisecond))
+			t.ObserveCrash(shared(prompt...), observedBy(call, call), start.Add(time.Duration(call)*500*time.Millisecond))
 		}
 		now := start.Add(time.Second)
 		Expect(areQuarantined(t, now, prompt...)).To(BeTrue())
 		sound := []quarantine.Part{systemPart, newPart, otherPart}
 		Expect(areQuarantined(t, now, sound...)).To(BeFalse())
-		t.ObserveServed(sound, now)
+		t.ObserveServed(shared(sound...), now)
 		Expect(areQuarantined(t, now, systemPart, crashPart)).To(BeTrue())
 		Expect(areQuarantined(t, now, crashPart)).To(BeTrue())
 		Expect(areQuarantined(t, now, sound...)).To(BeFalse())
@@ -58,10 +58,10 @@
 	It("are told apart by a crash in other company", func() {
 		t := quarantine.NewTracker()
 		for call := range uint32(2) {
-			t.ObserveCrash([]quarantine.Part{crashPart, newPart}, observedBy(call, call), start)
+			t.ObserveCrash(shared(crashPart, newPart), observedBy(call, call), start)
 		}
 		Expect(areQuarantined(t, start, crashPart, otherPart)).To(BeFalse())
-		t.ObserveCrash([]quarantine.Part{crashPart, otherPart}, observedBy(2, 2), start)
+		t.ObserveCrash(shared(crashPart, otherPart), observedBy(2, 2), start)
 		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
 		Expect(isQuarantined(t, newPart, start)).To(BeFalse())
 		Expect(isQuarantined(t, otherPart, start)).To(BeFalse())
@@ -71,8 +71,8 @@
 	It("include a part that other calls had at the same endpoints", func() {
 		t := quarantine.NewTracker()
 		for call := range uint32(2) {
-			t.ObserveCrash([]quarantine.Part{crashPart, newPart}, observedBy(call, call), start)
-			t.ObserveCrash([]quarantine.Part{otherPart, newPart}, observedBy(100+call, call), start)
+			t.ObserveCrash(shared(crashPart, newPart), observedBy(call, call), start)
+			t.ObserveCrash(shared(otherPart, newPart), observedBy(100+call, call), start)
 		}
 		Expect(areQuarantined(t, start, crashPart, newPart)).To(BeTrue())
 		Expect(isQuarantined(t, newPart, start)).To(BeFalse())
@@ -82,8 +82,8 @@
 	It("do not include parts of a retried call that met the same crashes", func() {
 		t := quarantine.NewTracker()
 		for endpoint := range uint32(2) {
-			t.ObserveCrash([]quarantine.Part{otherPart}, observedBy(9, endpoint), start)
-			t.ObserveCrash([]quarantine.Part{crashPart}, observedBy(endpoint, endpoint), start)
+			t.ObserveCrash(shared(otherPart), observedBy(9, endpoint), start)
+			t.ObserveCrash(shared(crashPart), observedBy(endpoint, endpoint), start)
 		}
 		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
 		Expect(isQuarantined(t, otherPart, start)).To(BeFalse())
@@ -94,7 +94,7 @@
 	quarantined := func(crashes uint32) *quarantine.Tracker {
 		t := quarantine.NewTracker()
 		for call := range crashes {
-			t.ObserveCrash([]quarantine.Part{newPart}, observedBy(call, call), start.Add(time.Duration(call)*time.Second))
+			t.ObserveCrash(shared(newPart), observedBy(call, call), start.Add(time.Duration(call)*time.Second))
 		}
 		return t
 	}
@@ -106,7 +106,7 @@
 		now := start.Add(6 * time.Second)
 		Expect(isAdmitted(t, now, newPart)).To(BeTrue())
 		Expect(isAdmitted(t, now, newPart)).To(BeFalse())
-		t.ObserveServed([]quarantine.Part{newPart}, now)
+		t.ObserveServed(shared(newPart), now)
 		Expect(isQuarantined(t, newPart, now)).To(BeFalse())
 	})
 
@@ -118,7 +118,7 @@
 			now := start.Add(elapsed)
 			if isAdmitted(t, now, newPart) {
 				trials = append(trials, elapsed)
-				t.ObserveCrash([]quarantine.Part{newPart}, observedBy(uint32(elapsed), uint32(elapsed)), now)
+				t.ObserveCrash(shared(newPart), observedBy(uint32(elapsed), uint32(elapsed)), now)
 			}
 		}
 		Expect(trials).To(Equal([]time.Duration{
@@ -132,7 +132,7 @@
 			t := quarantined(crashes)
 			var told time.Duration
 			newest := start.Add(time.Duration(crashes-1) * time.Second)
-			t.Watch([]quarantine.Part{newPart}, newest, func(_ quarantine.Part, left time.Duration) { told = left })()
+			t.Watch(shared(newPart), newest, func(_ quarantine.Part, left time.Duration) { told = left })()
 			Expect(told).To(Equal(want))
 		}
 	})
@@ -165,3 +165,65 @@
 		Entry("8 instances", 8, 2.0), Entry("74 instances", 74, 10.0), Entry("295 instances", 295, 20.0),
 	)
 })
+
+var _ = Describe("a part that only one request has", func() {
+	request := quarantine.Prompt{Shared: []quarantine.Part{systemPart}, Own: newPart}
+
+	// Guards against a request that crashes endpoints and is sent again and again, although its shared parts are sound (day deadly.toml).
+	It("is in quarantine after two crashes, and the parts that it shares are not", func() {
+		t := quarantine.NewTracker()
+		t.ObserveServed(shared(systemPart), start)
+		for call := range uint32(2) {
+			_, found := t.Quarantined(request, start)
+			Expect(found).To(BeFalse())
+			t.ObserveCrash(request, observedBy(call, call), start)
+		}
+		part, found := t.Quarantined(request, start)
+		Expect(found).To(BeTrue())
+		Expect(part).To(Equal(newPart))
+		_, found = t.Quarantined(quarantine.Prompt{Shared: []quarantine.Part{systemPart}, Own: otherPart}, start)
+		Expect(found).To(BeFalse())
+	})
+
+	// Guards against a request that is refused although it was only waiting at the endpoints that crashed, and the caller came again.
+	It("is not in quarantine after eight crashes at which it was waiting", func() {
+		t := quarantine.NewTracker()
+		t.ObserveServed(shared(systemPart), start)
+		for endpoint := range uint32(8) {
+			t.ObserveCrash(request, waiting(endpoint), start.Add(time.Duration(endpoint)*time.Second))
+		}
+		_, found := t.Quarantined(request, start.Add(8*time.Second))
+		Expect(found).To(BeFalse())
+	})
+
+	// Guards against a retry that is withheld from each new request after one crash.
+	It("is not suspect", func() {
+		t := quarantine.NewTracker()
+		t.ObserveServed(shared(systemPart), start)
+		t.ObserveCrash(request, observedBy(1, 1), start)
+		_, found := t.Suspect(request, start)
+		Expect(found).To(BeFalse())
+	})
+
+	// Guards against the shared part of several requests that is hidden by a part of one of them.
+	It("does not hide a shared part that crashes endpoints with other requests too", func() {
+		t := quarantine.NewTracker()
+		for call, own := range []quarantine.Part{newPart, newPart, otherPart} {
+			prompt := quarantine.Prompt{Shared: []quarantine.Part{crashPart}, Own: own}
+			t.ObserveCrash(prompt, observedBy(uint32(call), uint32(call)), start)
+		}
+		Expect(isQuarantined(t, crashPart, start)).To(BeTrue())
+	})
+
+	// Guards against shared parts that are forgotten as served because each request has a part of its own.
+	It("does not displace shared parts that were served", func() {
+		t := quarantine.NewTracker()
+		t.ObserveServed(shared(otherPart), start)
+		for own := range quarantine.Part(20_000) {
+			t.ObserveServed(quarantine.Prompt{Shared: []quarantine.Part{systemPart}, Own: 1<<32 + own}, start)
+		}
+		t.ObserveCrash(shared(otherPart), responding(1), start)
+		_, found := t.Suspect(shared(otherPart), start)
+		Expect(found).To(BeFalse())
+	})
+})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,10 +13,12 @@
 	// quarantineScore is the score from which a part is in quarantine. A crash counts respondingWeight if the endpoint had begun
 	// to respond to a request with the part, and waitingWeight if such a request was only waiting there. At crashes that no part
 	// causes, one request in a hundred is at the begin of its response; two with the same part that has never been served are
-	// hardly possible. Requests that wait are at each crash.
+	// hardly possible. Requests that wait are at each crash. A request that is sent to several endpoints one after the other may be
+	// waiting at several crashes: for the part that only it has, each counts ownWaitingWeight.
 	quarantineScore  = 10
 	respondingWeight = 5
 	waitingWeight    = 2
+	ownWaitingWeight = 1
 	// suspectScore is the score from which a part that has never been served may have caused a crash.
 	suspectScore = 2 * waitingWeight
 	// settleTime is the least time between the first and the last crash under a part that has been served before. A domain that
@@ -27,9 +28,11 @@
 	// quarantine, a single crash suffices for another one.
 	quarantineTime = time.Hour
 	recordLifetime = 2 * quarantineTime
-	// maxCrashes bounds the crashes of a record, and maxRecords the records.
-	maxCrashes = 8
-	maxRecords = 1024
+	// maxCrashes bounds the crashes of a record, and maxRecords the records. crashesPerPart bounds the crashes that are sent for each
+	// part on average.
+	maxCrashes     = 8
+	maxRecords     = 1024
+	crashesPerPart = 4
 	// maxServed bounds each of the two generations of parts that have been served.
 	maxServed = 4096
 )
@@ -45,7 +48,7 @@
 
 // watch is a request that is not in quarantine.
 type watch struct {
-	parts        []Part
+	prompt       Prompt
 	onQuarantine func(part Part, left time.Duration)
 }
 
@@ -76,12 +79,12 @@
 	}
 }
 
-// Watch calls onQuarantine once the parts are in quarantine, possibly at once, with one of them and the time until a request with them may
+// Watch calls onQuarantine once the prompt is in quarantine, possibly at once, with one of them and the time until a request with them may
 // be served. A request that is let through as a trial is not watched. The caller must call stop at the end of the request.
-func (t *Tracker) Watch(parts []Part, now time.Time, onQuarantine func(Part, time.Duration)) (stop func()) {
-	w := &watch{parts: parts, onQuarantine: onQuarantine}
+func (t *Tracker) Watch(prompt Prompt, now time.Time, onQuarantine func(Part, time.Duration)) (stop func()) {
+	w := &watch{prompt: prompt, onQuarantine: onQuarantine}
 	t.mu.Lock()
-	matches := t.find(parts, now)
+	matches := t.find(prompt, now)
 	isTrial := len(matches) > 0 && t.takeTrial(matches, now)
 	if len(matches) == 0 {
 		t.watches[w] = struct{}{}
@@ -97,36 +100,36 @@
 	}
 }
 
-// find returns the quarantined sets that the parts include. It must be called with the mutex held.
-func (t *Tracker) find(parts []Part, now time.Time) []*suspicion {
+// find returns the quarantined sets that the prompt includes. It must be called with the mutex held.
+func (t *Tracker) find(prompt Prompt, now time.Time) []*suspicion {
 	var found []*suspicion
-	for _, part := range parts {
-		if s := t.byPart[part]; s != nil && now.Before(s.until) && s.includedIn(parts) {
+	for _, part := range prompt.all {
+		if s := t.byPart[part]; s != nil && now.Before(s.until) && s.includedIn(prompt) {
 			found = append(found, s)
 		}
 	}
 	return found
 }
 
-// Quarantined returns one of the parts for which a request with these parts is in quarantine. It returns false if there is none.
-func (t *Tracker) Quarantined(parts []Part, now time.Time) (Part, bool) {
+// Quarantined returns one of the parts for which a prompt is in quarantine. It returns false if there is none.
+func (t *Tracker) Quarantined(prompt Prompt, now time.Time) (Part, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if found := t.find(parts, now); len(found) > 0 {
+	if found := t.find(prompt, now); len(found) > 0 {
 		return found[0].parts[0], true
 	}
 	return 0, false
 }
 
-// Suspect returns a part for which a request with these parts is in quarantine, or one that may have caused a crash and has never been
-// served. It returns false if there is none.
-func (t *Tracker) Suspect(parts []Part, now time.Time) (Part, bool) {
-	if part, found := t.Quarantined(parts, now); found {
+// Suspect returns a part for which a prompt is in quarantine, or a shared one that may have caused a crash and has never been served. It
+// returns false if there is none. A part that only one request has is not suspect: a new one is at each crash.
+func (t *Tracker) Suspect(prompt Prompt, now time.Time) (Part, bool) {
+	if part, found := t.Quarantined(prompt, now); found {
 		return part, true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
+	for _, part := range prompt.Shared {
 		if r := t.records[part]; r != nil && r.isSuspect() {
 			return part, true
 		}
@@ -134,13 +137,15 @@
 	return 0, false
 }
 
-// ObserveServed records that a request with the parts was served, at least so far that the endpoint would have crashed before under a
+// ObserveServed records that a request was served, at least so far that the endpoint would have crashed before under a
 // part that crashes each endpoint.
-func (t *Tracker) ObserveServed(parts []Part, now time.Time) []Change {
+func (t *Tracker) ObserveServed(prompt Prompt, now time.Time) []Change {
 	t.mu.Lock()
 	changed := false
-	for _, part := range parts {
-		t.markServed(part)
+	for position, part := range prompt.all {
+		if position != ownPosition {
+			t.markServed(part)
+		}
 		if r := t.records[part]; r != nil && r.refute() {
 			t.touch(r)
 			changed = true
@@ -157,11 +162,11 @@
 	t.served[part] = struct{}{}
 }
 
-// ObserveCrash records that an endpoint crashed while a request with the parts was waiting there, or had just begun to be served.
-func (t *Tracker) ObserveCrash(parts []Part, c Crash, now time.Time) []Change {
-	evidence := make([]Evidence, len(parts))
-	for i, part := range parts {
-		evidence[i] = Evidence{Part: part, Position: uint8(min(i, math.MaxUint8)), Crashes: []Crash{c}}
+// ObserveCrash records that an endpoint crashed while a request was waiting there, or had just begun to be served.
+func (t *Tracker) ObserveCrash(prompt Prompt, c Crash, now time.Time) []Change {
+	var evidence []Evidence
+	for position, part := range prompt.all {
+		evidence = append(evidence, Evidence{Part: part, Position: position, Crashes: []Crash{c}})
 	}
 	return t.Merge(evidence, now)
 }
@@ -240,7 +245,8 @@
 	return t.changes
 }
 
-// Evidence returns what has changed after a value of Changes, parts in quarantine and later changes first, at most limit parts.
+// Evidence returns what has changed after a value of Changes, parts in quarantine first, then those at more crashes and those that have
+// changed later. It returns at most limit parts, and four times as many crashes.
 func (t *Tracker) Evidence(after uint64, limit int, now time.Time) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -254,10 +260,14 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b *record) int {
-		return cmp.Or(t.compareQuarantine(a, b), cmp.Compare(b.changed, a.changed))
+		return cmp.Or(t.compareQuarantine(a, b), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.changed, a.changed))
 	})
-	list := make([]Evidence, 0, min(limit, len(records)))
-	for _, r := range records[:cap(list)] {
+	var list []Evidence
+	crashesLeft := crashesPerPart * limit
+	for _, r := range records[:min(limit, len(records))] {
+		if crashesLeft -= len(r.crashes); crashesLeft < 0 {
+			break
+		}
 		list = append(list, r.evidence(now))
 	}
 	return list
@@ -333,7 +343,7 @@
 func (t *Tracker) takeWatches(now time.Time) []func() {
 	var calls []func()
 	for w := range t.watches {
-		if found := t.find(w.parts, now); len(found) > 0 {
+		if found := t.find(w.prompt, now); len(found) > 0 {
 			delete(t.watches, w)
 			calls = append(calls, func() { w.onQuarantine(found[0].parts[0], found[0].retryDelay(now)) })
 		}
