--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -64,6 +65,10 @@
 	Seeds []string
 	// Callers, Readiness, Peers and Metrics are listening addresses.
 	Callers, Readiness, Peers, Metrics string
+	// MemoryMB is the memory of the instance; zero if it is not known.
+	MemoryMB int
+	// MaxConnections bounds the callers' connections; the default is 100.
+	MaxConnections int
 }
 
 // Write replaces the settings file atomically, because the process may read it at the same time.
@@ -80,8 +85,10 @@
 seeds: [%s]
 peers_key: a-key-of-sixteen-bytes
 bounds: {stop_grace: 8s, strict_revocation: true, revocation_time: 5s, retry_ratio: 0.2, retry_slack: 100,
-  retry_window: 10s, cold_factor: 1.5, cold_slack: 5, least_instances: 1, max_connections: 100}
-`, s.Instance, s.Domain, s.Callers, s.Readiness, s.Peers, s.Metrics, s.Store, strings.Join(seeds, ", "))
+  retry_window: 10s, cold_factor: 1.5, cold_slack: 5, least_instances: 1, max_connections: %d}
+limits: {memory_mb: %d}
+`, s.Instance, s.Domain, s.Callers, s.Readiness, s.Peers, s.Metrics, s.Store, strings.Join(seeds, ", "),
+		cmp.Or(s.MaxConnections, 100), s.MemoryMB)
 	temporary := filepath.Join(filepath.Dir(path), "."+filepath.Base(path))
 	if err := os.WriteFile(temporary, []byte(text), 0o600); err != nil {
 		return err
--- a/test/process/entry_test.go
+++ b/test/process/entry_test.go
@@ -54,14 +54,15 @@
 	callers, readiness, metrics string
 }
 
-func startEntry(store string) *entryProcess {
+func startEntry(store string) *entryProcess { return startEntryWith(store, testkit.EntrySettings{}) }
+
+// startEntryWith starts a process with the settings given, which need no addresses.
+func startEntryWith(store string, settings testkit.EntrySettings) *entryProcess {
 	addresses := testkit.FreeAddresses(4)
 	p := &entryProcess{output: &bytes.Buffer{}, callers: addresses[0], readiness: addresses[1], metrics: addresses[3]}
 	p.settings = filepath.Join(GinkgoT().TempDir(), "entry.yaml")
-	settings := testkit.EntrySettings{
-		Instance: "entry-1", Domain: "yard-1", Store: store, Seeds: []string{addresses[2]},
-		Callers: addresses[0], Readiness: addresses[1], Peers: addresses[2], Metrics: addresses[3],
-	}
+	settings.Instance, settings.Domain, settings.Store, settings.Seeds = "entry-1", "yard-1", store, []string{addresses[2]}
+	settings.Callers, settings.Readiness, settings.Peers, settings.Metrics = addresses[0], addresses[1], addresses[2], addresses[3]
 	Expect(settings.Write(p.settings)).To(Succeed())
 	p.command = testkit.Command(filepath.Join(binaryDir, "acacia-entry"), "--settings", p.settings)
 	p.command.Stdout = p.output
