Count incomplete events toward the memory for buffered responses

Cause: an incomplete event was bounded by 256 KB for each stream, and by nothing for all together; a head of 16 KB of short headers takes about 0.4 MB as long as its response goes on.

A head has at most 256 lines, in requests too. The splitter no longer copies and searches an incomplete event at each piece.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -195,6 +195,7 @@
 		Entry("folded header", ok+"X: y\r\n Content-Length: 2\r\n\r\nhi"),
 		Entry("space before the colon", ok+"Content-Length : 2\r\n\r\nhi"),
 		Entry("head over the limit", ok+"X: "+strings.Repeat("x", 1<<20)+"\r\n\r\n"),
+		Entry("too many headers", ok+strings.Repeat("X: y\r\n", 500)+"Content-Length: 2\r\n\r\nhi"),
 		Entry("101 Switching Protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
 		Entry("endless 1xx responses", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000)),
 		Entry("status of two digits", "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nhi"),
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -5,13 +5,15 @@
 	"errors"
 	"strings"
 	"unicode"
+
+	"github.com/acacialift/acacialift/internal/budget"
 )
 
 // maxPendingEventBytes bounds the bytes that are buffered for an event whose end has not arrived.
 const maxPendingEventBytes = 256 << 10
 
 var (
-	errEventTooLarge = errors.New("an event of the endpoint's stream is too large")
+	errEventTooLarge = errors.New("an event of the endpoint's stream exceeds its size limit or the memory for buffered responses")
 	// errEventsOutOfOrder means that the id of an event is not greater than the previous id, or that an event is missing, for example
 	// because an endpoint has started a resumed stream at the wrong event.
 	errEventsOutOfOrder = errors.New("the events of the endpoint's stream are out of order")
@@ -26,6 +28,10 @@
 // feeds; two CR LF do not end it.
 type eventSplitter struct {
 	pending []byte
+	// budget bounds the memory of the incomplete events and the buffered responses of the process, except the first
+	// uncountedResponseBytes of each. reserved is the part of pending that counts toward it.
+	budget   *budget.Budget
+	reserved int64
 	// lastID is the id of the last complete event with an id, or the one after which the caller resumes the stream; empty if there was
 	// none.
 	lastID string
@@ -42,26 +48,44 @@
 // add appends received bytes and returns the events that are complete now, with their separators. The remaining bytes stay
 // pending. If an event is out of order, add returns the ones before it with the error.
 func (e *eventSplitter) add(data []byte) ([]byte, error) {
+	// The end of an event may begin with the last byte of what was pending.
+	searched := max(len(e.pending)-len(eventEnd)+1, 0)
 	e.pending = append(e.pending, data...)
 	var err error
 	complete := 0
 	for err == nil {
-		length := bytes.Index(e.pending[complete:], eventEnd)
+		length := bytes.Index(e.pending[searched:], eventEnd)
 		if length < 0 {
 			break
 		}
-		if err = e.record(e.pending[complete : complete+length]); err == nil {
-			complete += length + len(eventEnd)
+		if err = e.record(e.pending[complete : searched+length]); err == nil {
+			complete = searched + length + len(eventEnd)
+			searched = complete
 		}
 	}
 	events := e.pending[:complete]
-	e.pending = append([]byte(nil), e.pending[complete:]...)
-	if err == nil && len(e.pending) > maxPendingEventBytes {
+	if complete > 0 {
+		e.pending = append([]byte(nil), e.pending[complete:]...)
+	}
+	if err == nil && (len(e.pending) > maxPendingEventBytes || !e.reserve()) {
 		err = errEventTooLarge
 	}
 	return events, err
 }
 
+// reserve adjusts the reserved memory to that of the incomplete event. It returns false if the budget is used up.
+func (e *eventSplitter) reserve() bool {
+	counted := max(int64(cap(e.pending))-uncountedResponseBytes, 0)
+	if counted > e.reserved && !e.budget.Reserve(counted-e.reserved) {
+		return false
+	}
+	if counted < e.reserved {
+		e.budget.Release(e.reserved - counted)
+	}
+	e.reserved = counted
+	return true
+}
+
 // beginAttempt prepares for the events of another endpoint. consecutive is true if streams of the service have consecutive numbers.
 func (e *eventSplitter) beginAttempt(consecutive bool) {
 	e.isResuming = e.lastID != ""
@@ -137,4 +161,8 @@
 func (e *eventSplitter) isComplete() bool { return len(e.pending) == 0 }
 
 // dropPending discards an incomplete event before the stream is resumed at another endpoint.
-func (e *eventSplitter) dropPending() { e.pending = nil }
+func (e *eventSplitter) dropPending() {
+	e.pending = nil
+	e.budget.Release(e.reserved)
+	e.reserved = 0
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -84,6 +84,7 @@
 		return
 	}
 	x.tried = make(map[string]bool)
+	x.events.budget = x.handler.responseMemory
 	x.handler.options.RetryBudget.CountRequest(x.service.Name, x.received)
 	ctx, cancel := context.WithDeadline(ctx, x.received.Add(x.timeLimit))
 	defer cancel()
@@ -109,6 +110,7 @@
 }
 
 func (x *exchange) releaseResponses() {
+	x.events.dropPending()
 	for _, r := range x.relays {
 		r.body.release()
 	}
--- a/internal/wire/head.go
+++ b/internal/wire/head.go
@@ -18,9 +18,12 @@
 	"strings"
 )
 
-// ErrHeadTooLarge means that a head exceeds its byte limit.
+// ErrHeadTooLarge means that a head exceeds its byte limit, or has more than maxFields.
 var ErrHeadTooLarge = errors.New("message head exceeds the limit")
 
+// maxFields bounds the header lines of a head. Many short ones take much more memory than their bytes.
+const maxFields = 256
+
 // ErrVersion means that the version of a message is neither HTTP/1.0 nor HTTP/1.1.
 var ErrVersion = errors.New("unsupported HTTP version")
 
@@ -89,6 +92,9 @@
 // field syntax of RFC 9110 section 5 does not allow.
 func splitHead(head []byte) (string, []field, error) {
 	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
+	if len(lines) > maxFields+1 {
+		return "", nil, ErrHeadTooLarge
+	}
 	for _, line := range lines {
 		if at := strings.IndexFunc(line, isControl); at >= 0 {
 			return "", nil, malformed("control character in the head")
