Bound what is discarded of a late response to an earlier request

The rest of such a response was read without a bound.

After 1 MiB the attempt ends and may be repeated.

--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -79,16 +79,23 @@
 	return rr.receiveBody(wire.NewBody(r, framing))
 }
 
+// maxDiscardedBytes bounds the body of a mismatched response that is read to reach the next response.
+const maxDiscardedBytes = 1 << 20
+
 // discardMismatched discards the body of a mismatched response and receives the next response. The connection is not reused
-// after that.
+// after that. A longer body ends the exchange, because it may have no end.
 func (rr *responseReader) discardMismatched(r *bufio.Reader, framing wire.Framing, maxHeadBytes int) error {
 	rr.mayDiscard = false
 	rr.headReceived = false
 	rr.receiverErr = nil
-	if _, err := io.Copy(io.Discard, wire.NewBody(r, framing)); err != nil {
+	discarded, err := io.Copy(io.Discard, io.LimitReader(wire.NewBody(r, framing), maxDiscardedBytes))
+	if err != nil {
 		return err
 	}
-	err := rr.receive(r, maxHeadBytes)
+	if discarded == maxDiscardedBytes {
+		return ErrMismatchedResponse
+	}
+	err = rr.receive(r, maxHeadBytes)
 	rr.reuseTime = 0
 	return err
 }
--- a/internal/entry/endpointstatus_test.go
+++ b/internal/entry/endpointstatus_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,6 +184,18 @@
 		})
 	}
 
+	// Guards against a request that waits until its deadline for the end of a late response to an earlier request.
+	It("in a late response to an earlier request end the attempt soon", func() {
+		first := respond(sealedResponse("first"))
+		late := endless("HTTP/1.1 200 OK\r\nAcacialift-Request-Id: earlier\r\nContent-Length: 999999999999\r\n\r\n", piece, make(chan int, 1))
+		e := newEndpoint(first, late)
+		r := newRig([]*fakeEndpoint{e})
+		Expect(r.call("/safe/").body).To(Equal("first"))
+		began := time.Now()
+		Expect(r.call("/safe/", "Acacialift-Deadline-Ms", "60000").status).To(Equal(http.StatusBadGateway))
+		Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+	})
+
 	// Guards against ten faulty endpoints that together use the memory of a small machine, and prevent the responses of other
 	// endpoints from being buffered.
 	It("from many endpoints at once stay within the memory for buffered responses, and usual responses are still forwarded", func() {
