--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -31,6 +31,9 @@
 	dialTimeout = 600 * time.Millisecond
 	// endpointAckTimeout is how long an endpoint's kernel may leave sent bytes unacknowledged.
 	endpointAckTimeout = 2 * time.Second
+	// maxStatusConnections and maxStatusBodyBytes bound what the readiness and the metrics ports accept.
+	maxStatusConnections = 256
+	maxStatusBodyBytes   = 4 << 10
 	// maxBodyMemory bounds the memory of the callers' request bodies; defaultBufferedBytes bounds that of buffered
 	// responses.
 	maxBodyMemory = 64 << 20
@@ -179,6 +182,14 @@
 	return min(s.Bounds.MaxConnections, max(int(connectionDescriptorFraction*s.Limits.Descriptors), 1))
 }
 
+// newStatusServer returns a server of the readiness or the metrics, whose requests need no body.
+func newStatusServer(address string, handler http.Handler) (*httpserver.Server, error) {
+	return httpserver.New(httpserver.Options{
+		Address: address, Handler: handler, MaxBodyBytes: maxStatusBodyBytes, MaxBufferedBytes: maxStatusConnections * maxStatusBodyBytes,
+		MaxConnections: maxStatusConnections,
+	})
+}
+
 // listen creates the servers, the sharer and the scheduler client, and opens their listeners.
 func (p *Process) listen(loadTracker *load.Tracker, healthTracker *health.Tracker) error {
 	s := p.options.Settings
@@ -198,10 +209,10 @@
 	}); err != nil {
 		return err
 	}
-	if p.readinessServer, err = httpserver.New(httpserver.Options{Address: s.Addresses.Readiness, Handler: http.HandlerFunc(p.serveReady)}); err != nil {
+	if p.readinessServer, err = newStatusServer(s.Addresses.Readiness, http.HandlerFunc(p.serveReady)); err != nil {
 		return err
 	}
-	if p.metricsServer, err = httpserver.New(httpserver.Options{Address: s.Addresses.Metrics, Handler: p.metrics}); err != nil {
+	if p.metricsServer, err = newStatusServer(s.Addresses.Metrics, p.metrics); err != nil {
 		return err
 	}
 	p.sharer, err = loadshare.New(loadshare.Options{
