Answer every request that was accepted before a graceful shutdown ends

- A request was accepted if its objective plus two seconds, or five for a stream, fitted into the time left, however long it might take; with 30 s of grace a stream sent 20 s after the signal was.
Now a request that comes later than 3 s after the start is accepted only if its time limit ends before the shutdown; earlier ones as before, because callers still come.
- Nothing ended the requests that still ran: the process closed their connections. 250 ms before the end they now get their answer (504, unknown outcome; 503 if nothing was sent; a stream that has begun breaks off).

Bodies that arrive slowly are judged when they are complete, as before. Requests on kept connections are covered by the same check.

The three specs failed before: two calls got their own deadline's answer, a second of grace long over, and one was accepted.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -64,6 +64,44 @@
 		Expect(r.call("/safe/x", "Api-Key", teamKey).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against requests that are cut without a response at the end of a graceful shutdown (LOST).
+	DescribeTable("answers the requests that still run shortly before the end of a graceful shutdown",
+		func(path string, script func(net.Conn, receivedRequest), expected func(reply) bool) {
+			e := newEndpoint(script)
+			r := newRig([]*fakeEndpoint{e})
+			replies := make(chan reply, 1)
+			go func() { replies <- r.call(path) }()
+			Eventually(e.requests, waitTimeout).Should(HaveLen(1))
+			const grace = time.Second
+			began := time.Now()
+			r.handler.StartShutdown(grace)
+			var got reply
+			Eventually(replies, waitTimeout).Should(Receive(&got))
+			Expect(time.Since(began)).To(BeNumerically("<", grace))
+			Expect(expected(got)).To(BeTrue(), "%+v", got)
+		},
+		Entry("with an unknown outcome", "/unsafe/", neverRespond, func(got reply) bool { return got.status == http.StatusGatewayTimeout }),
+		Entry("with the end of a stream that has begun", "/stream/", func(conn net.Conn, r receivedRequest) {
+			respond(streamHead+chunk(streamEvent(1)))(conn, r)
+			neverRespond(conn, r)
+		}, func(got reply) bool { return got.status == http.StatusOK && got.err != nil }),
+	)
+
+	// Guards against requests that come late in a graceful shutdown on open connections, are passed on and cut at its end (LOST).
+	It("late in a graceful shutdown accepts only requests whose time limit ends before", func() {
+		e := newEndpoint(respond(sealedResponse("answer")))
+		r := newRig([]*fakeEndpoint{e}, func(c *fleet.Catalog, _ *entry.HandlerOptions) {
+			for i := range c.Profiles {
+				c.Profiles[i].TimeLimit = time.Minute
+			}
+		})
+		r.handler.StartShutdown(12 * time.Second)
+		Expect(r.call("/unsafe/", "Acacialift-Deadline-Ms", "30000").status).To(Equal(http.StatusOK))
+		time.Sleep(3200 * time.Millisecond)
+		Expect(r.call("/unsafe/", "Acacialift-Deadline-Ms", "30000").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.call("/unsafe/", "Acacialift-Deadline-Ms", "2000").status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against requests that an instance accepts during its graceful shutdown and cannot finish.
 	It("during a graceful shutdown refuses requests that would not end in time, and closes connections", func() {
 		e := newEndpoint(respond(sealedResponse("answer")))
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -3,21 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/outcome"
 )
 
-// responseTime and streamTime are the time that a response and a stream may need after the objective of the request. During
-// a graceful shutdown, a request is refused if the remaining time is less than its objective plus responseTime or
-// streamTime. Another instance can then serve it to its end.
-const (
-	responseTime = 2 * time.Second
-	streamTime   = 5 * time.Second
-)
-
 // admit finds the profile, the team, the time limit and the service of a call, or refuses the call.
 func (x *exchange) admit() *outcome.Error {
 	snapshot, confirmedAt := x.handler.options.State.ConfirmedSnapshot()
@@ -37,8 +28,7 @@
 	if x.call.Budget > 0 && (x.timeLimit == 0 || x.call.Budget < x.timeLimit) {
 		x.timeLimit = x.call.Budget
 	}
-	left, stopping := x.handler.shutdownTimeLeft()
-	if stopping && left < x.profile.Objective+timeAfterObjective(x.profile.Kind) {
+	if !x.handler.shutdown.mayAccept(x.profile, x.timeLimit) {
 		return refuseUnavailable(outcome.StageAdmission, codeStopping, "the instance is shutting down", stoppingRetryAfter)
 	}
 	x.service = catalog.Services[chooseService(x.profile.TrafficSplit)]
@@ -48,13 +38,6 @@
 	return nil
 }
 
-func timeAfterObjective(kind fleet.Kind) time.Duration {
-	if kind == fleet.Streaming {
-		return streamTime
-	}
-	return responseTime
-}
-
 // admitTeam checks the caller's key. It accepts a key only if the catalog was confirmed within MaxCatalogAge. Otherwise an
 // instance that cannot reach the platform would continue to accept revoked keys.
 func (x *exchange) admitTeam() *outcome.Error {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -86,6 +86,8 @@
 	x.tried = make(map[string]bool)
 	x.events.budget = x.handler.responseMemory
 	x.handler.options.RetryBudget.CountRequest(x.service.Name, x.received)
+	ctx, stopShutdownWatch := x.handler.shutdown.watch(ctx)
+	defer stopShutdownWatch()
 	ctx, cancel := context.WithDeadline(ctx, x.received.Add(x.timeLimit))
 	defer cancel()
 	ctx, cancelWatched := x.watchParts(ctx)
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -71,24 +71,32 @@
 	}
 }
 
-// endCancelled ends a call whose time limit is exceeded, whose caller has disconnected, or whose prompt has a part in
-// quarantine.
+// endCancelled ends a call whose time limit is exceeded, whose caller has disconnected, whose prompt has a part in quarantine, or
+// that still runs at the end of a graceful shutdown.
 func (x *exchange) endCancelled(ctx context.Context) {
+	cause := context.Cause(ctx)
 	var quarantined *quarantineError
 	switch {
-	case errors.As(context.Cause(ctx), &quarantined):
+	case errors.As(cause, &quarantined):
 		x.endQuarantined(quarantined)
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(cause, errShutdownEnds):
+		x.endOutOfTime(codeStopping, "the instance is shutting down", stoppingRetryAfter)
+	case errors.Is(cause, context.DeadlineExceeded):
+		x.endOutOfTime(codeTimeLimit, "the time limit of the request was exceeded", notRunRetryAfter)
+	default:
 		x.logEnd("caller_left", 0, "")
+	}
+}
+
+// endOutOfTime ends a call for which no time is left.
+func (x *exchange) endOutOfTime(code, message string, retryAfter time.Duration) {
+	switch {
 	case x.streamStarted:
-		x.abort(codeTimeLimit)
+		x.abort(code)
 	case x.sent > 0:
-		x.endWithError(unknownOutcome(
-			http.StatusGatewayTimeout, outcome.StagePrefill, codeTimeLimit, "the time limit of the request was exceeded",
-			x.profile.Retryable(),
-		))
+		x.endWithError(unknownOutcome(http.StatusGatewayTimeout, outcome.StagePrefill, code, message, x.profile.Retryable()))
 	default:
-		x.endWithError(refuseUnavailable(outcome.StageAdmission, codeTimeLimit, "the time limit of the request was exceeded", notRunRetryAfter))
+		x.endWithError(refuseUnavailable(outcome.StageAdmission, code, message, retryAfter))
 	}
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/acacialift/acacialift/internal/budget"
-	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/health"
@@ -69,8 +67,7 @@
 	responseMemory *budget.Budget
 	// numbering is what the streams of each service have shown about the numbers of their events.
 	numbering serviceNumbering
-	// shutdownAt is the boot-time at which a graceful shutdown aborts the remaining requests; zero unless one has begun.
-	shutdownAt atomic.Int64
+	shutdown  shutdown
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
@@ -80,26 +77,19 @@
 	if options.MaxBufferedBytes == 0 {
 		options.MaxBufferedBytes = defaultBufferedBytes
 	}
-	return &Handler{options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now()}
+	h := &Handler{options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now()}
+	h.shutdown.init()
+	return h
 }
 
-// StartShutdown begins a graceful shutdown that ends after the grace time. Requests that still run then are aborted. From
+// StartShutdown begins a graceful shutdown that ends after the grace time. Requests that still run shortly before are ended. From
 // now on responses close their connections, and requests that would not end in time are refused.
-func (h *Handler) StartShutdown(grace time.Duration) { h.shutdownAt.Store(int64(clock.Boot() + grace)) }
-
-// shutdownTimeLeft returns the time until the end of a graceful shutdown, or false if none has begun.
-func (h *Handler) shutdownTimeLeft() (time.Duration, bool) {
-	at := h.shutdownAt.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return time.Duration(at) - clock.Boot(), true
-}
+func (h *Handler) StartShutdown(grace time.Duration) { h.shutdown.start(grace) }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	if _, stopping := h.shutdownTimeLeft(); stopping {
+	if h.shutdown.hasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := h.options.Protocol.ReadCall(r, bodyOf(r))
