Ignore a request rate that no endpoint can mean

A rate is valid up to a million requests a second; others are ignored and logged once an endpoint, both in responses and in messages of peers. They no longer end a limit that was named before. The interval is at least a microsecond.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -136,12 +136,26 @@
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Dur("rest_ms", status.BackOff).
 			Msg("endpoint_rests")
 	}
+	if status.InvalidMaxRate != "" {
+		x.logInvalidRate(e, status.InvalidMaxRate)
+	}
 	if status.HasMaxRate && x.handler.options.RateLimiter.Observe(e.Key(), status.MaxRate, time.Now()) {
 		x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("endpoint", e.ID).Float64("max_rate", status.MaxRate).
 			Msg("endpoint_limited")
 	}
 }
 
+// maxLoggedStatement bounds what is logged of an invalid statement.
+const maxLoggedStatement = 64
+
+// logInvalidRate logs the first invalid request rate of an endpoint, which is ignored.
+func (x *exchange) logInvalidRate(e *fleet.Endpoint, stated string) {
+	if x.handler.options.RateLimiter.ObserveInvalid(e.Key(), time.Now()) {
+		x.handler.options.Log.Warn().Str("request_id", x.call.ID).Str("endpoint", e.ID).
+			Str("stated", stated[:min(len(stated), maxLoggedStatement)]).Msg("endpoint_limit_rejected")
+	}
+}
+
 // observeRateEnd records that a response to a request that was sent at the given time states no request rate.
 func (x *exchange) observeRateEnd(e *fleet.Endpoint, sentAt time.Time) {
 	if x.handler.options.RateLimiter.ObserveNone(e.Key(), sentAt, time.Now()) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -87,6 +87,8 @@
 	// false if the endpoint stated none.
 	MaxRate    float64
 	HasMaxRate bool
+	// InvalidMaxRate is what the endpoint stated instead of a valid number; empty if it did not.
+	InvalidMaxRate string
 }
 
 // ControlRequest is a request to reserve or release memory of an endpoint.
--- a/internal/entry/ratelimit_test.go
+++ b/internal/entry/ratelimit_test.go
@@ -48,6 +48,31 @@
 	})
 })
 
+var _ = Describe("an endpoint that names a number that cannot be its request rate", func() {
+	// Guards against one answer that stops an instance, and all others: a rate of 1e10 made the handler of each later request panic.
+	DescribeTable("gets requests as before, and is logged once", func(stated string) {
+		e := newEndpoint(respond(limitedResponse(stated)))
+		var log testkit.LogBuffer
+		r := newRig([]*fakeEndpoint{e}, withLog(&log))
+		for range 5 {
+			got := r.call("/safe/")
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.status).To(Equal(200))
+		}
+		Expect(strings.Count(log.String(), "endpoint_limit_rejected")).To(Equal(1))
+		Expect(log.String()).To(ContainSubstring(`"stated":"` + stated + `"`))
+	}, Entry("too large", "10000000000"), Entry("infinite", "Inf"), Entry("not a number", "NaN"), Entry("negative", "-3"))
+
+	// Guards against a limit that ends although the endpoint still states one, in a way that cannot be read.
+	It("keeps the limit that it has named before", func() {
+		e := newEndpoint(respond(limitedResponse("0.5")), respond(limitedResponse("few")))
+		r := newRig([]*fakeEndpoint{e})
+		Expect(r.call("/safe/").status).To(Equal(200))
+		Eventually(func() int { return r.call("/safe/").status }, waitTimeout).Should(Equal(200))
+		Expect(r.call("/safe/").status).To(Equal(503))
+	})
+})
+
 var _ = Describe("an endpoint that limits the rate of a fleet of 8", func() {
 	const (
 		instances        = 8
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -65,7 +65,7 @@
 	if classification.Verdict == Accepted || classification.Verdict == NotRun {
 		endpointStatus := r.x.handler.options.Protocol.EndpointStatus(status, header)
 		r.x.applyStatus(r.endpoint, endpointStatus)
-		if !endpointStatus.HasMaxRate {
+		if !endpointStatus.HasMaxRate && endpointStatus.InvalidMaxRate == "" {
 			r.x.observeRateEnd(r.endpoint, r.sentAt)
 		}
 	}
--- a/internal/limit/ratelimiter.go
+++ b/internal/limit/ratelimiter.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -16,8 +17,10 @@
 	// minEndpointRate is the least rate that is assumed, in requests per second of the whole fleet. Without any request, no
 	// instance would learn that an endpoint no longer names a rate of zero.
 	minEndpointRate = 0.1
-	// maxInterval bounds the interval of an instance without a share.
+	// maxInterval bounds the interval of an instance without a share, and minInterval that of one with a share of a rate that limits
+	// nothing.
 	maxInterval = 24 * time.Hour
+	minInterval = time.Microsecond
 	// statementLifetime is how long a statement is passed on to other instances. The end of a limit is kept as long, so that
 	// all instances learn of it.
 	statementLifetime = 10 * time.Second
@@ -25,6 +28,12 @@
 	limitRetention = 10 * time.Minute
 )
 
+// MaxRate is the largest rate that an endpoint may name, in requests per second.
+const MaxRate = 1e6
+
+// IsValidRate reports whether an endpoint may name a rate. Others, which are no number or no finite one, are ignored.
+func IsValidRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= MaxRate }
+
 // Origin tells from which instances a statement has come. Statements are passed on from a member to its aggregator, to the
 // other aggregators and to their members, and not further, so that they do not circulate.
 type Origin uint8
@@ -60,6 +69,8 @@
 	share  *FleetShare
 	random func() float64
 	limits map[uint32]*rateLimit
+	// rejected holds the time of the latest invalid statement of an endpoint.
+	rejected map[uint32]time.Time
 }
 
 // statement is the latest statement of one origin. Its time is zero if there is none.
@@ -80,15 +91,30 @@
 // NewRateLimiter returns a limiter that knows no limit. share computes this instance's share of a rate, and random returns
 // random numbers in [0, 1).
 func NewRateLimiter(share *FleetShare, random func() float64) *RateLimiter {
-	return &RateLimiter{share: share, random: random, limits: make(map[uint32]*rateLimit)}
+	return &RateLimiter{share: share, random: random, limits: make(map[uint32]*rateLimit), rejected: make(map[uint32]time.Time)}
 }
 
 // Observe records a response that named the rate, in requests per second. It reports whether the rate differs from the one
 // that was known.
 func (l *RateLimiter) Observe(endpoint uint32, perSecond float64, now time.Time) (changed bool) {
+	if !IsValidRate(perSecond) {
+		return false
+	}
 	return l.record(endpoint, OriginSelf, statement{perSecond: perSecond, at: now}, now)
 }
 
+// ObserveInvalid records a response with a statement that is ignored. It reports whether it is the endpoint's first one in
+// limitRetention.
+func (l *RateLimiter) ObserveInvalid(endpoint uint32, now time.Time) (first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, found := l.rejected[endpoint]; found {
+		return false
+	}
+	l.rejected[endpoint] = now
+	return true
+}
+
 // ObserveNone records a response without a rate to a request that was sent at the given time. It ends the limit if the
 // request was sent after the latest statement, and reports whether it did. An earlier request says nothing about the present,
 // because its response may have been delayed.
@@ -98,7 +124,7 @@
 
 // Merge records a statement that another instance has observed. It reports whether the known rate has changed.
 func (l *RateLimiter) Merge(s Statement, origin Origin, now time.Time) (changed bool) {
-	isValid := s.None || s.PerSecond >= 0
+	isValid := s.None || IsValidRate(s.PerSecond)
 	if !isValid || s.Age < 0 {
 		return false
 	}
@@ -147,7 +173,7 @@
 		share *= unknownPeersFactor
 	}
 	seconds := 1 / (max(perSecond, minEndpointRate) * share)
-	return time.Duration(min(seconds, maxInterval.Seconds()) * float64(time.Second))
+	return max(time.Duration(min(seconds, maxInterval.Seconds())*float64(time.Second)), minInterval)
 }
 
 // isFull reports whether this instance must not send a request now.
@@ -248,4 +274,5 @@
 			delete(l.limits, endpoint)
 		}
 	}
+	maps.DeleteFunc(l.rejected, func(_ uint32, at time.Time) bool { return now.Sub(at) > limitRetention })
 }
--- a/internal/limit/ratelimiter_test.go
+++ b/internal/limit/ratelimiter_test.go
@@ -169,3 +169,30 @@
 		Entry("63 instances", 63, 2.0, 0.6), Entry("295 instances", 295, 2.0, 0.6), Entry("295 instances, a low rate", 295, 0.3, 0.5),
 	)
 })
+
+// TestNoRateStopsAnInstance guards against a number of an endpoint, or of another instance, that makes each decision about the endpoint
+// panic: a rate of 1e10 led to an interval of zero.
+func TestNoRateStopsAnInstance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		l := limit.NewRateLimiter(limit.NewFleetShare(rapid.IntRange(1, 400).Draw(t, "instances"), now.Add(-time.Hour)), rand.Float64)
+		rate := rapid.OneOf(
+			rapid.Float64(), rapid.Float64Range(0, 1e12), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e10, 0}),
+		).Draw(t, "rate")
+		if rapid.Bool().Draw(t, "from another instance") {
+			age := time.Duration(rapid.Int64().Draw(t, "age"))
+			l.Merge(limit.Statement{Endpoint: 1, PerSecond: rate, Age: age}, limit.OriginFleet, now)
+		} else {
+			l.Observe(1, rate, now)
+		}
+		for range 10 {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "elapsed")))
+			l.Full(now)
+			l.Take(1, now)
+			l.Statements(limit.OriginFleet, now)
+			if stated, _, limited := l.Rate(1, now); limited && !limit.IsValidRate(stated) {
+				t.Fatalf("the limiter keeps a rate of %g", stated)
+			}
+		}
+	})
+}
