--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -56,8 +56,12 @@
 	}
 	watched, cancelCause := context.WithCancelCause(ctx)
 	x.watch.start = func(now time.Time) func() {
-		return x.handler.options.Quarantine.Watch(x.call.Prompt, now,
+		stop, trial := x.handler.options.Quarantine.Watch(x.call.Prompt, now,
 			func(part quarantine.Part, left time.Duration) { cancelCause(&quarantineError{part: part, left: left}) })
+		if trial != 0 {
+			x.handler.options.Log.Info().Str("request_id", x.call.ID).Str("part", trial.String()).Msg("part_trial")
+		}
+		return stop
 	}
 	x.watch.resume()
 	return watched, func() {
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -286,6 +286,20 @@
 		Expect(r.callWithParts(2, systemPart).body).To(Equal(streamEvent(1)))
 	})
 
+	// Guards against a request that passes a quarantine and leaves no line that says why.
+	It("is served and logged if it is a trial", func() {
+		var log testkit.LogBuffer
+		r := newRig([]*fakeEndpoint{newEndpoint(respond(wholeStream))}, withEngine, withTracker, withLog(&log))
+		evidence := crashesElsewhere()
+		for i := range evidence[0].Crashes {
+			evidence[0].Crashes[i].Age += time.Minute
+		}
+		parts.Merge(evidence, time.Now())
+		Expect(r.callWithParts(1, systemPart, crashPart).body).To(Equal(streamEvent(1)))
+		Expect(log.String()).To(ContainSubstring(`"request_id":"` + callID + `","part":"12ca9047f126","message":"part_trial"`))
+		Expect(log.String()).To(ContainSubstring(`part_released`))
+	})
+
 	// Guards against a request that goes on waiting at an endpoint and crashes it, although its part is known by now.
 	It("is ended at once while it waits at an endpoint, and is not said to have not run", func() {
 		gone := make(chan struct{})
--- a/internal/quarantine/benchmark_test.go
+++ b/internal/quarantine/benchmark_test.go
@@ -24,7 +24,7 @@
 			t := trackerWithParts(count)
 			prompt := quarantine.Prompt{Shared: []quarantine.Part{systemPart, otherPart}, Own: newPart}
 			for b.Loop() {
-				stop := t.Watch(prompt, start, func(quarantine.Part, time.Duration) {})
+				stop, _ := t.Watch(prompt, start, func(quarantine.Part, time.Duration) {})
 				t.ObserveServed(prompt, start)
 				stop()
 			}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -39,7 +39,8 @@
 // isAdmitted reports whether a request with the parts that comes at this time is let through.
 func isAdmitted(t *quarantine.Tracker, now time.Time, parts ...quarantine.Part) bool {
 	refused := false
-	t.Watch(shared(parts...), now, func(quarantine.Part, time.Duration) { refused = true })()
+	stop, _ := t.Watch(shared(parts...), now, func(quarantine.Part, time.Duration) { refused = true })
+	stop()
 	return !refused
 }
 
@@ -204,11 +205,13 @@
 		t := quarantine.NewTracker()
 		notified := make(map[string]int)
 		watch := func(name string, parts ...quarantine.Part) func() {
-			return t.Watch(shared(parts...), start, func(part quarantine.Part, left time.Duration) {
+			stop, trial := t.Watch(shared(parts...), start, func(part quarantine.Part, left time.Duration) {
 				Expect(part).To(Equal(crashPart))
 				Expect(left).To(Equal(5 * time.Second))
 				notified[name]++
 			})
+			Expect(trial).To(BeZero())
+			return stop
 		}
 		defer watch("waiting", systemPart, crashPart)()
 		defer watch("sound", systemPart, otherPart)()
--- a/internal/quarantine/suspicion_test.go
+++ b/internal/quarantine/suspicion_test.go
@@ -132,7 +132,9 @@
 			t := quarantined(crashes)
 			var told time.Duration
 			newest := start.Add(time.Duration(crashes-1) * time.Second)
-			t.Watch(shared(newPart), newest, func(_ quarantine.Part, left time.Duration) { told = left })()
+			stop, trial := t.Watch(shared(newPart), newest, func(_ quarantine.Part, left time.Duration) { told = left })
+			stop()
+			Expect(trial).To(BeZero())
 			Expect(told).To(Equal(want))
 		}
 	})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -80,24 +80,27 @@
 }
 
 // Watch calls onQuarantine once the prompt is in quarantine, possibly at once, with one of them and the time until a request with them may
-// be served. A request that is let through as a trial is not watched. The caller must call stop at the end of the request.
-func (t *Tracker) Watch(prompt Prompt, now time.Time, onQuarantine func(Part, time.Duration)) (stop func()) {
+// be served. A request that is let through as a trial is not watched; trial is then one of the parts in quarantine, and zero otherwise. The
+// caller must call stop at the end of the request.
+func (t *Tracker) Watch(prompt Prompt, now time.Time, onQuarantine func(Part, time.Duration)) (stop func(), trial Part) {
 	w := &watch{prompt: prompt, onQuarantine: onQuarantine}
 	t.mu.Lock()
 	matches := t.find(prompt, now)
-	isTrial := len(matches) > 0 && t.takeTrial(matches, now)
-	if len(matches) == 0 {
+	switch {
+	case len(matches) == 0:
 		t.watches[w] = struct{}{}
+	case t.takeTrial(matches, now):
+		trial = matches[0].parts[0]
 	}
 	t.mu.Unlock()
-	if len(matches) > 0 && !isTrial {
+	if len(matches) > 0 && trial == 0 {
 		onQuarantine(matches[0].parts[0], matches[0].retryDelay(now))
 	}
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.watches, w)
-	}
+	}, trial
 }
 
 // find returns the quarantined sets that the prompt includes. It must be called with the mutex held.
