--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -144,7 +144,7 @@
 	x.events.beginAttempt(x.handler.numbering.isConsecutive(x.service.Name))
 	r := &relay{x: x, endpoint: primary, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
-	r.onFirst = func() {
+	r.onEvents = func() {
 		if request.PrefillDone() {
 			p.schedulerPlacement.PrefillDone()
 			x.watch.pause()
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -25,7 +25,7 @@
 		}
 	}
 	if !r.streaming {
-		r.onFirst()
+		r.onEvents()
 		if err := r.sendBuffered(x.w); err != nil {
 			x.abort("caller_write_failed")
 			return
--- a/internal/entry/matching_test.go
+++ b/internal/entry/matching_test.go
@@ -41,9 +41,9 @@
 		got := r.call("/safe/")
 		Expect(got.status).To(Equal(http.StatusBadGateway))
 		Expect(got.body).To(ContainSubstring(`"outcome":"unknown"`))
-		Expect(e.connections).To(Equal(1))
+		Expect(e.connectionCount()).To(Equal(1))
 		Expect(r.call("/safe/").body).To(Equal("ran"))
-		Expect(e.connections).To(Equal(2))
+		Expect(e.connectionCount()).To(Equal(2))
 	}, Entry("a refusal without an id", anonymousRefusal), Entry("a failure without an id", anonymousFailure))
 
 	// Guards against the same for one that names the earlier request: the response behind it is the right one.
@@ -72,7 +72,7 @@
 		r := newRig([]*fakeEndpoint{e})
 		Expect(r.call("/once/").status).To(Equal(http.StatusServiceUnavailable))
 		Expect(r.call("/safe/").body).To(Equal("answer"))
-		Expect(e.connections).To(Equal(2))
+		Expect(e.connectionCount()).To(Equal(2))
 	})
 
 	// Guards against a response to an order, which names no request, that is taken for the response to a later order or request on
@@ -82,7 +82,7 @@
 		r := newRig([]*fakeEndpoint{a, b}, withLongObjective)
 		r.call("/stream/x", "Acacialift-Token-Usage", "150000,10")
 		for _, e := range []*fakeEndpoint{a, b} {
-			Expect(e.connections).To(Equal(len(e.controlBodies()) + len(e.requests())))
+			Expect(e.connectionCount()).To(Equal(len(e.controlBodies()) + len(e.requests())))
 		}
 		Expect(len(a.controlBodies()) + len(b.controlBodies())).To(BeNumerically(">=", 2))
 	})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -35,8 +35,8 @@
 	reused bool
 	// unframed is true if only the end of the connection ends the response.
 	unframed bool
-	// onFirst is called at each event of a stream, or at the end of a response that is not a stream.
-	onFirst func()
+	// onEvents is called at each event of a stream, or at the end of a response that is not a stream.
+	onEvents func()
 	// firstEventAt is the time of the first event of the attempt.
 	firstEventAt time.Time
 	// isEstablished is true once the response has gone on for long enough that the endpoint will not crash because of the prompt.
@@ -105,7 +105,7 @@
 	if len(complete) == 0 {
 		return orderErr
 	}
-	r.onFirst()
+	r.onEvents()
 	r.observeEvents(time.Now())
 	if err := r.x.sendEvents(r.header, complete); err != nil {
 		return errors.Join(errCallerWrite, err)
--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -112,7 +112,7 @@
 		r := newRig([]*fakeEndpoint{e})
 		Expect(r.call("/safe/").body).To(Equal("first"))
 		Expect(r.call("/safe/").body).To(Equal("fresh"))
-		Expect(e.connections).To(Equal(1))
+		Expect(e.connectionCount()).To(Equal(1))
 	})
 
 	// Guards against the reuse of a connection on which bytes have arrived that belong to no request.
@@ -123,7 +123,7 @@
 		Expect(r.call("/safe/").body).To(Equal("first"))
 		time.Sleep(20 * time.Millisecond)
 		Expect(r.call("/safe/").body).To(Equal("fresh"))
-		Expect(e.connections).To(Equal(2))
+		Expect(e.connectionCount()).To(Equal(2))
 	})
 })
 
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -145,6 +145,13 @@
 	return script
 }
 
+// connectionCount returns the number of connections that were opened to the endpoint.
+func (e *fakeEndpoint) connectionCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connections
+}
+
 func (e *fakeEndpoint) requests() []receivedRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -86,24 +86,18 @@
 	// companions are the candidates that cannot be told apart from it.
 	companions []Part
 	score      int
-	calls      int
-	// severalCalls is true if more than one call was at the crashes. A call that is retried meets several crashes of another cause.
-	severalCalls bool
+	// calls is the number of calls at the crashes.
+	calls int
 }
 
 // compareCandidates orders the candidates by decreasing suspicion: first the parts that have never been served, then those with the
-// higher score, then those of several calls.
+// higher score, then those of several calls, because a call that is retried meets several crashes of another cause. Then come those with
+// the most companions, because the fewest requests have all of them, those of fewer calls, because a sound part is in others
+// too, and those further behind in the prompt, which fewer requests share.
 func compareCandidates(a, b *candidate) int {
 	return cmp.Or(
-		compareBool(!a.served, !b.served), cmp.Compare(b.score, a.score), compareBool(a.severalCalls, b.severalCalls),
-	)
-}
-
-// compareGroups completes compareCandidates: first the candidates with the most companions, because the fewest requests have all of
-// them, then those of fewer calls, then those further behind in the prompt, which fewer requests share.
-func compareGroups(a, b *candidate) int {
-	return cmp.Or(
-		compareCandidates(a, b), cmp.Compare(len(b.companions), len(a.companions)), cmp.Compare(a.calls, b.calls),
+		compareBool(!a.served, !b.served), cmp.Compare(b.score, a.score), compareBool(a.calls > 1, b.calls > 1),
+		cmp.Compare(len(b.companions), len(a.companions)), cmp.Compare(a.calls, b.calls),
 		cmp.Compare(b.position, a.position), cmp.Compare(a.part, b.part),
 	)
 }
@@ -150,11 +144,10 @@
 	for _, r := range t.records {
 		score := r.score(nil)
 		if score >= quarantineScore && now.Sub(r.newest()) < quarantineTime {
-			calls := r.callCount()
-			list = append(list, &candidate{record: r, score: score, calls: calls, severalCalls: calls > 1})
+			list = append(list, &candidate{record: r, score: score, calls: r.callCount()})
 		}
 	}
-	slices.SortFunc(list, compareGroups)
+	slices.SortFunc(list, compareCandidates)
 	list = list[:min(len(list), maxCandidates)]
 	for _, c := range list {
 		for _, other := range list {
@@ -163,7 +156,7 @@
 			}
 		}
 	}
-	slices.SortFunc(list, compareGroups)
+	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -12,8 +12,8 @@
 const (
 	// quarantineScore is the score from which a part is in quarantine. A crash counts respondingWeight if the endpoint had begun
 	// to respond to a request with the part, and waitingWeight if such a request was only waiting there. At crashes that no part
-	// causes, one request in a hundred is at the begin of its response; two with the same part that has never been served are
-	// hardly possible. Requests that wait are at each crash. A request that is sent to several endpoints one after the other may be
+	// causes, few of the requests are at the begin of their response; two with the same part that has never been served are
+	// rare. Requests that wait are at each crash. A request that is sent to several endpoints one after the other may be
 	// waiting at several crashes: for the part that only it has, each counts ownWaitingWeight.
 	quarantineScore  = 10
 	respondingWeight = 5
@@ -79,7 +79,7 @@
 	}
 }
 
-// Watch calls onQuarantine once the prompt is in quarantine, possibly at once, with one of them and the time until a request with them may
+// Watch calls onQuarantine once the prompt is in quarantine, possibly at once, with one of the parts and the time until a request with them may
 // be served. A request that is let through as a trial is not watched; trial is then one of the parts in quarantine, and zero otherwise. The
 // caller must call stop at the end of the request.
 func (t *Tracker) Watch(prompt Prompt, now time.Time, onQuarantine func(Part, time.Duration)) (stop func(), trial Part) {
@@ -92,9 +92,14 @@
 	case t.takeTrial(matches, now):
 		trial = matches[0].parts[0]
 	}
+	isRefused := len(matches) > 0 && trial == 0
+	var left time.Duration
+	if isRefused {
+		left = matches[0].retryDelay(now)
+	}
 	t.mu.Unlock()
-	if len(matches) > 0 && trial == 0 {
-		onQuarantine(matches[0].parts[0], matches[0].retryDelay(now))
+	if isRefused {
+		onQuarantine(matches[0].parts[0], left)
 	}
 	return func() {
 		t.mu.Lock()
@@ -348,7 +353,8 @@
 	for w := range t.watches {
 		if found := t.find(w.prompt, now); len(found) > 0 {
 			delete(t.watches, w)
-			calls = append(calls, func() { w.onQuarantine(found[0].parts[0], found[0].retryDelay(now)) })
+			part, left := found[0].parts[0], found[0].retryDelay(now)
+			calls = append(calls, func() { w.onQuarantine(part, left) })
 		}
 	}
 	return calls
