--- a/internal/fleet/catalog.go
+++ b/internal/fleet/catalog.go
@@ -46,7 +46,7 @@
 	MaxGap time.Duration
 	// MaxAttempts is the maximum number of times that a request is sent to an endpoint, including the first.
 	MaxAttempts int
-	// Priority is the priority that operators publish; 0 is the highest. It is not used yet.
+	// Priority is the priority that operators publish; 0 is the highest. See Catalog.Rank.
 	Priority int
 	// Callers need no API key for Public profiles.
 	Public bool
@@ -125,8 +125,9 @@
 // Team is a customer. Its callers authenticate with one of its API keys.
 type Team struct {
 	Name string
-	// Priority is the priority that operators publish. It is not used yet.
-	Priority int
+	// Priority is the priority that operators publish; 0 is the highest. HasPriority is false if they publish none.
+	Priority    int
+	HasPriority bool
 }
 
 // Catalog is one version of the configuration document that operators publish. It must not be changed after NewCatalog.
@@ -144,6 +145,7 @@
 
 	byHost map[string][]*Profile
 	byKey  map[uint32]*Service
+	ranks  map[string]serviceRanks
 }
 
 // NewCatalog returns the catalog with indexes by host and by service key. It shares the profiles and services with c.
@@ -160,6 +162,7 @@
 	for _, profiles := range c.byHost {
 		slices.SortStableFunc(profiles, func(a, b *Profile) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
+	c.ranks = ranksOf(&c)
 	return &c
 }
 
--- /dev/null
+++ b/internal/fleet/rank.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// MaxRank is the lowest rank. Lower ones count as MaxRank, because engines distinguish ten ranks.
+const MaxRank = 9
+
+// urgency is what orders the requests of a service. The team's priority goes first; the profile's orders requests of equally
+// urgent teams.
+type urgency struct {
+	team, profile int
+}
+
+func compareUrgency(a, b urgency) int {
+	return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.profile, b.profile))
+}
+
+// urgencyOf returns the urgency of a profile's requests from a team. A team without a priority counts as its profile.
+func urgencyOf(profile *Profile, team Team) urgency {
+	if !team.HasPriority {
+		return urgency{team: profile.Priority, profile: profile.Priority}
+	}
+	return urgency{team: team.Priority, profile: profile.Priority}
+}
+
+// serviceRanks holds the distinct urgencies of a service in their order. ranked is true if the profiles on the service have
+// different priorities.
+type serviceRanks struct {
+	order  []urgency
+	ranked bool
+}
+
+// ranksOf returns the ranks of the model services of a catalog, by name.
+func ranksOf(c *Catalog) map[string]serviceRanks {
+	teams := make(map[Team]bool)
+	for _, team := range c.Teams {
+		teams[Team{Priority: team.Priority, HasPriority: team.HasPriority}] = true
+	}
+	if len(teams) == 0 {
+		teams[Team{}] = true
+	}
+	all := make(map[string]serviceRanks)
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			all[name] = ranksOn(c.profilesOn(name), teams)
+		}
+	}
+	return all
+}
+
+func ranksOn(profiles []*Profile, teams map[Team]bool) serviceRanks {
+	var ranks serviceRanks
+	for _, p := range profiles {
+		ranks.ranked = ranks.ranked || p.Priority != profiles[0].Priority
+		for team := range teams {
+			ranks.order = append(ranks.order, urgencyOf(p, team))
+		}
+	}
+	slices.SortFunc(ranks.order, compareUrgency)
+	ranks.order = slices.Compact(ranks.order)
+	return ranks
+}
+
+// profilesOn returns the profiles that send a part of their traffic to a service.
+func (c *Catalog) profilesOn(service string) []*Profile {
+	var profiles []*Profile
+	for i := range c.Profiles {
+		p := &c.Profiles[i]
+		if slices.ContainsFunc(p.TrafficSplit, func(w WeightedService) bool { return w.Service == service && w.Weight > 0 }) {
+			profiles = append(profiles, p)
+		}
+	}
+	return profiles
+}
+
+// IsRanked reports whether the profiles on a model service have different priorities.
+func (c *Catalog) IsRanked(service string) bool { return c.ranks[service].ranked }
+
+// Rank returns the rank of a profile's requests from a team among all requests of a model service: 0 is the highest, MaxRank
+// the lowest. It returns zero for a plain service.
+func (c *Catalog) Rank(service string, profile *Profile, team Team) int {
+	rank, _ := slices.BinarySearchFunc(c.ranks[service].order, urgencyOf(profile, team), compareUrgency)
+	return min(rank, MaxRank)
+}
--- /dev/null
+++ b/internal/fleet/rank_test.go
@@ -0,0 +1,49 @@
+package fleet_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+var _ = Describe("the ranks of a service", func() {
+	profile := func(name, service string, priority int) fleet.Profile {
+		return fleet.Profile{
+			Name: name, Priority: priority, TrafficSplit: []fleet.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	catalog := func(profiles ...fleet.Profile) *fleet.Catalog {
+		return fleet.NewCatalog(fleet.Catalog{
+			Profiles: profiles,
+			Services: map[string]*fleet.Service{"model": {Name: "model", Engine: &fleet.Engine{}}, "plain": {Name: "plain"}},
+			Teams: map[string]fleet.Team{
+				"k0": {Name: "urgent", Priority: 0, HasPriority: true}, "k1": {Name: "usual", Priority: 1, HasPriority: true},
+			},
+		})
+	}
+	urgent, usual := fleet.Team{Priority: 0, HasPriority: true}, fleet.Team{Priority: 1, HasPriority: true}
+
+	// Guards against parts that take effect in a deployment whose model profiles are equally urgent.
+	It("do not differ because of other services, or of teams alone", func() {
+		c := catalog(profile("short", "model", 1), profile("long", "model", 1), profile("booking", "plain", 2))
+		Expect(c.IsRanked("model")).To(BeFalse())
+		Expect(c.IsRanked("plain")).To(BeFalse())
+	})
+
+	// Guards against a profile's priority that goes before the priority of the caller's team.
+	It("are ordered by team, then by profile", func() {
+		c := catalog(profile("short", "model", 0), profile("long", "model", 2))
+		Expect(c.IsRanked("model")).To(BeTrue())
+		short, long := &c.Profiles[0], &c.Profiles[1]
+		Expect([]int{
+			c.Rank("model", short, urgent), c.Rank("model", long, urgent), c.Rank("model", short, usual), c.Rank("model", long, usual),
+		}).To(Equal([]int{0, 1, 2, 3}))
+	})
+
+	// Guards against a team without a priority that counts as the most urgent one.
+	It("of a team without a priority is that of its profile", func() {
+		c := catalog(profile("short", "model", 0), profile("long", "model", 2))
+		Expect(c.Rank("model", &c.Profiles[1], fleet.Team{})).To(BeNumerically(">=", c.Rank("model", &c.Profiles[1], usual)))
+	})
+})
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -16,9 +16,34 @@
 	// Seeds are peer addresses of other instances, which need not be up. This instance discovers its peers through them.
 	Seeds []string `yaml:"seeds"`
 	// PeersKey is the key with which all instances of a deployment authenticate to each other.
-	PeersKey Key         `yaml:"peers_key"`
-	Bounds   EntryBounds `yaml:"bounds"`
-	Limits   EntryLimits `yaml:"limits"`
+	PeersKey   Key             `yaml:"peers_key"`
+	Bounds     EntryBounds     `yaml:"bounds"`
+	Limits     EntryLimits     `yaml:"limits"`
+	Scheduling EntryScheduling `yaml:"scheduling"`
+}
+
+// Mode states for which services a part of the scheduling is enabled.
+type Mode string
+
+// The modes. ModeByPriority enables a part for the model services whose profiles have different priorities.
+const (
+	ModeOff        Mode = "off"
+	ModeByPriority Mode = "by_priority"
+	ModeOn         Mode = "on"
+)
+
+// Enabled reports whether the mode enables a part for a service. ranked is true if the profiles on the service have
+// different priorities.
+func (m Mode) Enabled(ranked bool) bool { return m == ModeOn || m == ModeByPriority && ranked }
+
+// EntryScheduling switches the parts of the scheduling under shortage. A part without a mode is off.
+type EntryScheduling struct {
+	// Queue lets requests wait at the scheduler of a shard until there is capacity.
+	Queue Mode `yaml:"queue"`
+	// ReturnTimes takes the Retry-After of a refusal from a schedule of expected capacity.
+	ReturnTimes Mode `yaml:"return_times"`
+	// Pace adapts placement to the observed speed of endpoints, and starts new and recovered endpoints slowly.
+	Pace Mode `yaml:"pace"`
 }
 
 // EntryLimits holds the resource limits of the process on its machine. Zero means that the limit is unknown.
@@ -95,6 +120,7 @@
 	c.key("peers_key", &s.PeersKey, "")
 	c.bounds(&s.Bounds)
 	c.entryLimits(&s.Limits)
+	c.scheduling(&s.Scheduling)
 	if err := c.report.Err(); err != nil {
 		return nil, err
 	}
@@ -122,6 +148,20 @@
 	}
 }
 
+func (c *checker) scheduling(s *EntryScheduling) {
+	for path, mode := range map[string]*Mode{
+		"scheduling.queue": &s.Queue, "scheduling.return_times": &s.ReturnTimes, "scheduling.pace": &s.Pace,
+	} {
+		switch *mode {
+		case "":
+			*mode = ModeOff
+		case ModeOff, ModeByPriority, ModeOn:
+		default:
+			c.report.Add(path, "must be off, by_priority or on")
+		}
+	}
+}
+
 func (c *checker) seed(seed string) {
 	if seed == "" {
 		c.report.Add("seeds", "a seed must not be empty")
