--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -139,13 +141,47 @@
 	return true
 }
 
-// PutEndpoint adds or replaces an endpoint. An incarnation that has announced that it is leaving stays marked as leaving,
-// even if e is not marked.
-func (s *State) PutEndpoint(e *Endpoint) {
+// EndpointUpdate changes endpoints. It is valid only during the function that UpdateEndpoints calls.
+type EndpointUpdate struct {
+	state   *State
+	changed map[string]bool
+}
+
+// Put adds or replaces an endpoint. An incarnation that has announced that it is leaving stays marked as leaving, even if e is
+// not marked.
+func (u *EndpointUpdate) Put(e *Endpoint) {
+	if previous := u.state.endpointsByID[e.ID]; previous != nil {
+		u.changed[previous.Service] = true
+	}
+	u.changed[e.Service] = true
+	u.state.storeEndpoint(e)
+}
+
+// Remove removes an endpoint and returns it, or nil if it was not known.
+func (u *EndpointUpdate) Remove(id string) *Endpoint {
+	e := u.state.endpointsByID[id]
+	if e != nil {
+		u.changed[e.Service] = true
+		delete(u.state.endpointsByID, id)
+	}
+	return e
+}
+
+// UpdateEndpoints calls update and then replaces the snapshot once. A list of the platform may change thousands of endpoints,
+// and a snapshot for each of them would take a time that grows with the square of their number. update must not call the state.
+func (s *State) UpdateEndpoints(update func(u *EndpointUpdate)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeEndpoint(e)
-	s.rebuildEndpoints()
+	u := &EndpointUpdate{state: s, changed: make(map[string]bool)}
+	update(u)
+	if len(u.changed) > 0 {
+		s.rebuildEndpoints(u.changed)
+	}
+}
+
+// PutEndpoint is UpdateEndpoints for one added or replaced endpoint.
+func (s *State) PutEndpoint(e *Endpoint) {
+	s.UpdateEndpoints(func(u *EndpointUpdate) { u.Put(e) })
 }
 
 func (s *State) storeEndpoint(e *Endpoint) {
@@ -168,7 +204,7 @@
 	s.leavingSince[e.incarnation()] = now
 	if current := s.endpointsByID[e.ID]; current != nil && current.Started == e.Started && !current.Leaving {
 		s.storeEndpoint(current)
-		s.rebuildEndpoints()
+		s.rebuildEndpoints(map[string]bool{current.Service: true})
 	}
 	return true
 }
@@ -183,15 +219,9 @@
 }
 
 // RemoveEndpoint removes an endpoint and returns it, or nil if it was not known.
-func (s *State) RemoveEndpoint(id string) *Endpoint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.endpointsByID[id]
-	if e != nil {
-		delete(s.endpointsByID, id)
-		s.rebuildEndpoints()
-	}
-	return e
+func (s *State) RemoveEndpoint(id string) (removed *Endpoint) {
+	s.UpdateEndpoints(func(u *EndpointUpdate) { removed = u.Remove(id) })
+	return removed
 }
 
 // Endpoint returns the endpoint with an id, or nil.
@@ -201,28 +231,46 @@
 	return s.endpointsByID[id]
 }
 
-func (s *State) rebuildEndpoints() {
+// rebuildEndpoints replaces the snapshot by one with the endpoints of the changed services.
+func (s *State) rebuildEndpoints(changed map[string]bool) {
 	next := *s.snapshot
-	next.Endpoints = make(map[string][]*Endpoint)
+	next.Endpoints = maps.Clone(s.snapshot.Endpoints)
 	next.ByKey = make(map[uint32]*Endpoint, len(s.endpointsByID))
+	keyed := make(map[string][]keyedEndpoint, len(changed))
 	for _, e := range s.endpointsByID {
-		next.Endpoints[e.Service] = append(next.Endpoints[e.Service], e)
-		next.ByKey[e.Key()] = e
+		key := e.Key()
+		next.ByKey[key] = e
+		if changed[e.Service] {
+			keyed[e.Service] = append(keyed[e.Service], keyedEndpoint{key: key, endpoint: e})
+		}
 	}
-	for _, endpoints := range next.Endpoints {
-		slices.SortFunc(endpoints, func(a, b *Endpoint) int {
-			if a.Key() != b.Key() {
-				if a.Key() < b.Key() {
-					return -1
-				}
-				return 1
-			}
-			return strings.Compare(a.ID, b.ID)
-		})
+	for service := range changed {
+		delete(next.Endpoints, service)
+		if len(keyed[service]) > 0 {
+			next.Endpoints[service] = sortedEndpoints(keyed[service])
+		}
 	}
 	s.replaceSnapshot(&next)
 }
 
+// keyedEndpoint is an endpoint with its key, which is computed once and not in each comparison of a sort.
+type keyedEndpoint struct {
+	key      uint32
+	endpoint *Endpoint
+}
+
+// sortedEndpoints returns the endpoints in the order of a snapshot.
+func sortedEndpoints(keyed []keyedEndpoint) []*Endpoint {
+	slices.SortFunc(keyed, func(a, b keyedEndpoint) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), strings.Compare(a.endpoint.ID, b.endpoint.ID))
+	})
+	endpoints := make([]*Endpoint, len(keyed))
+	for i := range keyed {
+		endpoints[i] = keyed[i].endpoint
+	}
+	return endpoints
+}
+
 func (s *State) replaceSnapshot(next *Snapshot) {
 	s.snapshot = next
 	close(s.changed)
