State the rank of requests to engines and order plain services by it

Priorities of profiles and teams were read and not used. Requests to the engines of a ranked service now carry their rank in the urgency header, in each attempt; other services get no such header, and a caller's own is still not forwarded.

Plain services get ranks without counting as ranked. Where scheduling.queue is on, lower ranks leave queue places of plain endpoints to higher ones, the lowest half of them; slots are open to all. Requests of a public profile, which have no team, have the rank of their profile instead of the lowest.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -48,6 +48,10 @@
 	TimeLeft time.Duration
 	// LastEventID is the id of the last event that the caller has; empty if it has none.
 	LastEventID string
+	// Rank is the rank of the request on its service, 0 to fleet.MaxRank; 0 is the highest. It is sent only if Ranked is true: the
+	// profiles of the service have different priorities.
+	Rank   int
+	Ranked bool
 }
 
 // Verdict states what the head of an endpoint's response means.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -187,10 +187,15 @@
 			Team:         x.team.Name,
 			TimeLeft:     time.Until(x.received.Add(x.timeLimit)),
 			LastEventID:  x.events.lastID,
+			Rank:         x.rank(),
+			Ranked:       x.catalog.IsRanked(x.service.Name),
 		}),
 	}
 }
 
+// rank returns the rank of the call among all requests of its service. All attempts of the call have the same rank.
+func (x *exchange) rank() int { return x.catalog.Rank(x.service.Name, x.profile, x.team) }
+
 // stillUsable checks the endpoint again immediately before the first byte is sent.
 func (x *exchange) stillUsable(p *attemptPlacement) error {
 	e := p.Primary
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -38,6 +38,8 @@
 	Schedulers Schedulers
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
 	CountsAge func(now time.Time) time.Duration
+	// RanksOnPlain lets requests of higher rank go first under shortage of slots on plain services.
+	RanksOnPlain bool
 	// Domain is the failure domain of this instance.
 	Domain string
 	// MaxCatalogAge is the greatest time since the last confirmation of the catalog at which keys are still accepted. If
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -27,6 +27,7 @@
 		Dur("predicted_ms", choice.Predicted).
 		Dur("budget_ms", x.call.Budget).
 		Dur("time_limit_ms", x.profile.TimeLimit).
+		Int("rank", x.rank()).
 		Int("attempt", x.sent+1).
 		Str("after_event", x.events.lastID).
 		Dur("waited_ms", time.Since(x.received)).
@@ -62,6 +63,7 @@
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("reason", string(refusal.Reason)).
+		Int("rank", x.rank()).
 		Int64("prompt_tokens", x.call.PromptTokens).
 		Dur("objective_ms", x.objectiveLeft(time.Now())).
 		Dur("predicted_ms", refusal.Predicted).
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -145,7 +145,7 @@
 	candidates, instances := x.candidates(now)
 	e := x.service.Engine
 	if e == nil {
-		return x.handler.options.Planner.PlacePlain(candidates, x.handler.options.Domain)
+		return x.handler.options.Planner.PlacePlain(candidates, x.handler.options.Domain, x.plainRank())
 	}
 	need := x.need()
 	need.Objective = objective
@@ -154,6 +154,14 @@
 	return x.handler.options.Planner.PlaceModel(e, candidates, need)
 }
 
+// plainRank returns the rank of a call for a plain service, or the zero value where ranks do not count.
+func (x *exchange) plainRank() placement.PlainRank {
+	if !x.handler.options.RanksOnPlain {
+		return placement.PlainRank{}
+	}
+	return placement.PlainRank{Rank: x.rank(), Ranks: x.catalog.RankCount(x.service.Name)}
+}
+
 // need returns the needs of the request except its objective.
 func (x *exchange) need() placement.Need {
 	return placement.Need{Tokens: x.call.PromptTokens, Output: x.call.MaxOutput, MaxGap: x.profile.MaxGap}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -141,7 +141,7 @@
 		RateLimiter: p.rateLimiter, Quarantine: p.quarantine,
 		Planner:   placement.Planner{IntN: rand.IntN},
 		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
-		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics, Panics: p.panics,
+		Client:    p.client, Domain: s.Domain, RanksOnPlain: s.Scheduling.Queue == settings.ModeOn, Log: options.Log, Metrics: p.metrics, Panics: p.panics,
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -33,7 +33,8 @@
 	ranked bool
 }
 
-// ranksOf returns the ranks of the model services of a catalog, by name.
+// ranksOf returns the ranks of the services of a catalog, by name. Plain services have ranks but never count as ranked: the modes
+// by priority concern model services only.
 func ranksOf(c *Catalog) map[string]serviceRanks {
 	teams := make(map[Team]bool)
 	for _, team := range c.Teams {
@@ -44,9 +45,9 @@
 	}
 	all := make(map[string]serviceRanks)
 	for name, service := range c.Services {
-		if service.Engine != nil {
-			all[name] = ranksOn(c.profilesOn(name), teams)
-		}
+		ranks := ranksOn(c.profilesOn(name), teams)
+		ranks.ranked = ranks.ranked && service.Engine != nil
+		all[name] = ranks
 	}
 	return all
 }
@@ -55,6 +56,11 @@
 	var ranks serviceRanks
 	for _, p := range profiles {
 		ranks.ranked = ranks.ranked || p.Priority != profiles[0].Priority
+		if p.Public {
+			// The requests of a public profile have no team.
+			ranks.order = append(ranks.order, urgencyOf(p, Team{}))
+			continue
+		}
 		for team := range teams {
 			ranks.order = append(ranks.order, urgencyOf(p, team))
 		}
@@ -79,9 +85,13 @@
 // IsRanked reports whether the profiles on a model service have different priorities.
 func (c *Catalog) IsRanked(service string) bool { return c.ranks[service].ranked }
 
-// Rank returns the rank of a profile's requests from a team among all requests of a model service: 0 is the highest, MaxRank
-// the lowest. It returns zero for a plain service.
+// Rank returns the rank of a profile's requests from a team among all requests of a service: 0 is the highest, MaxRank the lowest.
 func (c *Catalog) Rank(service string, profile *Profile, team Team) int {
 	rank, _ := slices.BinarySearchFunc(c.ranks[service].order, urgencyOf(profile, team), compareUrgency)
 	return min(rank, MaxRank)
 }
+
+// RankCount returns the number of different ranks of a service's requests; one if all are equally urgent.
+func (c *Catalog) RankCount(service string) int {
+	return min(max(len(c.ranks[service].order), 1), MaxRank+1)
+}
--- a/internal/fleet/rank_test.go
+++ b/internal/fleet/rank_test.go
@@ -46,4 +46,38 @@
 		c := catalog(profile("short", "model", 0), profile("long", "model", 2))
 		Expect(c.Rank("model", &c.Profiles[1], fleet.Team{})).To(BeNumerically(">=", c.Rank("model", &c.Profiles[1], usual)))
 	})
+
+	// Guards against plain services that take part in the modes by priority, and against requests of a plain service that are all
+	// taken for equally urgent ones.
+	It("of a plain service order its requests without making it a ranked service", func() {
+		c := catalog(profile("booking", "plain", 0), profile("export", "plain", 2))
+		Expect(c.IsRanked("plain")).To(BeFalse())
+		Expect(c.RankCount("plain")).To(Equal(4))
+		booking, export := &c.Profiles[0], &c.Profiles[1]
+		Expect([]int{
+			c.Rank("plain", booking, urgent), c.Rank("plain", export, urgent), c.Rank("plain", booking, usual), c.Rank("plain", export, usual),
+		}).To(Equal([]int{0, 1, 2, 3}))
+	})
+
+	// Guards against requests of a public profile, which have no team, that count as less urgent than all others.
+	It("of a public profile is that of its profile", func() {
+		open := profile("status", "plain", 1)
+		open.Public = true
+		c := catalog(open, profile("booking", "plain", 0), profile("export", "plain", 2))
+		Expect(c.Rank("plain", &c.Profiles[0], fleet.Team{})).To(BeNumerically("<", c.Rank("plain", &c.Profiles[2], usual)))
+		Expect(c.Rank("plain", &c.Profiles[0], fleet.Team{})).To(BeNumerically(">", c.Rank("plain", &c.Profiles[1], urgent)))
+	})
+
+	// Guards against a number of ranks beyond those that engines and endpoints distinguish, and against none at all.
+	It("are at least one and at most ten", func() {
+		var profiles []fleet.Profile
+		for i := range 20 {
+			profiles = append(profiles, profile("p", "model", i))
+		}
+		c := catalog(profiles...)
+		Expect(c.RankCount("model")).To(Equal(fleet.MaxRank + 1))
+		Expect(c.Rank("model", &c.Profiles[19], usual)).To(Equal(fleet.MaxRank))
+		Expect(c.RankCount("plain")).To(Equal(1))
+		Expect(c.RankCount("unknown")).To(Equal(1))
+	})
 })
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -360,13 +360,13 @@
 		for i := range candidates {
 			candidates[i].Endpoint.Slots = 6
 		}
-		choice, _ := planner().PlacePlain(candidates, "d1")
+		choice, _ := planner().PlacePlain(candidates, "d1", placement.PlainRank{})
 		Expect(choice.Primary.Domain).To(Equal("d1"))
 		candidates[1].Streams = 2
-		choice, _ = planner().PlacePlain(candidates, "d1")
+		choice, _ = planner().PlacePlain(candidates, "d1", placement.PlainRank{})
 		Expect(choice.Primary.Domain).To(Equal("d1"))
 		candidates[1].Streams = 4
-		choice, _ = planner().PlacePlain(candidates, "d1")
+		choice, _ = planner().PlacePlain(candidates, "d1", placement.PlainRank{})
 		Expect(choice.Primary.Domain).NotTo(Equal("d1"))
 	})
 
@@ -376,7 +376,7 @@
 		candidates := idleCandidates(2)
 		candidates[0].Suspect = true
 		candidates[1].Streams = 10
-		choice, _ := planner().PlacePlain(candidates, "d0")
+		choice, _ := planner().PlacePlain(candidates, "d0", placement.PlainRank{})
 		Expect(indexOf(candidates, choice.Primary)).To(Equal(1))
 	})
 })
@@ -427,7 +427,7 @@
 		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
 		_, refusal = planner().PlaceModel(&standardEngine, candidates, longNeed)
 		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
-		_, refusal = planner().PlacePlain(candidates, "d1")
+		_, refusal = planner().PlacePlain(candidates, "d1", placement.PlainRank{})
 		Expect(refusal.Reason).To(Equal(placement.SlotsFull))
 	})
 })
