Refuse a response without length whose upload was reset

Cause: an endpoint answers a long upload at once with 200 without length, sends a part of the body and resets the connection. The kernel reports the error of a reset to one system call. If the goroutine that writes the request gets it, the read sees an ordinary end of the stream, and the part passed as the complete response; the endpoint lives on, so that the check of its incarnation confirms it.

A response that only the end of the connection ends is now complete only if the whole request was sent without an error and the state of the connection is not that after a reset.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -135,7 +135,7 @@
 	// Without Reuse, each request uses its own connection.
 	Reuse bool
 	// AllowUnframed accepts responses without Content-Length and chunked encoding, which end when the endpoint closes the
-	// connection. A response that ends with a reset is still incomplete.
+	// connection. Such a response is incomplete if the connection ends with a reset, or before the whole request was sent.
 	AllowUnframed bool
 	// AckTimeout ends a connection whose peer acknowledges nothing for this long; the default is that of the kernel.
 	AckTimeout time.Duration
@@ -214,8 +214,8 @@
 // Do sends the request and passes the response to the receiver. beforeWrite is called when the connection is established,
 // immediately before the first byte is written; if it returns an error, nothing is sent and Do fails with that error. Do
 // returns nil only if the response is complete: by its Content-Length, its last chunk, the absence of a body (HEAD, 204 and
-// 304), or, with AllowUnframed, a connection that is closed without a reset. Bytes after that are not read. The response may
-// be complete before the request is sent completely. Cancelling the context closes the connection.
+// 304), or, with AllowUnframed, a connection that is closed without a reset after the whole request was sent. Bytes after that are
+// not read. Other responses may be complete before the request is sent completely. Cancelling the context closes the connection.
 func (c *Client) Do(ctx context.Context, req Request, beforeWrite func() error, receiver Receiver) error {
 	head, err := encodeHead(req, c.options.Reuse && !req.Alone)
 	if err != nil {
@@ -259,7 +259,7 @@
 	x.start(head, req.Body)
 	rr := &responseReader{
 		receiver: receiver, bodyless: req.Method == http.MethodHead,
-		allowUnframed: c.options.AllowUnframed, mayDiscard: reused,
+		allowUnframed: c.options.AllowUnframed, mayDiscard: reused, confirmEnd: x.confirmEnd,
 	}
 	matching, checksMatch := receiver.(MatchingReceiver)
 	if checksMatch && reused {
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -20,7 +20,9 @@
 	bodyless      bool
 	allowUnframed bool
 	// mayDiscard allows the reader to discard one mismatched response, which belongs to an earlier request on the connection.
-	mayDiscard   bool
+	mayDiscard bool
+	// confirmEnd returns an error if a response that has ended with its connection may be incomplete.
+	confirmEnd   func() error
 	headReceived bool
 	receiverErr  error
 	// reuseTime is how long the connection may stay idle before its next request; zero forbids reuse.
@@ -73,7 +75,10 @@
 		if receiver, ok := rr.receiver.(UnframedReceiver); ok {
 			receiver.OnUnframed()
 		}
-		return rr.receiveBody(r)
+		if err := rr.receiveBody(r); err != nil {
+			return err
+		}
+		return rr.confirmEnd()
 	}
 	rr.reuseTime = reuseTime(head.Header)
 	return rr.receiveBody(wire.NewBody(r, framing))
