Reject responses whose status is not a number from 100 to 599

Statuses from 600 to 999 were accepted: they were passed on to callers, confirmed the end of a response without length when a health check or report had them, and their headers were taken as statements of the endpoint and of the store's era. Statuses below 100, signs, spaces, other digits and missing ones were rejected already and are now covered by tests.

All responses of endpoints, the store, health checks, reports and orders are parsed by wire.ParseResponse, so that the check stands there alone. Such a response ends the attempt like any invalid response: the request may have run.

--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -64,6 +64,16 @@
 	"reset connection without a response":  respondAndReset(""),
 	"two lengths":                          respond("HTTP/1.1 200 OK\r\n" + sealedHeaders + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nno"),
 	"503 without a typed refusal":          respond("HTTP/1.1 503 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status 000":                           respond("HTTP/1.1 000 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status 099 before a sound response":   respond("HTTP/1.1 099 X\r\n\r\n" + sealedResponse("no")),
+	"status 000 before a sound response":   respond("HTTP/1.1 000 X\r\n\r\n" + sealedResponse("no")),
+	"status 600":                           respond("HTTP/1.1 600 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status 999":                           respond("HTTP/1.1 999 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status 999 with a typed refusal":      respond("HTTP/1.1 999 X\r\n" + sealedHeaders + "Acacialift-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"),
+	"status with a sign":                   respond("HTTP/1.1 +20 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status after two spaces":              respond("HTTP/1.1  200 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"status of two digits":                 respond("HTTP/1.1 20 X\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
+	"no status":                            respond("HTTP/1.1\r\n" + sealedHeaders + "Content-Length: 2\r\n\r\nno"),
 	"switch of protocols":                  respond("HTTP/1.1 101 X\r\n" + sealedHeaders + "\r\n"),
 }
 
--- a/internal/testkit/truncatedresponse.go
+++ b/internal/testkit/truncatedresponse.go
@@ -12,6 +12,12 @@
 	"github.com/onsi/gomega"
 )
 
+// InvalidStatuses holds what follows the version in status lines without a status from 100 to 599.
+var InvalidStatuses = []string{
+	"000 X", "001 X", "00 X", "0 X", "050 X", "099 X", "600 X", "601 X", "799 X", "999 X", "+20 X", "-20 X", "+200 X", "-200 X", " 200 X",
+	" 20 X", "2 0 X", "20 X", "2000 X", "0200 X", "1e2 X", "0x1 X", "2.0 X", "20x X", "\t200 X", "200\tX", "OK", "X 200", "", " ", "\u0662\u0660\u0660 X",
+}
+
 // TruncatedResponse answers each request on a loopback address with the first bytes of a response, and ends the connection after them.
 type TruncatedResponse struct {
 	// Address is the listening IP:port.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -135,9 +135,15 @@
 	return len(statusLineStart.FindAllIndex(head, 2)) > 1
 }
 
+// The range of status codes (RFC 9110 section 15). Others have no class, so that it is not known what the response means.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // Response is the parsed head of an HTTP response.
 type Response struct {
-	// Status is the status code, 100 to 999.
+	// Status is the status code, 100 to 599.
 	Status int
 	// Header lacks Content-Length and Transfer-Encoding, which Framing replaces.
 	Header  http.Header
@@ -177,7 +183,7 @@
 	}
 	digits, _, _ := strings.Cut(statusAndReason, " ")
 	status, err := strconv.Atoi(digits)
-	if err != nil || len(digits) != 3 || status < 100 {
+	if err != nil || len(digits) != 3 || status < minStatus || status > maxStatus {
 		return "", 0, malformed("invalid status code")
 	}
 	return version, status, nil
