Confirm the end of a plain response on a connection opened before it

Cause: a plain endpoint that is killed and listens again at once under its id answers the check of a response without length like the killed process, because its health response states only the id. The part that was sent passed as the complete response.

The check is now sent on a witness: a connection that was opened before the response ended, on which nothing was sent. It belongs to the process that accepted it, so that no successor can answer on it; if it is closed or reset, the process is gone. Without a witness in time the check is the earlier one.

Sound responses, also of busy endpoints, of ones that reject the check and of ones that close idle connections, stay complete.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -62,8 +62,9 @@
 // UnframedReceiver is a Receiver that needs to know whether only the end of the connection ends the response. The kernel of an
 // endpoint whose process is killed closes the connection like an endpoint that has sent everything.
 type UnframedReceiver interface {
-	// OnUnframed is called before OnBody if the response has neither Content-Length nor chunked encoding.
-	OnUnframed()
+	// OnUnframed is called before OnBody if the response has neither Content-Length nor chunked encoding. isOpen reports at any time
+	// whether the endpoint has not ended the connection yet.
+	OnUnframed(isOpen func() bool)
 }
 
 // MatchingReceiver is a Receiver that checks whether a response names its request.
@@ -225,6 +226,13 @@
 	if err != nil {
 		return &Error{Err: contextCause(ctx, err)}
 	}
+	return c.doOn(ctx, req, head, conn, reused, beforeWrite, receiver)
+}
+
+// doOn sends the request on a connection; see Do.
+func (c *Client) doOn(
+	ctx context.Context, req Request, head []byte, conn *poolConn, reused bool, beforeWrite func() error, receiver Receiver,
+) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.raw.Close() })
 	defer stop()
 	returned := false
@@ -234,7 +242,7 @@
 			_ = conn.raw.Close()
 		}
 	}()
-	err = c.exchange(ctx, req, head, conn, reused, stop, beforeWrite, receiver)
+	err := c.exchange(ctx, req, head, conn, reused, stop, beforeWrite, receiver)
 	returned = true
 	return err
 }
@@ -259,7 +267,7 @@
 	x.start(head, req.Body)
 	rr := &responseReader{
 		receiver: receiver, bodyless: req.Method == http.MethodHead,
-		allowUnframed: c.options.AllowUnframed, mayDiscard: reused, confirmEnd: x.confirmEnd,
+		allowUnframed: c.options.AllowUnframed, mayDiscard: reused, conn: x,
 	}
 	matching, checksMatch := receiver.(MatchingReceiver)
 	if checksMatch && reused {
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -21,8 +21,8 @@
 	allowUnframed bool
 	// mayDiscard allows the reader to discard one mismatched response, which belongs to an earlier request on the connection.
 	mayDiscard bool
-	// confirmEnd returns an error if a response that has ended with its connection may be incomplete.
-	confirmEnd   func() error
+	// conn is the connection of the exchange.
+	conn         *exchangeConn
 	headReceived bool
 	receiverErr  error
 	// reuseTime is how long the connection may stay idle before its next request; zero forbids reuse.
@@ -73,12 +73,12 @@
 	}
 	if unframed {
 		if receiver, ok := rr.receiver.(UnframedReceiver); ok {
-			receiver.OnUnframed()
+			receiver.OnUnframed(rr.conn.isOpen)
 		}
 		if err := rr.receiveBody(r); err != nil {
 			return err
 		}
-		return rr.confirmEnd()
+		return rr.conn.confirmEnd()
 	}
 	rr.reuseTime = reuseTime(head.Header)
 	return rr.receiveBody(wire.NewBody(r, framing))
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -72,8 +72,10 @@
 	responseMemory *budget.Budget
 	// numbering is what the streams of each service have shown about the numbers of their events.
 	numbering serviceNumbering
-	shutdown  shutdown
-	panics    *panics.Recorder
+	// unframed is which services have sent responses without length and chunks.
+	unframed unframedServices
+	shutdown shutdown
+	panics   *panics.Recorder
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -148,6 +148,7 @@
 		Int("attempt_events", x.attemptEvents()).
 		Str("last_event", x.events.lastID).
 		Str("check", string(finding)).
+		Bool("witnessed", r.witness != nil && r.witness.isInTime()).
 		Dur("took_ms", took).
 		Msg("response_ended_by_connection")
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -37,6 +38,11 @@
 	reused bool
 	// unframed is true if only the end of the connection ends the response.
 	unframed bool
+	// ctx is the context of the attempt. witness is nil unless the end of the response may have to be confirmed by it.
+	ctx     context.Context
+	witness *witness
+	// isOpen reports whether a response without length has not ended yet.
+	isOpen func() bool
 	// onEvents is called at each event of a stream, or at the end of a response that is not a stream.
 	onEvents func()
 	// firstEventAt is the time of the first event of the attempt.
@@ -86,7 +92,10 @@
 func (r *relay) IsMatched() bool { return r.classification.NamesCall }
 
 // OnUnframed implements engine.UnframedReceiver.
-func (r *relay) OnUnframed() { r.unframed = true }
+func (r *relay) OnUnframed(isOpen func() bool) {
+	r.unframed = true
+	r.observeUnframed(isOpen)
+}
 
 // framing names what ends the response, for the log. It is empty if no head has arrived that belongs to the call.
 func (r *relay) framing() string {
@@ -107,6 +116,7 @@
 
 // OnBody implements engine.Receiver.
 func (r *relay) OnBody(data []byte) error {
+	r.refreshWitness(time.Now())
 	if r.streaming {
 		return r.forwardEvents(data)
 	}
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -41,6 +41,8 @@
 	FoundRejected EndpointFinding = "rejected"
 	// foundAccepts means that a connection was accepted and nothing more could be asked.
 	foundAccepts EndpointFinding = "accepts"
+	// foundWitnessClosed means that a connection that was opened during the response has ended without an answer: its process has ended.
+	foundWitnessClosed EndpointFinding = "witness_closed"
 	// foundNoEvent means that a stream has ended without an event, perhaps right after its head, and that nothing was asked.
 	foundNoEvent EndpointFinding = "no_event"
 	// foundMemoryLost means that memory that the endpoint or its helpers had reserved for the request could not be renewed.
@@ -76,7 +78,7 @@
 	case r.reserved.isLost():
 		finding = foundMemoryLost
 	case !r.streaming || x.attemptEvents() > 0:
-		finding = x.checkAll(ctx, e, r.reserved)
+		finding = x.checkEnd(ctx, e, r)
 	}
 	x.logResponseEnd(e, r, finding, time.Since(began))
 	if finding.isAlive() {
@@ -85,6 +87,15 @@
 	return &unconfirmedEndError{finding: finding}
 }
 
+// checkEnd checks the endpoint of a response and those with reserved memory. A plain endpoint is asked on the witness of the attempt if there
+// is one, because its health response states only an id, which a successor may have too.
+func (x *exchange) checkEnd(ctx context.Context, e *fleet.Endpoint, r *relay) EndpointFinding {
+	if finding, known := x.checkWitness(ctx, e, r.witness); known {
+		return finding
+	}
+	return x.checkAll(ctx, e, r.reserved)
+}
+
 // checkAll checks an endpoint and those with reserved memory at the same time. It returns the finding about one that is not alive, if
 // there is one.
 func (x *exchange) checkAll(ctx context.Context, e *fleet.Endpoint, reserved *reservationSet) EndpointFinding {
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -82,21 +82,22 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	e := &fakeEndpoint{listener: listener, scripts: scripts, controlStatus: http.StatusOK, started: endpointStarted, open: make(map[net.Conn]bool)}
-	go e.accept()
+	go e.accept(listener)
 	DeferCleanup(func() { _ = listener.Close() })
 	return e
 }
 
-func (e *fakeEndpoint) accept() {
+func (e *fakeEndpoint) accept(listener net.Listener) {
 	for {
-		conn, err := e.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		e.mu.Lock()
 		e.connections++
 		e.open[conn] = true
-		isSilent, isClosing := e.isSilent, e.isClosing
+		// A connection that a process accepted ends with it.
+		isSilent, isClosing := e.isSilent, e.isClosing || listener != e.listener
 		e.mu.Unlock()
 		switch {
 		case isClosing:
--- a/internal/entry/uploadreset_test.go
+++ b/internal/entry/uploadreset_test.go
@@ -14,7 +14,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// earlyAnswer returns an endpoint that sends a response without reading the request, and then resets the connection. It answers health checks and requests for a report like a sound endpoint.
+// earlyAnswer returns an endpoint that sends a response without reading the request, and then resets the connection. It answers health checks
+// and requests for a report like a sound endpoint.
 func earlyAnswer(response string) *fakeEndpoint {
 	e := newEndpoint(nil)
 	_ = e.listener.Close()
