--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -62,8 +62,9 @@
 // UnframedReceiver is a Receiver that needs to know whether only the end of the connection ends the response. The kernel of an
 // endpoint whose process is killed closes the connection like an endpoint that has sent everything.
 type UnframedReceiver interface {
-	// OnUnframed is called before OnBody if the response has neither Content-Length nor chunked encoding.
-	OnUnframed()
+	// OnUnframed is called before OnBody if the response has neither Content-Length nor chunked encoding. isOpen reports at any time
+	// whether the endpoint has not ended the connection yet.
+	OnUnframed(isOpen func() bool)
 }
 
 // MatchingReceiver is a Receiver that checks whether a response names its request.
@@ -135,7 +136,7 @@
 	// Without Reuse, each request uses its own connection.
 	Reuse bool
 	// AllowUnframed accepts responses without Content-Length and chunked encoding, which end when the endpoint closes the
-	// connection. A response that ends with a reset is still incomplete.
+	// connection. Such a response is incomplete if the connection ends with a reset, or before the whole request was sent.
 	AllowUnframed bool
 	// AckTimeout ends a connection whose peer acknowledges nothing for this long; the default is that of the kernel.
 	AckTimeout time.Duration
@@ -214,8 +215,8 @@
 // Do sends the request and passes the response to the receiver. beforeWrite is called when the connection is established,
 // immediately before the first byte is written; if it returns an error, nothing is sent and Do fails with that error. Do
 // returns nil only if the response is complete: by its Content-Length, its last chunk, the absence of a body (HEAD, 204 and
-// 304), or, with AllowUnframed, a connection that is closed without a reset. Bytes after that are not read. The response may
-// be complete before the request is sent completely. Cancelling the context closes the connection.
+// 304), or, with AllowUnframed, a connection that is closed without a reset after the whole request was sent. Bytes after that are
+// not read. Other responses may be complete before the request is sent completely. Cancelling the context closes the connection.
 func (c *Client) Do(ctx context.Context, req Request, beforeWrite func() error, receiver Receiver) error {
 	head, err := encodeHead(req, c.options.Reuse && !req.Alone)
 	if err != nil {
@@ -225,6 +226,13 @@
 	if err != nil {
 		return &Error{Err: contextCause(ctx, err)}
 	}
+	return c.doOn(ctx, req, head, conn, reused, beforeWrite, receiver)
+}
+
+// doOn sends the request on a connection; see Do.
+func (c *Client) doOn(
+	ctx context.Context, req Request, head []byte, conn *poolConn, reused bool, beforeWrite func() error, receiver Receiver,
+) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.raw.Close() })
 	defer stop()
 	returned := false
@@ -234,7 +242,7 @@
 			_ = conn.raw.Close()
 		}
 	}()
-	err = c.exchange(ctx, req, head, conn, reused, stop, beforeWrite, receiver)
+	err := c.exchange(ctx, req, head, conn, reused, stop, beforeWrite, receiver)
 	returned = true
 	return err
 }
@@ -259,7 +267,7 @@
 	x.start(head, req.Body)
 	rr := &responseReader{
 		receiver: receiver, bodyless: req.Method == http.MethodHead,
-		allowUnframed: c.options.AllowUnframed, mayDiscard: reused,
+		allowUnframed: c.options.AllowUnframed, mayDiscard: reused, conn: x,
 	}
 	matching, checksMatch := receiver.(MatchingReceiver)
 	if checksMatch && reused {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -38,6 +38,8 @@
 	Schedulers Schedulers
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
 	CountsAge func(now time.Time) time.Duration
+	// RanksOnPlain lets requests of higher rank go first under shortage of slots on plain services.
+	RanksOnPlain bool
 	// Domain is the failure domain of this instance.
 	Domain string
 	// MaxCatalogAge is the greatest time since the last confirmation of the catalog at which keys are still accepted. If
@@ -70,8 +72,10 @@
 	responseMemory *budget.Budget
 	// numbering is what the streams of each service have shown about the numbers of their events.
 	numbering serviceNumbering
-	shutdown  shutdown
-	panics    *panics.Recorder
+	// unframed is which services have sent responses without length and chunks.
+	unframed unframedServices
+	shutdown shutdown
+	panics   *panics.Recorder
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
