Let place requests wait at the scheduler of a shard

A place request may now state that it waits (extension, not sent otherwise). The handler of a message can defer its reply on the same connection, bounded per connection and node. An instance that is asked in place of a failed scheduler is ready once all live instances have listed their requests, and grants nothing to endpoints in cold start. Nothing sends these requests yet; the queue is still the skeleton.

--- a/internal/loadshare/choice.go
+++ b/internal/loadshare/choice.go
@@ -79,20 +79,26 @@
 	if c, ok := r.schedulers[key]; ok && now.Sub(c.chosenAt) < schedulerRefresh {
 		return c.address
 	}
+	best := r.schedulerWithout(key, "", now)
+	r.schedulers[key] = schedulerChoice{address: best, chosenAt: now}
+	return best
+}
+
+// schedulerWithout is scheduler without the cache and without a failed instance.
+func (r *roster) schedulerWithout(key uint64, failed string, now time.Time) string {
 	best, bestRank := r.self, uint64(0)
 	least := uint8(minSchedulerCapacity * float64(r.maxCapacity(now)))
 	if r.capacity >= least {
 		bestRank = rankOf(key, xxhash.Sum64String(r.self))
 	}
 	for address, m := range r.members {
-		if m.capacity < least || !m.isLive(now) {
+		if m.capacity < least || !m.isLive(now) || address == failed {
 			continue
 		}
 		if rank := rankOf(key, m.hash); rank > bestRank || rank == bestRank && address < best {
 			best, bestRank = address, rank
 		}
 	}
-	r.schedulers[key] = schedulerChoice{address: best, chosenAt: now}
 	return best
 }
 
--- a/internal/loadshare/sharer.go
+++ b/internal/loadshare/sharer.go
@@ -214,6 +214,13 @@
 	return s.roster.scheduler(key, now), true
 }
 
+// NextScheduler implements scheduler.Members.
+func (s *Sharer) NextScheduler(key uint64, failed string, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.schedulerWithout(key, failed, now)
+}
+
 // HasMajority reports whether the live instances are more than half of the largest number of instances ever known. That
 // number comes from this instance or any other.
 func (s *Sharer) HasMajority(now time.Time) bool {
--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -116,6 +116,12 @@
 	// maxReasonBytes bounds the reason of a refusal, which callers get.
 	maxReasonBytes = 64
 	maxCandidates  = 1 << 20
+	// maxRank is the lowest rank of a request.
+	maxRank = 9
+	// MaxHold bounds how long the reply to a place request may be deferred.
+	MaxHold = time.Second
+	// maxAddressBytes bounds the address of an instance in a message.
+	maxAddressBytes = 64
 )
 
 // inRange checks a number.
@@ -141,6 +147,12 @@
 	i.inRange("max gap", m.MaxGapMS, 0, MaxTime.Milliseconds())
 	// The limit of a request that is about to end may have passed.
 	i.inRange("limit", m.LimitMS, -MaxTime.Milliseconds(), MaxTime.Milliseconds())
+	x := &m.Extension
+	i.inRange("rank", x.Rank, 0, maxRank)
+	i.inRange("used time", x.UsedMS, 0, MaxTime.Milliseconds())
+	i.inRange("full objective", x.FullObjectiveMS, 0, MaxTime.Milliseconds())
+	i.inRange("hold time", x.HoldMS, 0, MaxHold.Milliseconds())
+	i.inRange("failed scheduler", int64(len(x.Failed)), 0, maxAddressBytes)
 	return i
 }
 
@@ -154,6 +166,7 @@
 	i.inRange("retry delay", m.RetryAfterMS, 0, maxRetryAfter.Milliseconds())
 	i.inRange("reason", int64(len(m.Reason)), 0, maxReasonBytes)
 	i.inRange("candidates", int64(m.Candidates), 0, maxCandidates)
+	i.inRange("held time", m.Extension.HeldUS, 0, MaxHold.Microseconds())
 	return i
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -34,6 +34,8 @@
 	Compressed bool
 	// Extension follows the envelope in the payload; it may be empty.
 	Extension msgpack.RawMessage `msgpack:"-"`
+	// Deferral lets the handler of a received message reply later; nil if the message expects no reply.
+	Deferral Deferral `msgpack:"-"`
 }
 
 // Extended is implemented by bodies with fields that earlier versions do not know. Structs are encoded as arrays, and a receiver
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -30,7 +30,8 @@
 
 // Handler handles messages of other processes. It runs on the connection's read loop and must not block.
 type Handler interface {
-	// Handle returns the kind and body of the reply; a nil body sends none.
+	// Handle returns the kind and body of the reply; a nil body sends none. To reply later, the handler uses
+	// Envelope.Deferral and returns a nil body.
 	Handle(from Hello, envelope *Envelope) (Kind, any)
 }
 
@@ -87,6 +88,9 @@
 	close   context.CancelFunc
 	opening sync.WaitGroup
 
+	// deferred counts the deferred replies of all connections.
+	deferred atomic.Int64
+
 	mu      sync.Mutex
 	clients map[string]*clientConn
 }
@@ -177,6 +181,8 @@
 	// hello is nil until the initiator of an accepted connection has sent it.
 	hello  *Hello
 	client *clientConn
+	// deferred holds the deferred replies of an accepted connection.
+	deferred deferredReplies
 }
 
 func (n *Node) onOpen(c *nbio.Conn) {
@@ -193,6 +199,9 @@
 		n.removeClient(s.client)
 		s.client.fail(err)
 	}
+	if ok {
+		n.deferred.Add(-s.deferred.close())
+	}
 }
 
 func (n *Node) onData(c *nbio.Conn, data []byte) {
@@ -227,6 +236,9 @@
 	if s.hello == nil {
 		return n.acceptHello(c, s, envelope)
 	}
+	if envelope.Seq != 0 {
+		envelope.Deferral = &connDeferral{node: n, conn: c, session: s, seq: envelope.Seq}
+	}
 	kind, body := n.options.Handler.Handle(*s.hello, envelope)
 	if body == nil || envelope.Seq == 0 {
 		return true
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -43,8 +43,33 @@
 	// Full lists endpoints that must not get a request from the sender now, because they limit their request rate. They may
 	// be helpers.
 	Full []uint32
+	// Extension holds the fields that earlier versions do not know. A request that cannot wait is sent without it.
+	Extension PlaceRequestExtension `msgpack:"-"`
 }
 
+// PlaceRequestExtension states how a request may wait at the scheduler for capacity.
+type PlaceRequestExtension struct {
+	// Waits is true if the request may wait. Without it no other field has a meaning.
+	Waits bool `msgpack:"waits,omitempty"`
+	// Rank is the urgency of the request; 0 is the highest.
+	Rank int64 `msgpack:"rank,omitempty"`
+	// Team is a hash of the caller's team, and Prompt of the caller's own part of the prompt; zero if there is none.
+	Team   uint32 `msgpack:"team,omitempty"`
+	Prompt uint64 `msgpack:"prompt,omitempty"`
+	// UsedMS is the time that the request has already used, counted from the caller's first attempt.
+	UsedMS int64 `msgpack:"used,omitempty"`
+	// FullObjectiveMS is the objective counted from the caller's first attempt. If it is zero, PlaceRequest.ObjectiveMS holds
+	// whenever the request is placed.
+	FullObjectiveMS int64 `msgpack:"objective,omitempty"`
+	// HoldMS is how long the scheduler may defer its reply.
+	HoldMS int64 `msgpack:"hold,omitempty"`
+	// Failed is the address of the scheduler that did not reply, if the receiver is asked in its place.
+	Failed string `msgpack:"failed,omitempty"`
+}
+
+// Extended implements Extended.
+func (m *PlaceRequest) Extended() any { return &m.Extension }
+
 // PlaceReservation is reserved memory of an endpoint.
 type PlaceReservation struct {
 	Endpoint uint32
@@ -68,8 +93,23 @@
 	RetryAfterMS int64
 	// Candidates is the number of endpoints that were considered.
 	Candidates int
+	// Extension holds the fields that earlier versions do not know. It is sent only in replies to requests that may wait.
+	Extension PlaceReplyExtension `msgpack:"-"`
 }
 
+// PlaceReplyExtension is the part of a reply that concerns waiting.
+type PlaceReplyExtension struct {
+	// Queues is true if the scheduler has a wait queue. An earlier version refuses what it cannot place now.
+	Queues bool `msgpack:"queues,omitempty"`
+	// Waiting is true if the request is still waiting. It leaves the queue unless it is sent again soon.
+	Waiting bool `msgpack:"waiting,omitempty"`
+	// HeldUS is the time from the receipt of the request to the decision, in microseconds.
+	HeldUS int64 `msgpack:"held,omitempty"`
+}
+
+// Extended implements Extended.
+func (m *PlaceReply) Extended() any { return &m.Extension }
+
 // PlaceUpdate informs a scheduler that the prefill of a placed request is done, or that the request has ended.
 type PlaceUpdate struct {
 	From   string
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -44,17 +44,21 @@
 	if t.Resumed {
 		return resumeFactor * t.Objective
 	}
-	used := t.Waited
-	if t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit) {
-		used += t.TimeLimit - t.Budget
-	}
-	remaining := t.Objective - used
+	remaining := t.Objective - Used(t)
 	if float64(remaining) < lateFraction*float64(t.Objective) {
 		return min(max(t.Objective, minLateObjective), maxLateObjective)
 	}
 	return remaining
 }
 
+// Used returns the time since the caller's first attempt.
+func Used(t Timing) time.Duration {
+	if t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit) {
+		return t.Waited + t.TimeLimit - t.Budget
+	}
+	return t.Waited
+}
+
 // WaitLimit returns how long a request that was refused for the reason may wait to be placed. Slots may become free at any
 // time. A prefill queue, however, shrinks at most as fast as the remaining objective. A request refused with TooLate or
 // PrefillBusy is therefore rejected at once.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -157,6 +157,9 @@
 	return p.randomDelay(min(max(excess, minRetryAfter), maxRetryAfter*2/3), maxRetryAfter)
 }
 
+// RetryAfter returns the advised retry delay of a refusal if capacity is expected after the given time.
+func (p Planner) RetryAfter(wait time.Duration) time.Duration { return p.retryAfter(wait) }
+
 // randomDelay returns a random time between the bounds, near the lower one. It keeps callers from retrying at the same
 // time.
 func (p Planner) randomDelay(least, most time.Duration) time.Duration {
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -47,6 +47,8 @@
 	// Scheduler returns the instance that is the scheduler for a key. It may be this instance. All instances that know the
 	// same members choose the same scheduler. It returns false if the fleet is so small that no scheduler is needed.
 	Scheduler(key uint64, now time.Time) (address string, ok bool)
+	// NextScheduler returns the instance that would be the scheduler for a key if the failed one were not live.
+	NextScheduler(key uint64, failed string, now time.Time) (address string)
 	// IsLive reports whether a message of an instance was received recently.
 	IsLive(address string, now time.Time) bool
 	// Live returns the addresses of the other instances that are live.
@@ -62,7 +64,9 @@
 	Local   *Scheduler
 	Load    *load.Tracker
 	State   *fleet.State
-	Log     zerolog.Logger
+	// HasQueue reports whether requests for a service may wait at its schedulers; if nil, none has a wait queue.
+	HasQueue func(service uint32) bool
+	Log      zerolog.Logger
 	// Panics records panics in the handling of messages; the default only logs them.
 	Panics *panics.Recorder
 }
@@ -95,10 +99,13 @@
 	if options.Panics == nil {
 		options.Panics = panics.NewRecorder(options.Log, func() {})
 	}
-	return &Client{
+	c := &Client{
 		options: options, schedulers: make(map[string]*schedulerState), syncedWith: make(map[Shard]string),
 		hadRequests: make(map[Shard]bool), started: time.Now(),
 	}
+	dispatches := &dispatcher{run: options.Local.Dispatch, panics: options.Panics}
+	options.Local.OnWaiting(dispatches.wake)
+	return c
 }
 
 // PlaceResult is the outcome of a PlaceRequest.
@@ -111,6 +118,13 @@
 	Scheduler string
 	// Latency is the time from the request to the reply.
 	Latency time.Duration
+	// Waiting is true if a request with Terms is still waiting. It leaves the queue unless it is placed again, with the same
+	// number and shard, or once Placement.End is called.
+	Waiting bool
+	// Queues is true if the scheduler has a wait queue, and has considered it.
+	Queues bool
+	// Held is a lower bound of the time from the request to the decision.
+	Held time.Duration
 }
 
 // Enabled reports whether the fleet is large enough to place requests through schedulers.
@@ -122,6 +136,9 @@
 // Place sends a request to the scheduler of a shard. It returns false if there was no usable reply.
 func (c *Client) Place(ctx context.Context, request PlaceRequest) (PlaceResult, bool) {
 	start := time.Now()
+	if request.Terms != nil {
+		return c.placeOrWait(ctx, request, start)
+	}
 	address, ok := c.options.Members.Scheduler(request.Shard.key(), start)
 	if !ok || !c.isAvailable(address, start) {
 		return PlaceResult{}, false
@@ -133,6 +150,21 @@
 	return result, ok
 }
 
+// placeOrWait is Place for a request with Terms.
+func (c *Client) placeOrWait(ctx context.Context, request PlaceRequest, start time.Time) (PlaceResult, bool) {
+	address, failed, ok := c.schedulerFor(request.Shard, start)
+	if !ok {
+		return PlaceResult{}, false
+	}
+	terms := *request.Terms
+	terms.Failed = failed
+	request.From, request.Terms = c.options.Self, &terms
+	c.ensureSynced(request.Shard, address)
+	result, ok := c.placeOrWaitAt(ctx, address, &request)
+	result.Scheduler, result.Latency = address, time.Since(start)
+	return result, ok
+}
+
 func (c *Client) placeAt(ctx context.Context, address string, request *PlaceRequest) (PlaceResult, bool) {
 	placed := &Placement{client: c, scheduler: address, shard: request.Shard, number: request.Number}
 	if address == c.options.Self {
@@ -303,27 +335,27 @@
 // startScheduling deletes the shard, so that the state is created again, and collected, once this instance is the scheduler.
 func (c *Client) startScheduling(ctx context.Context, shard Shard, now time.Time) {
 	c.resign(now)
-	if !c.isScheduler(shard, now) || now.Sub(c.started) < discoveryTime {
+	if !c.isScheduler(shard, now) && !c.options.Local.isStandIn(shard, now) || now.Sub(c.started) < discoveryTime {
 		return
 	}
-	for _, address := range c.options.Members.Live(now) {
-		go c.options.Panics.Recover("message of a peer", func() { c.collect(ctx, shard, address) })
-	}
+	c.collectAll(ctx, shard, now)
 }
 
-// collect requests the list of an instance's requests on a shard and applies it to the local scheduler.
-func (c *Client) collect(ctx context.Context, shard Shard, address string) {
+// collect requests the list of an instance's requests on a shard and applies it to the local scheduler. It returns false if the
+// instance did not reply.
+func (c *Client) collect(ctx context.Context, shard Shard, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	var list peer.PlaceSync
 	err := c.options.Peers.Call(ctx, address, peer.KindPlaceCollect, peer.PlaceCollect{Shard: shard.message()}, &list)
 	if err != nil {
 		c.options.Log.Debug().Str("address", address).Err(err).Msg("placements_not_collected")
-		return
+		return false
 	}
 	logInvalid(c.options.Log, &c.rejections, address, list.RemoveInvalid())
 	requests := requestStatesOf(list.Works, c.options.State.Snapshot().ByKey)
 	c.options.Local.Sync(shard, address, requests, time.Now())
+	return true
 }
 
 // isScheduler reports whether this instance is the scheduler of a shard.
@@ -334,7 +366,7 @@
 
 // resign deletes the shards of the local scheduler whose scheduler is another instance.
 func (c *Client) resign(now time.Time) {
-	c.options.Local.Resign(func(shard Shard) bool { return c.isScheduler(shard, now) })
+	c.options.Local.Resign(func(shard Shard) bool { return c.isScheduler(shard, now) }, now)
 }
 
 func (c *Client) tick(now time.Time) {
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -58,6 +58,9 @@
 func (f *fixedMembers) Scheduler(uint64, time.Time) (string, bool) {
 	return f.scheduler, f.scheduler != ""
 }
+
+// NextScheduler returns this instance: no other one is live.
+func (f *fixedMembers) NextScheduler(uint64, string, time.Time) string { return self }
 func (f *fixedMembers) IsLive(string, time.Time) bool { return true }
 func (f *fixedMembers) Live(time.Time) []string       { return nil }
 
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -10,12 +10,30 @@
 )
 
 func placeRequestMessage(request *PlaceRequest) peer.PlaceRequest {
-	return peer.PlaceRequest{
+	message := peer.PlaceRequest{
 		From: request.From, Number: uint64(request.Number), Shard: request.Shard.message(),
 		Tokens: request.Need.Tokens, Output: request.Need.Output, ObjectiveMS: request.Need.Objective.Milliseconds(),
 		MaxGapMS: request.Need.MaxGap.Milliseconds(), LimitMS: request.Limit.Milliseconds(),
 		Avoid: request.Avoid, Suspects: request.Suspects, Full: request.Full,
 	}
+	if t := request.Terms; t != nil {
+		message.Extension = peer.PlaceRequestExtension{
+			Waits: true, Rank: int64(t.Rank), Team: t.Team, Prompt: t.Prompt, UsedMS: t.Used.Milliseconds(),
+			FullObjectiveMS: t.FullObjective.Milliseconds(), HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
+		}
+	}
+	return message
+}
+
+// termsOf returns the terms of a message; nil if its request may not wait.
+func termsOf(m *peer.PlaceRequestExtension) *WaitTerms {
+	if !m.Waits {
+		return nil
+	}
+	return &WaitTerms{
+		Rank: int(m.Rank), Team: m.Team, Prompt: m.Prompt, Used: milliseconds(m.UsedMS),
+		FullObjective: milliseconds(m.FullObjectiveMS), Hold: min(milliseconds(m.HoldMS), HoldTime), Failed: m.Failed,
+	}
 }
 
 // placeRequestOf returns the request of a message. It returns false if the message has no valid shard.
@@ -27,6 +45,7 @@
 		Need: placement.Need{
 			Tokens: m.Tokens, Output: m.Output, Objective: milliseconds(m.ObjectiveMS), MaxGap: milliseconds(m.MaxGapMS),
 		},
+		Terms: termsOf(&m.Extension),
 	}, ok
 }
 
@@ -51,6 +70,20 @@
 	return reply
 }
 
+// outcomeMessage returns the reply to a request that may wait.
+func outcomeMessage(o *Outcome) *peer.PlaceReply {
+	var reply peer.PlaceReply
+	switch {
+	case o.NotReady:
+		reply.NotReady = true
+	case o.Waiting:
+	default:
+		reply = replyMessage(o.Choice, o.Refusal)
+	}
+	reply.Extension = peer.PlaceReplyExtension{Queues: true, Waiting: o.Waiting, HeldUS: min(o.Held, peer.MaxHold).Microseconds()}
+	return &reply
+}
+
 func keysOf(endpoints []*fleet.Endpoint) []uint32 {
 	var keys []uint32
 	for _, e := range endpoints {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	// Full lists endpoints that limit their request rate, and that must not get a request from the requesting instance now.
 	// They may be helpers.
 	Full []uint32
+	// Terms states how the request may wait; nil if it may not.
+	Terms *WaitTerms
 }
 
 // requestKey identifies a request of an instance.
@@ -60,6 +62,13 @@
 type shardState struct {
 	tracker  *load.Tracker
 	requests map[requestKey]*placedRequest
+	// list holds the requests that wait for capacity of the shard.
+	list *waitList
+	// isComplete is true once all live instances have listed their requests, which ends the warm-up.
+	isComplete bool
+	// standInFor is the scheduler in whose place this instance was asked, last at standInTime before standInUntil.
+	standInFor   string
+	standInUntil time.Time
 	// since is when this instance received the first message about the shard, lastMessage when it received the last one.
 	since, lastMessage time.Time
 }
@@ -82,6 +91,9 @@
 	shards   map[Shard]*shardState
 	suspects map[uint32]time.Time
 	created  chan Shard
+	outbox   outbox
+	wake     func(soon bool)
+	stats    QueueStats
 }
 
 // NewScheduler returns a scheduler without shards.
@@ -101,26 +113,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.shardState(request.Shard, now)
-	for _, endpoint := range request.Suspects {
-		s.suspects[endpoint] = now.Add(suspectTime)
-	}
-	snapshot := s.options.State.Snapshot()
-	if snapshot.Catalog == nil || now.Sub(state.since) < warmUpTime {
-		return placement.Choice{}, nil, false
-	}
-	service := snapshot.Catalog.ServiceByKey(request.Shard.Service)
-	if service == nil || service.Engine == nil {
+	s.markSuspects(&request, now)
+	v, ok := s.view(request.Shard, state, now)
+	if !ok {
 		return placement.Choice{}, nil, false
 	}
 	state.expire(now)
 	request.Need.ExactCounts = true
-	choice, refusal := s.options.Planner.PlaceModel(
-		service.Engine, s.candidates(snapshot, service, state, &request, now), request.Need,
-	)
+	v.totals, _ = state.tracker.Totals(now)
+	choice, refusal := s.options.Planner.PlaceModel(v.service.Engine, s.candidates(v, &request, now, true), request.Need)
 	switch {
 	case refusal != nil && refusal.Reason == placement.NoEndpoint:
 		return choice, nil, false
-	case refusal == nil && !s.takeCold(service, choice.Primary, now):
+	case refusal == nil && !s.takeCold(v.service, choice.Primary, now):
 		return choice, nil, false
 	case refusal == nil:
 		state.add(
@@ -130,26 +135,52 @@
 	return choice, refusal, true
 }
 
+// markSuspects stores the endpoints that are suspect at the requesting instance.
+func (s *Scheduler) markSuspects(request *PlaceRequest, now time.Time) {
+	for _, endpoint := range request.Suspects {
+		s.suspects[endpoint] = now.Add(suspectTime)
+	}
+}
+
+// shardView is what a placement on a shard depends on besides the request.
+type shardView struct {
+	snapshot *fleet.Snapshot
+	service  *fleet.Service
+	// totals is the work on the shard.
+	totals load.Counts
+}
+
+// view returns the view of a shard, without totals. It returns false if this instance cannot decide.
+func (s *Scheduler) view(shard Shard, state *shardState, now time.Time) (*shardView, bool) {
+	snapshot := s.options.State.Snapshot()
+	if snapshot.Catalog == nil || !state.isComplete && now.Sub(state.since) < warmUpTime {
+		return nil, false
+	}
+	service := snapshot.Catalog.ServiceByKey(shard.Service)
+	return &shardView{snapshot: snapshot, service: service}, service != nil && service.Engine != nil
+}
+
 // takeCold counts a request to an endpoint in cold start and reports whether it may be sent.
 func (s *Scheduler) takeCold(service *fleet.Service, e *fleet.Endpoint, now time.Time) bool {
 	return service.ColdRate <= 0 || !e.IsCold(now) || s.options.ColdLimiter.Take(e.Key(), service.ColdRate, now)
 }
 
-// candidates returns the endpoints of the shard that may get the request.
-func (s *Scheduler) candidates(
-	snapshot *fleet.Snapshot, service *fleet.Service, state *shardState, request *PlaceRequest, now time.Time,
-) []placement.Candidate {
-	totals, _ := state.tracker.Totals(now)
-	candidates := make([]placement.Candidate, 0, len(snapshot.Endpoints[service.Name]))
-	for _, e := range snapshot.Endpoints[service.Name] {
+// candidates returns the endpoints of the shard that may get the request. Endpoints in cold start are among them only if mayGrant is
+// true and this instance is not asked in place of another scheduler: the limit allows for two instances that grant requests to an
+// endpoint, and a third one might be among those who take others for failed.
+func (s *Scheduler) candidates(v *shardView, request *PlaceRequest, now time.Time, mayGrant bool) []placement.Candidate {
+	mayGrant = mayGrant && (request.Terms == nil || request.Terms.Failed == "")
+	endpoints := v.snapshot.Endpoints[v.service.Name]
+	candidates := make([]placement.Candidate, 0, len(endpoints))
+	for _, e := range endpoints {
 		key := e.Key()
-		if e.Leaving || !request.Shard.Contains(e) || snapshot.OutOfService[e.Domain] || slices.Contains(request.Avoid, key) {
+		if e.Leaving || !request.Shard.Contains(e) || v.snapshot.OutOfService[e.Domain] || slices.Contains(request.Avoid, key) {
 			continue
 		}
-		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[key], Full: slices.Contains(request.Full, key)}
+		c := placement.Candidate{Endpoint: e, Entry: v.totals.Entries[key], Full: slices.Contains(request.Full, key)}
 		c.Suspect = now.Before(s.suspects[key]) || s.options.IsSuspect(key, now)
-		c.Cold = service.ColdRate > 0 && e.IsCold(now)
-		if c.Cold && !s.options.ColdLimiter.Allows(key, service.ColdRate, now) {
+		c.Cold = v.service.ColdRate > 0 && e.IsCold(now)
+		if c.Cold && (!mayGrant || !s.options.ColdLimiter.Allows(key, v.service.ColdRate, now)) {
 			continue
 		}
 		candidates = append(candidates, c)
@@ -163,15 +194,18 @@
 	defer s.mu.Unlock()
 	if p := s.find(shard, from, number); p != nil {
 		p.request.PrefillDone()
+		s.wakeIfWaiting(s.shards[shard])
 	}
 }
 
 // End records that a placed request has ended.
 func (s *Scheduler) End(shard Shard, from string, number load.Number) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	if state := s.shards[shard]; state != nil {
+		state.endWaiting(from, number)
 		state.remove(requestKey{from: from, number: number})
+		s.wakeIfWaiting(state)
 	}
 }
 
@@ -199,22 +233,24 @@
 			state.remove(key)
 		}
 	}
+	s.wakeIfWaiting(state)
 }
 
 // Forget deletes the requests of instances that are not live, and the shards without a message in the last idleShardTime.
 func (s *Scheduler) Forget(isLive func(instance string) bool, now time.Time) {
 	s.options.ColdLimiter.Forget(now)
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	for shard, state := range s.shards {
 		for key := range state.requests {
 			if !isLive(key.from) {
 				state.remove(key)
 			}
 		}
+		state.list.endAll(func(key requestKey) bool { return !isLive(key.from) })
 		state.expire(now)
 		if now.Sub(state.lastMessage) > idleShardTime {
-			delete(s.shards, shard)
+			s.deleteShard(shard)
 		}
 	}
 	for endpoint, until := range s.suspects {
@@ -224,23 +260,32 @@
 	}
 }
 
-// Resign deletes the shards whose scheduler is another instance. If this instance becomes their scheduler again, it starts
-// with a new warm-up.
-func (s *Scheduler) Resign(isScheduler func(Shard) bool) {
+// Resign deletes the shards whose scheduler is another instance, unless this instance is asked in its place. If this instance
+// becomes their scheduler again, it starts with a new warm-up.
+func (s *Scheduler) Resign(isScheduler func(Shard) bool, now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for shard := range s.shards {
-		if !isScheduler(shard) {
-			delete(s.shards, shard)
+	defer s.unlock()
+	for shard, state := range s.shards {
+		if !isScheduler(shard) && now.After(state.standInUntil) {
+			s.deleteShard(shard)
 		}
 	}
 }
 
+// deleteShard deletes the state of a shard. The requests that wait for it are told to go elsewhere.
+func (s *Scheduler) deleteShard(shard Shard) {
+	s.shards[shard].list.endAll(func(requestKey) bool { return true })
+	delete(s.shards, shard)
+}
+
 // shardState returns the state of a shard and records that a message about it was received.
 func (s *Scheduler) shardState(shard Shard, now time.Time) *shardState {
 	state := s.shards[shard]
 	if state == nil {
-		state = &shardState{tracker: load.NewTracker(), requests: make(map[requestKey]*placedRequest), since: now}
+		state = &shardState{
+			tracker: load.NewTracker(), requests: make(map[requestKey]*placedRequest), since: now,
+			list: newWaitList(s.options.Planner, &s.stats, &s.outbox),
+		}
 		s.shards[shard] = state
 		select {
 		case s.created <- shard:
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -103,7 +103,7 @@
 	// Guards against a scheduler that uses outdated state after another instance was the scheduler in the meantime.
 	It("starts a new warm-up after another instance was the scheduler", func() {
 		sched := newReadyScheduler(newState(1))
-		sched.Resign(func(scheduler.Shard) bool { return false })
+		sched.Resign(func(scheduler.Shard) bool { return false }, start)
 		_, _, ok := sched.Place(shortRequest(1), start)
 		Expect(ok).To(BeFalse())
 	})
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -44,7 +44,7 @@
 			logInvalid(s.Log, &s.rejections, from.Name, invalid)
 			return peer.KindPlaceReply, peer.PlaceReply{NotReady: true}
 		}
-		return peer.KindPlaceReply, s.place(&m, now)
+		return s.place(&m, envelope.Deferral, now)
 	case peer.KindPlaceUpdate:
 		var m peer.PlaceUpdate
 		if s.decode(from, envelope, &m) {
@@ -73,16 +73,24 @@
 	return err == nil
 }
 
-func (s *Server) place(m *peer.PlaceRequest, now time.Time) peer.PlaceReply {
+// place places a request, or lets it wait if it may. Without a deferral, because too many replies are deferred, it is placed or
+// refused like one that may not wait.
+func (s *Server) place(m *peer.PlaceRequest, deferral peer.Deferral, now time.Time) (peer.Kind, any) {
 	request, ok := placeRequestOf(m)
 	if !ok {
-		return peer.PlaceReply{NotReady: true}
+		return peer.KindPlaceReply, peer.PlaceReply{NotReady: true}
+	}
+	if request.Terms != nil && deferral != nil {
+		if send, ok := deferral.Defer(); ok {
+			s.Scheduler.PlaceOrWait(request, now, func(o Outcome) { send(peer.KindPlaceReply, outcomeMessage(&o)) })
+			return 0, nil
+		}
 	}
 	choice, refusal, ok := s.Scheduler.Place(request, now)
 	if !ok {
-		return peer.PlaceReply{NotReady: true}
+		return peer.KindPlaceReply, peer.PlaceReply{NotReady: true}
 	}
-	return replyMessage(choice, refusal)
+	return peer.KindPlaceReply, replyMessage(choice, refusal)
 }
 
 // list returns the requests of this instance on a shard.
--- /dev/null
+++ b/internal/scheduler/wait.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/waitqueue"
+)
+
+// standInTime is how long an instance keeps the shard of another scheduler after the last request that came here because that
+// scheduler did not reply. It covers the back-off of all clients.
+const standInTime = 3 * time.Second
+
+// OnWaiting sets a function that is called when a dispatch of the waiting requests may have become useful: soon is true if
+// capacity or a request in front has come, and false if requests have begun to wait. The function must not call the scheduler.
+func (s *Scheduler) OnWaiting(wake func(soon bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake = wake
+}
+
+// unlock releases the mutex and sends the replies that were decided under it.
+func (s *Scheduler) unlock() {
+	replies := s.outbox.take()
+	s.mu.Unlock()
+	runAll(replies)
+}
+
+// Stats returns the counts of the waiting requests.
+func (s *Scheduler) Stats() *QueueStats { return &s.stats }
+
+// Waiting returns the number of requests that wait for each shard.
+func (s *Scheduler) Waiting() map[Shard]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[Shard]int)
+	for shard, state := range s.shards {
+		counts[shard] = state.list.queue.Len()
+	}
+	return counts
+}
+
+// PlaceOrWait places a request with Terms, lets it wait, renews its place in the queue or refuses it. reply is called exactly
+// once, at the latest by the dispatch after Terms.Hold.
+func (s *Scheduler) PlaceOrWait(request PlaceRequest, now time.Time, reply func(Outcome)) {
+	s.mu.Lock()
+	defer s.unlock()
+	state := s.shardState(request.Shard, now)
+	s.markSuspects(&request, now)
+	if request.Terms.Failed != "" {
+		state.standInFor, state.standInUntil = request.Terms.Failed, now.Add(standInTime)
+	}
+	v, ok := s.view(request.Shard, state, now)
+	if !ok {
+		state.list.end(requestKey{from: request.From, number: request.Number})
+		s.outbox.add(reply, Outcome{NotReady: true})
+		return
+	}
+	state.expire(now)
+	if state.list.renew(request, now, reply) {
+		s.wakeUp(true)
+		return
+	}
+	s.admit(v, state, &waitingRequest{request: request, received: now, reply: reply}, now)
+}
+
+// admit places a new request if none that waits precedes it and there is capacity. Otherwise it lets the request wait, or
+// refuses it.
+func (s *Scheduler) admit(v *shardView, state *shardState, w *waitingRequest, now time.Time) {
+	v.totals, _ = state.tracker.Totals(now)
+	candidates := s.candidates(v, &w.request, now, true)
+	queued := queuedRequest(&w.request, v.service.Engine, now)
+	mustWait := state.list.queue.Len() > 0
+	if !mustWait {
+		choice, refusal, ok := s.tryPlace(v, state, candidates, w, now)
+		switch {
+		case refusal != nil && refusal.Reason == placement.NoEndpoint:
+			s.outbox.add(w.reply, Outcome{NotReady: true})
+			return
+		case refusal != nil && refusal.Reason == placement.TooLarge:
+			s.outbox.add(w.reply, Outcome{Refusal: refusal})
+			return
+		case refusal == nil && ok:
+			state.list.queue.CountPlaced(&queued, now)
+			s.outbox.add(w.reply, Outcome{Choice: choice})
+			return
+		}
+	}
+	state.list.join(w, queued, capacityOf(v.service.Engine, candidates), now)
+	s.wakeUp(mustWait)
+}
+
+// capacityOf returns the capacity of the candidates.
+func capacityOf(e *fleet.Engine, candidates []placement.Candidate) waitqueue.Capacity {
+	var capacity waitqueue.Capacity
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Cold || c.Suspect {
+			continue
+		}
+		capacity.Endpoints++
+		capacity.Backlog += c.PrefillBacklog
+		capacity.MemoryTokens += e.MemoryTokens
+	}
+	return capacity
+}
+
+// tryPlace places a request with Terms and counts it from now on. It returns false if it was not placed, without a refusal if
+// the chosen endpoint in cold start takes no request now.
+func (s *Scheduler) tryPlace(
+	v *shardView, state *shardState, candidates []placement.Candidate, w *waitingRequest, now time.Time,
+) (placement.Choice, *placement.Refusal, bool) {
+	need := w.request.needAt(w.received, now)
+	need.ExactCounts = true
+	choice, refusal := s.options.Planner.PlaceModel(v.service.Engine, candidates, need)
+	if refusal != nil || !s.takeCold(v.service, choice.Primary, now) {
+		return choice, refusal, false
+	}
+	limit := w.request.Limit - now.Sub(w.received)
+	state.add(w.key(), choice.Work(need, limit), now, limit)
+	return choice, nil, true
+}
+
+// Dispatch places waiting requests for which there is capacity, and tells those that are refused or have waited for their hold
+// time. It reports whether requests still wait.
+func (s *Scheduler) Dispatch(now time.Time) bool {
+	s.mu.Lock()
+	defer s.unlock()
+	waits := false
+	for shard, state := range s.shards {
+		if len(state.list.waiting) > 0 {
+			s.dispatch(shard, state, now)
+			waits = waits || len(state.list.waiting) > 0
+		}
+	}
+	return waits
+}
+
+func (s *Scheduler) dispatch(shard Shard, state *shardState, now time.Time) {
+	v, ok := s.view(shard, state, now)
+	if !ok {
+		state.list.endAll(func(requestKey) bool { return true })
+		return
+	}
+	state.expire(now)
+	for _, key := range state.list.lapsed(now) {
+		state.remove(key)
+	}
+	v.totals, _ = state.tracker.Totals(now)
+	state.list.dispatch(now, func(w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
+		// A grant for an endpoint in cold start must be used at once, so there must be a reply to carry it.
+		candidates := s.candidates(v, &w.request, now, w.reply != nil)
+		choice, _, placed := s.tryPlace(v, state, candidates, w, now)
+		if placed {
+			v.totals, _ = state.tracker.Totals(now)
+		}
+		return choice, nil, placed
+	})
+}
+
+// wakeUp reports that a dispatch may be useful.
+func (s *Scheduler) wakeUp(soon bool) {
+	if s.wake != nil {
+		s.wake(soon)
+	}
+}
+
+// wakeIfWaiting reports that capacity of a shard may have become free.
+func (s *Scheduler) wakeIfWaiting(state *shardState) {
+	if state != nil && len(state.list.waiting) > 0 {
+		s.wakeUp(true)
+	}
+}
+
+// endWaiting removes a request from the queue of a shard.
+func (st *shardState) endWaiting(from string, number load.Number) {
+	st.list.end(requestKey{from: from, number: number})
+}
