--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -49,6 +49,7 @@
 	// minBackOff is the shortest remaining back-off among the endpoints that the last placement left out because of it. It is
 	// zero if there were none.
 	minBackOff time.Duration
+	waiting    waiting
 	// timeLimit is how long the call may take from its arrival.
 	timeLimit time.Duration
 
@@ -74,6 +75,9 @@
 	streamStarted bool
 	// firstEventAt is the time of the first event of a stream, or of the end of a response that is not a stream.
 	firstEventAt time.Time
+	// lastEventAt is the time of the last event of a stream, and longestGap the longest time between two of them.
+	lastEventAt time.Time
+	longestGap  time.Duration
 }
 
 // run admits the call and makes attempts until one succeeds or no further attempt is allowed.
@@ -126,6 +130,9 @@
 		return false
 	}
 	defer p.schedulerPlacement.End()
+	if p.tracked != nil {
+		defer p.tracked.End()
+	}
 	now := time.Now()
 	choice, primary := p.Choice, p.Primary
 	if !x.takeColdStart(&p, now) {
@@ -133,8 +140,14 @@
 		return true
 	}
 	x.logPlaced(&p)
-	request := x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
-	defer request.End()
+	request := p.tracked
+	if request == nil {
+		request = x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
+	}
+	defer func() {
+		request.End()
+		x.handler.localQueue.Wake()
+	}()
 	reserved, err := x.reserve(ctx, choice.Reservations)
 	if err != nil {
 		return x.handleNotReserved(ctx, choice, err)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -19,6 +19,7 @@
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 // HandlerOptions configures a Handler.
@@ -36,6 +37,8 @@
 	Quarantine *quarantine.Tracker
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
+	// Queue states for which services requests wait in queues while there is no capacity.
+	Queue settings.Mode
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
 	CountsAge func(now time.Time) time.Duration
 	// Domain is the failure domain of this instance.
@@ -72,6 +75,8 @@
 	numbering serviceNumbering
 	shutdown  shutdown
 	panics    *panics.Recorder
+	// localQueue holds the requests that wait where no scheduler decides.
+	localQueue *scheduler.LocalQueue
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
@@ -86,6 +91,7 @@
 	}
 	h := &Handler{
 		options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now(), panics: options.Panics,
+		localQueue: scheduler.NewLocalQueue(options.Planner, options.Panics),
 	}
 	h.shutdown.init()
 	return h
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -32,6 +32,7 @@
 		Dur("waited_ms", time.Since(x.received)).
 		Str("scheduler", p.schedulerName).
 		Dur("ask_ms", p.schedulerLatency)
+	line = x.queueFields(line)
 	if rate, age, limited := x.handler.options.RateLimiter.Rate(choice.Primary.Key(), time.Now()); limited {
 		x.handler.options.Metrics.PlacedOnLimited()
 		line = line.Float64("max_rate", rate).Dur("max_rate_age_ms", age)
@@ -58,7 +59,7 @@
 
 // logUnplaced logs why no endpoint was chosen.
 func (x *exchange) logUnplaced(refusal *placement.Refusal) {
-	x.handler.options.Log.Info().
+	x.queueFields(x.handler.options.Log.Info()).
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("reason", string(refusal.Reason)).
@@ -172,5 +173,8 @@
 		m.FirstEvent(x.firstEventAt.Sub(x.received))
 		event.Dur("first_ms", x.firstEventAt.Sub(x.received))
 	}
+	if x.longestGap > 0 {
+		event.Dur("longest_gap_ms", x.longestGap)
+	}
 	event.Msg("request_ended")
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -48,6 +48,9 @@
 // PlacedOnLimited counts a request that was placed on an endpoint that limits its request rate.
 func (m *Metrics) PlacedOnLimited() { m.count("placed_on_limited") }
 
+// Waits counts a request that has begun to wait in a queue.
+func (m *Metrics) Waits() { m.count("requests_waited") }
+
 // EndpointCrashed counts a request whose endpoint crashed before the first event.
 func (m *Metrics) EndpointCrashed() { m.count("endpoint_crashes") }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -37,12 +37,22 @@
 	// requestedAt is the boot-time at which the request was sent to the scheduler.
 	requestedAt      time.Duration
 	schedulerLatency time.Duration
+	// tracked is set if the request is tracked already.
+	tracked *load.Request
 }
 
-// place chooses endpoints. If none has capacity, it retries until the wait limit of the refusal's reason, then returns the
-// refusal.
+// place chooses endpoints. If none has capacity, the request waits for it or is refused.
 func (x *exchange) place(ctx context.Context) (attemptPlacement, *placement.Refusal) {
 	x.countArrival()
+	if x.mayWait() {
+		return x.placeOrWait(ctx)
+	}
+	return x.poll(ctx)
+}
+
+// poll chooses endpoints. If none has capacity, it retries until the wait limit of the refusal's reason, then returns the
+// refusal.
+func (x *exchange) poll(ctx context.Context) (attemptPlacement, *placement.Refusal) {
 	for {
 		p, refusal := x.tryPlace(ctx, x.objectiveLeft(time.Now()))
 		if refusal == nil {
@@ -66,10 +76,14 @@
 
 // objectiveLeft returns the time within which the placement should deliver the first event.
 func (x *exchange) objectiveLeft(now time.Time) time.Duration {
-	return placement.ObjectiveLeft(placement.Timing{
+	return placement.ObjectiveLeft(x.timing(now))
+}
+
+func (x *exchange) timing(now time.Time) placement.Timing {
+	return placement.Timing{
 		Objective: x.profile.Objective, TimeLimit: x.profile.TimeLimit, Budget: x.call.Budget, Waited: now.Sub(x.received),
 		Resumed: x.streamStarted,
-	})
+	}
 }
 
 // tryPlace places the call once. It uses the schedulers if they are enabled and one of them replies, otherwise the counts of
@@ -143,15 +157,22 @@
 func (x *exchange) placeLocally(objective time.Duration) (placement.Choice, *placement.Refusal) {
 	now := time.Now()
 	candidates, instances := x.candidates(now)
-	e := x.service.Engine
-	if e == nil {
+	if x.service.Engine == nil {
 		return x.handler.options.Planner.PlacePlain(candidates, x.handler.options.Domain)
 	}
 	need := x.need()
 	need.Objective = objective
+	return x.placeOn(candidates, instances, need, now)
+}
+
+// placeOn places the call on candidates for a model service that this instance knows with the counts of a number of other
+// instances.
+func (x *exchange) placeOn(
+	candidates []placement.Candidate, instances int, need placement.Need, now time.Time,
+) (placement.Choice, *placement.Refusal) {
 	need.RandomRank, need.Unseen = x.randomRank, x.unseen(now)
 	need.PeersUnknown = instances == 0 && now.Sub(x.handler.started) < discoveryTime
-	return x.handler.options.Planner.PlaceModel(e, candidates, need)
+	return x.handler.options.Planner.PlaceModel(x.service.Engine, candidates, need)
 }
 
 // need returns the needs of the request except its objective.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -110,6 +110,9 @@
 	// schedulerClient sends place requests to the schedulers of the fleet, which include this instance.
 	schedulerClient *scheduler.Client
 
+	// gaugedShards holds the shards that have a gauge of waiting requests.
+	gaugedShards map[scheduler.Shard]bool
+
 	shutdownOnce sync.Once
 	stopping     chan struct{}
 	drained      chan struct{}
@@ -125,6 +128,8 @@
 		metrics:  NewMetrics(),
 		stopping: make(chan struct{}),
 		drained:  make(chan struct{}),
+
+		gaugedShards: make(map[scheduler.Shard]bool),
 		client: engine.NewClientWithOptions(engine.ClientOptions{
 			Reuse: true, AllowUnframed: true, DialTimeout: dialTimeout, AckTimeout: endpointAckTimeout,
 		}),
@@ -141,6 +146,7 @@
 		RateLimiter: p.rateLimiter, Quarantine: p.quarantine,
 		Planner:   placement.Planner{IntN: rand.IntN},
 		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
+		Queue:     s.Scheduling.Queue,
 		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics, Panics: p.panics,
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
@@ -232,11 +238,21 @@
 	}
 	p.schedulerClient = scheduler.NewClient(scheduler.ClientOptions{
 		Self: s.Addresses.Peers, Peers: p.sharer.Node(), Members: p.sharer, Local: p.localScheduler, Load: loadTracker,
-		State: p.options.State, Log: p.log, Panics: p.panics,
+		State: p.options.State, Log: p.log, Panics: p.panics, HasQueue: p.hasQueue,
 	})
 	return nil
 }
 
+// hasQueue reports whether requests for a service may wait.
+func (p *Process) hasQueue(service uint32) bool {
+	catalog := p.options.State.Snapshot().Catalog
+	if catalog == nil {
+		return false
+	}
+	s := catalog.ServiceByKey(service)
+	return s != nil && s.Engine != nil && p.options.Settings.Scheduling.Queue.Enabled(catalog.IsRanked(s.Name))
+}
+
 // serveCall calls the handler, which New creates after the callers' server.
 func (p *Process) serveCall(w http.ResponseWriter, r *http.Request) { p.handler.ServeHTTP(w, r) }
 
@@ -379,6 +395,7 @@
 			p.fleetShare.ObservePeers(peers)
 			p.quarantine.SetInstances(peers + 1)
 			p.metrics.SetGauge("peers", int64(peers))
+			p.updateQueueMetrics()
 		}
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -116,10 +116,14 @@
 // forwardEvents sends the events that are complete to the caller, also those that arrived together with one out of order: the stream is
 // resumed after them.
 func (r *relay) forwardEvents(data []byte) error {
+	before := r.x.events.count
 	complete, orderErr := r.x.events.add(data)
 	if len(complete) == 0 {
 		return orderErr
 	}
+	if r.x.events.count > before {
+		r.x.observeEvent(time.Now())
+	}
 	r.onEvents()
 	r.observeEvents(time.Now())
 	if err := r.x.sendEvents(r.header, complete); err != nil {
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -61,8 +61,8 @@
 
 // NextScheduler returns this instance: no other one is live.
 func (f *fixedMembers) NextScheduler(uint64, string, time.Time) string { return self }
-func (f *fixedMembers) IsLive(string, time.Time) bool { return true }
-func (f *fixedMembers) Live(time.Time) []string       { return nil }
+func (f *fixedMembers) IsLive(string, time.Time) bool                  { return true }
+func (f *fixedMembers) Live(time.Time) []string                        { return nil }
 
 var _ = Describe("a scheduler client", func() {
 	var (
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -95,7 +95,9 @@
 }
 
 // id identifies the request in a wait queue.
-func (r *PlaceRequest) id() waitqueue.ID { return waitqueue.ID{Instance: r.From, Number: uint64(r.Number)} }
+func (r *PlaceRequest) id() waitqueue.ID {
+	return waitqueue.ID{Instance: r.From, Number: uint64(r.Number)}
+}
 
 // queueRefusal returns the refusal of a request that a queue has given up.
 func queueRefusal(planner placement.Planner, reason waitqueue.Reason, wait time.Duration, candidates int) *placement.Refusal {
