--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -43,9 +43,13 @@
 	// Shards is the number of shards of the endpoints; one scheduler per shard places its requests. With zero shards,
 	// each instance places its requests by the load counts that it has.
 	Shards int
-	Load   Load
-	Policy Policy
-	Seed   uint64
+	// Queue lets the schedulers have wait queues. LateWait is the fraction of the time limit up to which a request waits that
+	// can no longer be on time.
+	Queue    bool
+	LateWait float64
+	Load     Load
+	Policy   Policy
+	Seed     uint64
 }
 
 // Result holds the outcomes of a run.
@@ -55,6 +59,17 @@
 	Value float64
 	// PrefillFraction is the fraction of the engines' time that they spent on prefill.
 	PrefillFraction float64
+	// Teams holds the outcomes of each team.
+	Teams map[uint32]*TeamResult
+	// Refusals counts the refusals of all attempts by kind and reason.
+	Refusals map[string]map[string]int
+}
+
+// TeamResult sums the outcomes of a team.
+type TeamResult struct {
+	Requests, Served int
+	// UsedTime is the engine time of the requests served.
+	UsedTime time.Duration
 }
 
 // KindResult sums the outcomes of a kind.
@@ -62,6 +77,8 @@
 	// Late counts the requests with a late first event or an exceeded gap. NotServed counts the refused requests and those
 	// that ended after their time limit.
 	Requests, OnTime, Late, NotServed int
+	// Refused counts the requests whose first attempt was refused.
+	Refused int
 	// RefusedAfterRetry counts the refused requests that had been retried after an earlier refusal.
 	RefusedAfterRetry int
 	// MaxEarned is the sum of the values of all requests if they were on time, Earned that of the served requests.
@@ -105,16 +122,23 @@
 	trackers   []*load.Tracker
 	// schedulers holds the load tracker of each scheduler.
 	schedulers []*load.Tracker
-	result     Result
+	// queues holds the wait queue of each scheduler, if Options.Queue is true.
+	queues []*shardQueue
+	result Result
 }
 
+// teamStream selects the random numbers of teams, so that arrivals do not depend on them.
+const teamStream = 2
+
 // Run runs a load and returns the outcomes.
 func Run(options Options) Result {
 	r := &run{
 		options:    options,
 		random:     rand.New(rand.NewPCG(options.Seed, 1)),
 		byEndpoint: make(map[*fleet.Endpoint]*endpoint),
-		result:     Result{Kinds: make(map[string]*KindResult)},
+		result: Result{
+			Kinds: make(map[string]*KindResult), Teams: make(map[uint32]*TeamResult), Refusals: make(map[string]map[string]int),
+		},
 	}
 	if r.options.ShareInterval == 0 {
 		r.options.ShareInterval = shareInterval
@@ -128,14 +152,21 @@
 		r.endpoints = append(r.endpoints, e)
 		r.byEndpoint[e.Endpoint] = e
 	}
-	for range options.Shards {
+	for i := range options.Shards {
 		r.schedulers = append(r.schedulers, load.NewTracker())
+		if options.Queue {
+			r.queues = append(r.queues, newShardQueue(r, i))
+		}
 	}
 	for i := range options.Instances {
 		r.trackers = append(r.trackers, load.NewTracker())
 		r.after(time.Duration(i)*r.options.ShareInterval/time.Duration(options.Instances), func() { r.sendCounts(i) })
 	}
-	r.scheduleArrivals(options.Load.arrivals(r.random))
+	arrivals := options.Load.arrivals(r.random)
+	if options.Load.Teams > 0 {
+		options.Load.assignTeams(arrivals, rand.New(rand.NewPCG(options.Seed, teamStream)))
+	}
+	r.scheduleArrivals(arrivals)
 	for len(r.queue) > 0 {
 		next := heap.Pop(&r.queue).(event)
 		r.now = next.at
@@ -175,6 +206,9 @@
 		if call.isInLargestTenth() {
 			result.LargeRequests++
 		}
+		if a.team > 0 {
+			r.teamResult(a.team).Requests++
+		}
 		r.after(a.at, func() { r.arrive(call) })
 	}
 }
@@ -188,6 +222,15 @@
 	return result
 }
 
+func (r *run) teamResult(team uint32) *TeamResult {
+	result := r.result.Teams[team]
+	if result == nil {
+		result = &TeamResult{}
+		r.result.Teams[team] = result
+	}
+	return result
+}
+
 func (r *run) arrive(call *request) {
 	call.arrivedAt = r.now
 	call.randomRank = r.random.Float64()
@@ -196,6 +239,10 @@
 	}
 	if len(r.schedulers) > 0 {
 		call.shard = r.random.IntN(len(r.schedulers))
+		if r.options.Queue {
+			r.after(schedulerRoundTrip, func() { r.queues[call.shard].arrive(call) })
+			return
+		}
 		r.after(schedulerRoundTrip, func() { r.placeByScheduler(call, 1) })
 		return
 	}
@@ -255,8 +302,11 @@
 // counts the request as refused.
 func (r *run) refuseOrRetry(call *request, refusal *placement.Refusal) {
 	remaining := call.kind.TimeLimit - (r.now - call.at)
+	r.countRefusal(call, string(refusal.Reason))
 	if call.retried {
 		r.kindResult(call.kind).RefusedAfterRetry++
+	} else {
+		r.kindResult(call.kind).Refused++
 	}
 	if call.retried || refusal.RetryAfter > remaining/3 {
 		r.kindResult(call.kind).NotServed++
@@ -267,6 +317,15 @@
 	r.after(refusal.RetryAfter+networkRoundTrip, func() { r.arrive(call) })
 }
 
+func (r *run) countRefusal(call *request, reason string) {
+	reasons := r.result.Refusals[call.kind.Name]
+	if reasons == nil {
+		reasons = make(map[string]int)
+		r.result.Refusals[call.kind.Name] = reasons
+	}
+	reasons[reason]++
+}
+
 func (r *run) candidates(instance int) []placement.Candidate {
 	return r.candidatesOf(r.trackers[instance], r.endpoints)
 }
@@ -343,6 +402,7 @@
 	}
 	for _, call := range prefilled {
 		call.inFlight.PrefillDone()
+		r.workEnded(call.shard)
 		call.firstEventAt = r.now
 		call.primary.decoding = append(call.primary.decoding, call)
 		r.decodeEvent(call)
@@ -366,6 +426,7 @@
 		r.byEndpoint[h].usedTokens -= tokens
 	}
 	call.inFlight.End()
+	r.workEnded(call.shard)
 	r.recordOutcome(call)
 }
 
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -21,7 +21,12 @@
 	Shards int
 	// Stride is the number of steps of a pass; the default is that of StandardEngine.
 	Stride int
-	Load   Load
+	// Engine replaces the standard engine.
+	Engine *fleet.Engine
+	// Queue lets the schedulers have wait queues. See Options.LateWait.
+	Queue    bool
+	LateWait float64
+	Load     Load
 }
 
 // StandardEngine returns the engine of all patterns, some of which set other slots or another stride: 405,000 tokens of
@@ -175,6 +180,9 @@
 // Options returns the options for a run of the pattern.
 func (p Pattern) Options(policy Policy, seed uint64) Options {
 	engine := StandardEngine()
+	if p.Engine != nil {
+		engine = *p.Engine
+	}
 	if p.Slots > 0 {
 		engine.Slots = p.Slots
 	}
@@ -183,6 +191,6 @@
 	}
 	return Options{
 		Shards: p.Shards, Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
-		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed,
+		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed, Queue: p.Queue, LateWait: p.LateWait,
 	}
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -1,5 +1,14 @@
 package emulator
 
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/acacialift/acacialift/internal/placement"
+)
+
 // recordOutcome counts a request that has ended. A request that ended after its time limit is counted as not served.
 func (r *run) recordOutcome(call *request) {
 	result := r.kindResult(call.kind)
@@ -17,12 +26,19 @@
 	if call.isInLargestTenth() {
 		result.LargeServed++
 	}
+	if call.team > 0 {
+		team := r.teamResult(call.team)
+		team.Served++
+		team.UsedTime += placement.EngineTime(&r.options.Engine, placement.Need{Tokens: call.tokens, Output: call.outputTokens})
+	}
 }
 
 // RunSeeds runs a pattern with several seeds. It adds up the counts and values of the kinds, and averages Value and
 // PrefillFraction.
 func RunSeeds(pattern Pattern, policy Policy, seeds int) Result {
-	sum := Result{Kinds: make(map[string]*KindResult)}
+	sum := Result{
+		Kinds: make(map[string]*KindResult), Teams: make(map[uint32]*TeamResult), Refusals: make(map[string]map[string]int),
+	}
 	for seed := range seeds {
 		result := Run(pattern.Options(policy, uint64(seed)+1))
 		sum.Value += result.Value / float64(seeds)
@@ -33,15 +49,71 @@
 			}
 			sum.Kinds[name].add(k)
 		}
+		sum.addTeams(&result)
+		sum.addRefusals(&result)
 	}
 	return sum
 }
 
+func (r *Result) addTeams(other *Result) {
+	for id, t := range other.Teams {
+		if r.Teams[id] == nil {
+			r.Teams[id] = &TeamResult{}
+		}
+		r.Teams[id].Requests += t.Requests
+		r.Teams[id].Served += t.Served
+		r.Teams[id].UsedTime += t.UsedTime
+	}
+}
+
+func (r *Result) addRefusals(other *Result) {
+	for kind, reasons := range other.Refusals {
+		if r.Refusals[kind] == nil {
+			r.Refusals[kind] = make(map[string]int)
+		}
+		for reason, count := range reasons {
+			r.Refusals[kind][reason] += count
+		}
+	}
+}
+
+// Served returns the number of requests that were served.
+func (k *KindResult) Served() int { return k.OnTime + k.Late }
+
+// ServedFraction returns the fraction of the requests that were served.
+func (k *KindResult) ServedFraction() float64 { return fraction(k.Served(), k.Requests) }
+
+// LargeServedFraction returns the fraction of the requests in the largest tenth that were served.
+func (k *KindResult) LargeServedFraction() float64 { return fraction(k.LargeServed, k.LargeRequests) }
+
+// ServedFraction returns the fraction of the team's requests that were served.
+func (t *TeamResult) ServedFraction() float64 { return fraction(t.Served, t.Requests) }
+
+func fraction(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
+
+// String returns a table of the outcomes of each kind, the reasons of refusals, and the range of the teams.
+func (r *Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "value %.3f, prefill %.3f\n", r.Value, r.PrefillFraction)
+	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
+		k := r.Kinds[name]
+		fmt.Fprintf(&b, "%-7s requests %5d on_time %.3f late %.3f served %.3f largest %.3f refused %4d again %4d value %.3f %v\n",
+			name, k.Requests, fraction(k.OnTime, k.Requests), fraction(k.Late, k.Requests), k.ServedFraction(),
+			k.LargeServedFraction(), k.Refused, k.RefusedAfterRetry, k.Earned/max(k.MaxEarned, 1), r.Refusals[name])
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.Teams)) {
+		t := r.Teams[id]
+		fmt.Fprintf(&b, "team %2d requests %4d served %.3f used %.1f s\n", id, t.Requests, t.ServedFraction(), t.UsedTime.Seconds())
+	}
+	return b.String()
+}
+
 func (k *KindResult) add(other *KindResult) {
 	k.Requests += other.Requests
 	k.OnTime += other.OnTime
 	k.Late += other.Late
 	k.NotServed += other.NotServed
+	k.Refused += other.Refused
 	k.RefusedAfterRetry += other.RefusedAfterRetry
 	k.Earned += other.Earned
 	k.MaxEarned += other.MaxEarned
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -53,8 +53,8 @@
 	dueFraction float64
 }
 
-// newLongPool groups the candidates. It leaves out cold and suspect endpoints, because one slow endpoint delays the first
-// event of the whole prompt. If the prompt exceeds one engine's memory, the endpoints of the short group that have no
+// newLongPool groups the candidates. It leaves out held endpoints, and cold and suspect ones, because one slow endpoint delays
+// the first event of the whole prompt. If the prompt exceeds one engine's memory, the endpoints of the short group that have no
 // streams are added to the long group.
 func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
 	pool := &longPool{engine: e, need: need, exceedsEngine: need.Tokens+need.Output > e.MemoryTokens, dueFraction: dueFraction}
@@ -64,7 +64,7 @@
 	for i := len(candidates) - 1; i >= 0; i-- {
 		c := candidates[i]
 		switch {
-		case c.Cold || c.Suspect:
+		case c.Cold || c.Suspect || c.Held:
 		case i < group && (!pool.exceedsEngine || c.Streams > 0):
 			pool.shortGroup = append(pool.shortGroup, c)
 		default:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,8 @@
 	// Full is true if the endpoint accepts no further request from this instance now, because it limits its request rate. It
 	// may still be a helper, because the requests of parts come from the primary endpoint.
 	Full bool
+	// Held is true for an endpoint that is held for another request. It gets no long prompts and no parts of them.
+	Held bool
 }
 
 // Need describes a request.
@@ -63,6 +65,10 @@
 	ExactCounts bool
 	// PeersUnknown is true while the work of the peer instances is not known.
 	PeersUnknown bool
+	// Rank is the urgency of the request among those of its service; 0 is the highest rank.
+	Rank int
+	// Queued is true for a request that is placed through a wait queue.
+	Queued bool
 }
 
 // Choice is the result of a placement.
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -5,7 +5,11 @@
 // and there is capacity. It calls Dispatch again when work on the shard ends and at short intervals, and Expire before it.
 package waitqueue
 
-import "time"
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fairshare"
+)
 
 const (
 	// maxWaiting is the largest number of waiting requests of a queue.
@@ -22,33 +26,128 @@
 	RenewTime time.Duration
 }
 
+// class is a length class of prompts.
+type class int
+
+const (
+	shortClass class = iota
+	longClass
+	classes
+)
+
+func classOf(r *Request) class {
+	if r.Short {
+		return shortClass
+	}
+	return longClass
+}
+
 // Queue holds the waiting requests of one shard.
-type Queue struct{ options Options }
+type Queue struct {
+	options  Options
+	entries  map[ID]*entry
+	lanes    [classes][LowestRank + 1]lane
+	shares   *fairshare.Shares
+	usage    [classes]usage
+	capacity [classes]capacityAt
+	// shard is the number of endpoints of the shard.
+	shard   int
+	holds   map[uint32]ID
+	holders []*entry
+	round   uint64
+	// order and offers are buffers.
+	order, offers []*entry
+}
 
 // New returns an empty queue.
-func New(options Options) *Queue { return &Queue{options: options} }
+func New(options Options) *Queue {
+	if options.MaxWaiting == 0 {
+		options.MaxWaiting = maxWaiting
+	}
+	if options.RenewTime == 0 {
+		options.RenewTime = renewTime
+	}
+	return &Queue{
+		options: options, entries: make(map[ID]*entry), holds: make(map[uint32]ID), shares: fairshare.NewShares(),
+	}
+}
 
 // Len returns the number of waiting requests.
-func (q *Queue) Len() int { return 0 }
+func (q *Queue) Len() int { return len(q.entries) }
 
-// Add lets a request wait, or refuses it if it cannot be served in its useful time. Other requests may be displaced.
-func (q *Queue) Add(r Request, capacity Capacity, now time.Time) Decision { return Decision{} }
+// Contains reports whether a request waits.
+func (q *Queue) Contains(id ID) bool { return q.entries[id] != nil }
 
 // Renew keeps a request in the queue for another Options.RenewTime. It returns false if the request is not in the queue.
-func (q *Queue) Renew(id ID, now time.Time) bool { return false }
+func (q *Queue) Renew(id ID, now time.Time) bool {
+	e := q.entries[id]
+	if e == nil {
+		return false
+	}
+	e.renewedAt = now
+	return true
+}
 
 // Remove removes a request whose caller has left. Endpoints held for it are released.
-func (q *Queue) Remove(id ID) {}
+func (q *Queue) Remove(id ID) {
+	if e := q.entries[id]; e != nil {
+		q.remove(e)
+	}
+}
 
-// Expire removes the requests that were not renewed, and those that can no longer be served in their useful time.
-func (q *Queue) Expire(now time.Time) []Refused { return nil }
+// CountPlaced counts a request that was placed without waiting in this queue for the shares of its team and rank.
+func (q *Queue) CountPlaced(r *Request, now time.Time) {
+	counted := *r
+	counted.Rank = clampRank(r.Rank)
+	q.usage[classOf(r)].add(&counted, now)
+	q.shares.AddUsed(r.Team, r.Cost, now)
+}
 
-// Dispatch offers requests in order to place until it has failed for a few of them. place gets the endpoints held for
-// others, and must not call the queue. Placed requests leave the queue and count for the shares of their team and rank.
-func (q *Queue) Dispatch(now time.Time, place func(r *Request, held Held) Attempt) {}
+func clampRank(rank int) int { return min(max(rank, 0), LowestRank) }
 
-// CountPlaced counts a request that was placed without waiting in this queue for the shares of its team and rank.
-func (q *Queue) CountPlaced(r *Request, now time.Time) {}
+func (q *Queue) laneOf(e *entry) *lane { return &q.lanes[classOf(&e.Request)][e.Rank] }
+
+func (q *Queue) insert(e *entry, now time.Time) {
+	q.entries[e.ID] = e
+	q.laneOf(e).add(e, now)
+	q.shares.AddWaiting(e.Team, e.Cost)
+}
 
-// Held returns the endpoints held for any request.
-func (q *Queue) Held() Held { return Held{} }
+func (q *Queue) remove(e *entry) {
+	q.release(e)
+	delete(q.entries, e.ID)
+	q.laneOf(e).remove(e)
+	q.shares.AddWaiting(e.Team, -e.Cost)
+}
+
+// orderOf returns the waiting requests of a class in their order. The result is valid until the next call.
+func (q *Queue) orderOf(c class, now time.Time) []*entry {
+	q.order = q.order[:0]
+	lanes := &q.lanes[c]
+	preferReturning := q.usage[c].prefersReturning(now)
+	for rank := range lanes {
+		lanes[rank].update(now)
+	}
+	for _, rank := range q.usage[c].rankOrder(lanes, now) {
+		q.order = lanes[rank].appendOrder(q.order, preferReturning)
+	}
+	return q.order
+}
+
+// Expire removes the requests that were not renewed, and those that can no longer be served in their useful time.
+func (q *Queue) Expire(now time.Time) []Refused {
+	var refused []Refused
+	for _, e := range q.entries {
+		reason := TooLate
+		switch {
+		case now.Sub(e.renewedAt) > q.options.RenewTime:
+			reason = NotRenewed
+		case !e.lastStart().Before(now):
+			continue
+		}
+		refused = append(refused, Refused{Request: e.Request, Reason: reason, Wait: q.drainTime(classOf(&e.Request), now)})
+		q.remove(e)
+	}
+	sortByID(refused)
+	return refused
+}
--- a/internal/waitqueue/request.go
+++ b/internal/waitqueue/request.go
@@ -21,7 +21,10 @@
 	Team uint32
 	// Prompt identifies the caller's own part of the prompt; 0 if there is none.
 	Prompt uint64
-	Need   placement.Need
+	// Short is true for a short prompt (placement.IsShort). Short and long prompts use different endpoints, and do not wait
+	// for each other.
+	Short bool
+	Need  placement.Need
 	// Cost is the engine time of the request, summed over all endpoints that prefill its prompt.
 	Cost time.Duration
 	// Prefill is the shortest time from the start to the first event, with as many helpers as the request may use.
@@ -35,18 +38,29 @@
 	Until time.Time
 }
 
+// latestStart is the last time at which the request can start and be on time.
+func (r *Request) latestStart() time.Time { return r.OnTimeUntil.Add(-r.Prefill) }
+
+// lastStart is the last time at which the request can start and be useful.
+func (r *Request) lastStart() time.Time { return r.Until.Add(-r.Prefill) }
+
+// NeedAt returns the need of the request at a time, with the remaining time to the first event. Once the request can no
+// longer be on time, that is the remaining useful time.
+func (r *Request) NeedAt(now time.Time) placement.Need {
+	need := r.Need
+	need.Queued = true
+	need.Objective = max(r.OnTimeUntil.Sub(now), 0)
+	if now.After(r.latestStart()) {
+		need.Objective = max(r.Until.Sub(now), 0)
+	}
+	return need
+}
+
 // LowestRank is the lowest rank. Lower ones count as this one.
 const LowestRank = 9
 
-// Capacity is the capacity of a shard, for the admission of a request.
-type Capacity struct {
-	// Endpoints is the number of endpoints that may prefill the prompt.
-	Endpoints int
-	// Backlog is the prefill time that these endpoints still owe to placed requests, summed over the endpoints.
-	Backlog time.Duration
-	// MemoryTokens is the KV memory of all endpoints together.
-	MemoryTokens int64
-}
+// Capacity is the capacity of a shard for the prompts of one length class (placement.CapacityFor).
+type Capacity = placement.Capacity
 
 // Reason states why a request is refused.
 type Reason string
@@ -57,9 +71,10 @@
 	Infeasible Reason = "queue_infeasible"
 	// QueueFull means that the queue has its largest number of requests.
 	QueueFull Reason = "queue_full"
-	// OverShare means that the request's team uses more than its fair share while capacity is short.
+	// OverShare means that the request's team uses more than its fair share while capacity is short. The request was
+	// refused on arrival, or displaced.
 	OverShare Reason = "team_over_share"
-	// Displaced means that a request of a higher rank, or of a team below its fair share, has taken the place.
+	// Displaced means that a request which precedes this one has taken its place.
 	Displaced Reason = "displaced"
 	// TooLate means that the useful time has ended.
 	TooLate Reason = "too_late"
