--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -69,7 +69,6 @@
 func (x *exchange) placeOrWait(ctx context.Context) (attemptPlacement, *placement.Refusal) {
 	for {
 		bySchedulers := x.handler.options.Schedulers != nil && x.handler.options.Schedulers.Enabled(time.Now())
-		x.bySchedulers = bySchedulers
 		if bySchedulers {
 			p, refusal, result := x.waitAtSchedulers(ctx)
 			switch {
@@ -172,7 +171,8 @@
 func (x *exchange) terms(now time.Time) *scheduler.WaitTerms {
 	timing := x.timing(now)
 	t := &scheduler.WaitTerms{
-		Rank: x.rank(), Prompt: uint64(x.call.Prompt.Own), Used: placement.Used(timing), Hold: x.holdTime(now),
+		Rank: x.rank(), Prompt: uint64(x.call.Prompt.Own), Used: placement.Used(timing),
+		Useful: placement.UsefulLeft(timing), Hold: x.holdTime(now),
 	}
 	if x.team.Name != "" {
 		t.Team = uint32(xxhash.Sum64String(x.team.Name))
@@ -218,56 +218,48 @@
 func (x *exchange) waitLocally(ctx context.Context, hasSchedulers bool) (attemptPlacement, *placement.Refusal, bool) {
 	number := x.handler.options.Load.NextNumber()
 	queue := x.handler.localQueue
-	service := x.service.Key()
 	var tracked *load.Request
-	// giveUp removes the request from the queue, and ends it if it was placed meanwhile.
-	giveUp := func() {
-		queue.End(service, number)
-		if tracked != nil {
-			tracked.End()
-		}
+	outcomes := make(chan scheduler.Outcome, 1)
+	if queue.Place(x.localRequest(number, &tracked), time.Now(), func(o scheduler.Outcome) { outcomes <- o }) {
+		x.observeWait("")
 	}
-	for {
-		request := x.localRequest(number, time.Now(), &tracked)
-		outcomes := make(chan scheduler.Outcome, 1)
-		queue.PlaceOrWait(request, time.Now(), func(o scheduler.Outcome) { outcomes <- o })
-		var o scheduler.Outcome
-		select {
-		case o = <-outcomes:
-		case <-ctx.Done():
-		}
-		switch {
-		case ctx.Err() != nil:
-			giveUp()
-			return attemptPlacement{}, &placement.Refusal{Reason: reasonEnded}, true
-		case o.Waiting:
-			x.observeWait("")
-			if hasSchedulers {
-				giveUp()
-				return attemptPlacement{}, nil, false
-			}
-		case o.Refusal != nil:
-			if o.Refusal.Reason == placement.NoEndpoint && x.minBackOff > 0 {
-				// The caller may retry when the first back-off has ended.
-				o.Refusal.Reason, o.Refusal.RetryAfter = placement.EndpointsBackOff, x.minBackOff
-			}
-			x.refusingScheduler = ""
-			x.observeDisplacement(o.Refusal)
-			return attemptPlacement{}, o.Refusal, true
-		case !o.NotReady:
-			return attemptPlacement{Choice: o.Choice, number: number, tracked: tracked}, nil, true
+	var holdEnds <-chan time.Time
+	if hasSchedulers {
+		holdEnds = time.After(scheduler.HoldTime)
+	}
+	select {
+	case o := <-outcomes:
+		if o.Refusal != nil {
+			return attemptPlacement{}, x.localRefusal(o.Refusal), true
 		}
+		return attemptPlacement{Choice: o.Choice, number: number, tracked: tracked}, nil, true
+	case <-ctx.Done():
+	case <-holdEnds:
+	}
+	queue.End(x.service.Key(), number)
+	if tracked != nil {
+		// The request was placed at this moment.
+		tracked.End()
 	}
+	return attemptPlacement{}, &placement.Refusal{Reason: reasonEnded}, ctx.Err() != nil
 }
 
-// localRequest returns the request as it waits in the queue of this instance. When it is placed, it is tracked from then on.
-func (x *exchange) localRequest(number load.Number, now time.Time, tracked **load.Request) scheduler.LocalRequest {
-	if *tracked != nil {
-		(*tracked).End()
-		*tracked = nil
+// localRefusal returns the refusal of the queue of this instance as the caller gets it.
+func (x *exchange) localRefusal(refusal *placement.Refusal) *placement.Refusal {
+	x.refusingScheduler = ""
+	x.observeDisplacement(refusal)
+	if refusal.Reason == placement.NoEndpoint && x.minBackOff > 0 {
+		// The caller may retry when the first back-off has ended.
+		refusal.Reason, refusal.RetryAfter = placement.EndpointsBackOff, x.minBackOff
 	}
+	return refusal
+}
+
+// localRequest returns the request for the queue of this instance. When it is placed, tracked is set.
+func (x *exchange) localRequest(number load.Number, tracked **load.Request) scheduler.LocalRequest {
 	instances := 0
-	r := scheduler.LocalRequest{PlaceRequest: x.waitRequest(scheduler.Shard{Service: x.service.Key()}, number, now), Engine: x.service.Engine}
+	shard := scheduler.Shard{Service: x.service.Key()}
+	r := scheduler.LocalRequest{PlaceRequest: x.waitRequest(shard, number, time.Now()), Engine: x.service.Engine}
 	r.Candidates = func(now time.Time) (candidates []placement.Candidate) {
 		candidates, instances = x.candidates(now)
 		return candidates
--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -151,6 +151,7 @@
 	i.inRange("rank", x.Rank, 0, maxRank)
 	i.inRange("used time", x.UsedMS, 0, MaxTime.Milliseconds())
 	i.inRange("full objective", x.FullObjectiveMS, 0, MaxTime.Milliseconds())
+	i.inRange("useful time", x.UsefulMS, 0, MaxTime.Milliseconds())
 	i.inRange("hold time", x.HoldMS, 0, MaxHold.Milliseconds())
 	i.inRange("failed scheduler", int64(len(x.Failed)), 0, maxAddressBytes)
 	return i
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -61,6 +61,8 @@
 	// FullObjectiveMS is the objective counted from the caller's first attempt. If it is zero, PlaceRequest.ObjectiveMS holds
 	// whenever the request is placed.
 	FullObjectiveMS int64 `msgpack:"objective,omitempty"`
+	// UsefulMS is the remaining time in which the first event has any value.
+	UsefulMS int64 `msgpack:"useful,omitempty"`
 	// HoldMS is how long the scheduler may defer its reply.
 	HoldMS int64 `msgpack:"hold,omitempty"`
 	// Failed is the address of the scheduler that did not reply, if the receiver is asked in its place.
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -16,6 +16,8 @@
 	// resumeFactor is the time to the next event of a resumed stream, in objectives. Callers disconnect after four
 	// objectives.
 	resumeFactor = 2
+	// usefulFraction is the fraction of the time limit in which a late first event still has a value.
+	usefulFraction = 0.5
 )
 
 // Timing holds the times of a request.
@@ -59,6 +61,14 @@
 	return t.Waited
 }
 
+// UsefulLeft returns the remaining time in which the first event has any value.
+func UsefulLeft(t Timing) time.Duration {
+	if t.Resumed {
+		return resumeFactor * t.Objective
+	}
+	return max(max(t.Objective, time.Duration(usefulFraction*float64(t.TimeLimit)))-Used(t), 0)
+}
+
 // WaitLimit returns how long a request that was refused for the reason may wait to be placed. Slots may become free at any
 // time. A prefill queue, however, shrinks at most as fast as the remaining objective. A request refused with TooLate or
 // PrefillBusy is therefore rejected at once.
--- a/internal/scheduler/localqueue.go
+++ b/internal/scheduler/localqueue.go
@@ -7,10 +7,14 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/panics"
+	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/waitqueue"
 )
 
+// localRenewTime is how long a request stays in a LocalQueue. It needs no renewal, because End removes it.
+const localRenewTime = peer.MaxTime
+
 // LocalRequest is a request of this instance that waits in a LocalQueue.
 type LocalRequest struct {
 	// PlaceRequest has Terms and the service in its shard. From and the lists of endpoints are not used.
@@ -18,8 +22,8 @@
 	Engine *fleet.Engine
 	// Candidates returns the endpoints that may get the request.
 	Candidates func(now time.Time) []placement.Candidate
-	// Place tries to place the request on the candidates, and counts it from now on if that succeeds. It is called with the
-	// queue locked.
+	// Place tries to place the request on the candidates, and counts it from now on if that succeeds. Both functions are called
+	// with the queue locked, also by other goroutines until the reply has come or End has returned.
 	Place func(candidates []placement.Candidate, need placement.Need, now time.Time) (placement.Choice, *placement.Refusal)
 }
 
@@ -68,79 +72,85 @@
 
 func (q *LocalQueue) list(service uint32) *waitList {
 	if q.lists[service] == nil {
-		q.lists[service] = newWaitList(q.planner, &q.stats, &q.outbox)
+		q.lists[service] = newWaitList(q.planner, &q.stats, &q.outbox, localRenewTime)
 	}
 	return q.lists[service]
 }
 
-// PlaceOrWait places a request, lets it wait, renews its place in the queue or refuses it. reply is called exactly once, at the latest
-// by the dispatch after Terms.Hold.
-func (q *LocalQueue) PlaceOrWait(request LocalRequest, now time.Time, reply func(Outcome)) {
+// Place places a request, lets it wait or refuses it. reply is called once, unless End removes the request before. Place returns
+// true if the request waits.
+func (q *LocalQueue) Place(request LocalRequest, now time.Time, reply func(Outcome)) (waits bool) {
 	q.mu.Lock()
 	defer q.unlock()
 	list := q.list(request.Shard.Service)
+	terms := *request.Terms
+	terms.Hold, request.Terms = localRenewTime, &terms
 	w := &waitingRequest{request: request.PlaceRequest, received: now, reply: reply}
-	if list.renew(request.PlaceRequest, now, reply) {
-		q.keep(list, w.key(), &request)
-		q.dispatches.wake(false)
-		return
-	}
 	candidates := request.Candidates(now)
-	queued := queuedRequest(&request.PlaceRequest, request.Engine, now)
-	mustWait := list.queue.Len() > 0
+	queued := queuedRequest(&request.PlaceRequest, request.Engine, len(candidates), now)
+	mustWait := list.queue.Precedes(&queued, now)
 	if !mustWait {
-		choice, refusal := request.Place(candidates, w.request.needAt(now, now), now)
+		held := markHeld(candidates, list.queue.Held())
+		choice, refusal := request.Place(held, needNow(&queued, &request.PlaceRequest, now), now)
 		switch {
 		case refusal == nil:
 			list.queue.CountPlaced(&queued, now)
 			q.outbox.add(reply, Outcome{Choice: choice})
-			return
+			return false
 		case refusal.Reason == placement.NoEndpoint || refusal.Reason == placement.TooLarge:
 			q.outbox.add(reply, Outcome{Refusal: refusal})
-			return
+			return false
 		}
 	}
-	list.join(w, queued, capacityOf(request.Engine, candidates), now)
-	q.keep(list, w.key(), &request)
+	list.join(w, queued, placement.CapacityFor(request.Engine, candidates, queued.Need), now)
+	q.forgetSettled()
+	if list.waiting[w.key()] == nil {
+		return false
+	}
+	q.requests[w.key()] = &request
 	q.dispatches.wake(mustWait)
+	return true
 }
 
-// keep stores how a request is placed while it waits.
-func (q *LocalQueue) keep(list *waitList, key requestKey, request *LocalRequest) {
-	if list.waiting[key] != nil {
-		q.requests[key] = request
-	} else {
-		delete(q.requests, key)
+// forgetSettled deletes the requests that have left the queues.
+func (q *LocalQueue) forgetSettled() {
+	for key, request := range q.requests {
+		if q.list(request.Shard.Service).waiting[key] == nil {
+			delete(q.requests, key)
+		}
 	}
 }
 
-// End removes a request whose caller has left. Place is not called any more after that.
+// End removes a request that no longer waits for the reply.
 func (q *LocalQueue) End(service uint32, number load.Number) {
 	q.mu.Lock()
-	defer q.unlock()
+	defer q.mu.Unlock()
 	key := requestKey{number: number}
 	q.list(service).end(key)
 	delete(q.requests, key)
+	// Nobody reads the reply.
+	q.outbox.take()
 }
 
-// Dispatch places waiting requests for which there is capacity, and tells those that are refused or have waited for their hold
-// time. It reports whether requests still wait.
+// Dispatch places waiting requests for which there is capacity, and tells those that are refused. It reports whether requests
+// still wait.
 func (q *LocalQueue) Dispatch(now time.Time) bool {
 	q.mu.Lock()
 	defer q.unlock()
 	for _, list := range q.lists {
-		list.dispatch(now, func(w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
+		list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
 			request := q.requests[w.key()]
 			if request == nil {
 				return placement.Choice{}, nil, false
 			}
-			choice, refusal := request.Place(request.Candidates(now), w.request.needAt(w.received, now), now)
-			return choice, nil, refusal == nil
+			candidates, need := markHeld(request.Candidates(now), held), r.NeedAt(now)
+			choice, refusal := request.Place(candidates, need, now)
+			if refusal == nil {
+				return choice, nil, true
+			}
+			return choice, keysOf(placement.EndpointsToHold(request.Engine, candidates, need, held.Free())), false
 		})
-		list.lapsed(now)
-	}
-	for key, request := range q.requests {
-		q.keep(q.list(request.Shard.Service), key, request)
 	}
+	q.forgetSettled()
 	return len(q.requests) > 0
 }
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -19,7 +19,8 @@
 	if t := request.Terms; t != nil {
 		message.Extension = peer.PlaceRequestExtension{
 			Waits: true, Rank: int64(t.Rank), Team: t.Team, Prompt: t.Prompt, UsedMS: t.Used.Milliseconds(),
-			FullObjectiveMS: t.FullObjective.Milliseconds(), HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
+			FullObjectiveMS: t.FullObjective.Milliseconds(), UsefulMS: t.Useful.Milliseconds(),
+			HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
 		}
 	}
 	return message
@@ -32,7 +33,8 @@
 	}
 	return &WaitTerms{
 		Rank: int(m.Rank), Team: m.Team, Prompt: m.Prompt, Used: milliseconds(m.UsedMS),
-		FullObjective: milliseconds(m.FullObjectiveMS), Hold: min(milliseconds(m.HoldMS), HoldTime), Failed: m.Failed,
+		FullObjective: milliseconds(m.FullObjectiveMS), Useful: milliseconds(m.UsefulMS),
+		Hold: min(milliseconds(m.HoldMS), HoldTime), Failed: m.Failed,
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -284,7 +284,7 @@
 	if state == nil {
 		state = &shardState{
 			tracker: load.NewTracker(), requests: make(map[requestKey]*placedRequest), since: now,
-			list: newWaitList(s.options.Planner, &s.stats, &s.outbox),
+			list: newWaitList(s.options.Planner, &s.stats, &s.outbox, renewTime),
 		}
 		s.shards[shard] = state
 		select {
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -24,6 +24,8 @@
 	// FullObjective is the objective counted from the caller's first attempt. If it is zero, Need.Objective holds whenever
 	// the request is placed.
 	FullObjective time.Duration
+	// Useful is the remaining time in which the first event has any value.
+	Useful time.Duration
 	// Hold is how long the reply may be deferred; at most HoldTime.
 	Hold time.Duration
 	// Failed is the scheduler of the shard that did not reply, if another instance is asked in its place.
@@ -70,30 +72,31 @@
 	s.Refused.Add(1)
 }
 
-// needAt returns what the request needs if it is placed at a time after its receipt.
-func (r *PlaceRequest) needAt(received, now time.Time) placement.Need {
-	need := r.Need
-	if r.Terms != nil && r.Terms.FullObjective > 0 {
-		need.Objective = placement.ObjectiveLeft(placement.Timing{
-			Objective: r.Terms.FullObjective, Waited: r.Terms.Used + now.Sub(received),
-		})
-	}
-	return need
-}
-
 // queuedRequest returns the entry of a request in a wait queue.
-func queuedRequest(r *PlaceRequest, e *fleet.Engine, now time.Time) waitqueue.Request {
+func queuedRequest(r *PlaceRequest, e *fleet.Engine, endpoints int, now time.Time) waitqueue.Request {
 	onTime := r.Need.Objective
 	if r.Terms.FullObjective > 0 {
 		onTime = r.Terms.FullObjective - r.Terms.Used
 	}
+	need := r.Need
+	need.Rank = r.Terms.Rank
 	return waitqueue.Request{
-		ID: r.id(), Rank: r.Terms.Rank, Team: r.Terms.Team, Prompt: r.Terms.Prompt, Need: r.Need,
-		Cost: e.PrefillTime(r.Need.Tokens), Prefill: e.PrefillTime(r.Need.Tokens),
-		Arrived: now.Add(-r.Terms.Used), OnTimeUntil: now.Add(onTime), Until: now.Add(r.Limit),
+		ID: r.id(), Rank: r.Terms.Rank, Team: r.Terms.Team, Prompt: r.Terms.Prompt, Short: placement.IsShort(e, need), Need: need,
+		Cost: placement.EngineTime(e, need), Prefill: placement.ShortestPrefill(e, need, endpoints),
+		Arrived: now.Add(-r.Terms.Used), OnTimeUntil: now.Add(onTime), Until: now.Add(min(r.Terms.Useful, r.Limit)),
 	}
 }
 
+// needNow returns what a request needs that is placed without waiting. One that returns late is placed if its first event can
+// be early, also after its useful time.
+func needNow(queued *waitqueue.Request, r *PlaceRequest, now time.Time) placement.Need {
+	need := queued.NeedAt(now)
+	if now.After(queued.OnTimeUntil) {
+		need.Objective = max(need.Objective, r.Need.Objective)
+	}
+	return need
+}
+
 // id identifies the request in a wait queue.
 func (r *PlaceRequest) id() waitqueue.ID {
 	return waitqueue.ID{Instance: r.From, Number: uint64(r.Number)}
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/waitqueue"
@@ -70,11 +69,13 @@
 // refuses it.
 func (s *Scheduler) admit(v *shardView, state *shardState, w *waitingRequest, now time.Time) {
 	v.totals, _ = state.tracker.Totals(now)
+	engine, queue := v.service.Engine, state.list.queue
 	candidates := s.candidates(v, &w.request, now, true)
-	queued := queuedRequest(&w.request, v.service.Engine, now)
-	mustWait := state.list.queue.Len() > 0
+	queued := queuedRequest(&w.request, engine, len(candidates), now)
+	mustWait := queue.Precedes(&queued, now)
 	if !mustWait {
-		choice, refusal, ok := s.tryPlace(v, state, candidates, w, now)
+		held := markHeld(candidates, queue.Held())
+		choice, refusal, ok := s.tryPlace(v, state, held, w, needNow(&queued, &w.request, now), now)
 		switch {
 		case refusal != nil && refusal.Reason == placement.NoEndpoint:
 			s.outbox.add(w.reply, Outcome{NotReady: true})
@@ -82,37 +83,29 @@
 		case refusal != nil && refusal.Reason == placement.TooLarge:
 			s.outbox.add(w.reply, Outcome{Refusal: refusal})
 			return
-		case refusal == nil && ok:
-			state.list.queue.CountPlaced(&queued, now)
+		case ok:
+			queue.CountPlaced(&queued, now)
 			s.outbox.add(w.reply, Outcome{Choice: choice})
 			return
 		}
 	}
-	state.list.join(w, queued, capacityOf(v.service.Engine, candidates), now)
+	state.list.join(w, queued, placement.CapacityFor(engine, candidates, queued.Need), now)
 	s.wakeUp(mustWait)
 }
 
-// capacityOf returns the capacity of the candidates.
-func capacityOf(e *fleet.Engine, candidates []placement.Candidate) waitqueue.Capacity {
-	var capacity waitqueue.Capacity
+// markHeld marks the candidates that are held for other requests.
+func markHeld(candidates []placement.Candidate, held waitqueue.Held) []placement.Candidate {
 	for i := range candidates {
-		c := &candidates[i]
-		if c.Cold || c.Suspect {
-			continue
-		}
-		capacity.Endpoints++
-		capacity.Backlog += c.PrefillBacklog
-		capacity.MemoryTokens += e.MemoryTokens
+		candidates[i].Held = held.Contains(candidates[i].Endpoint.Key())
 	}
-	return capacity
+	return candidates
 }
 
 // tryPlace places a request with Terms and counts it from now on. It returns false if it was not placed, without a refusal if
 // the chosen endpoint in cold start takes no request now.
 func (s *Scheduler) tryPlace(
-	v *shardView, state *shardState, candidates []placement.Candidate, w *waitingRequest, now time.Time,
+	v *shardView, state *shardState, candidates []placement.Candidate, w *waitingRequest, need placement.Need, now time.Time,
 ) (placement.Choice, *placement.Refusal, bool) {
-	need := w.request.needAt(w.received, now)
 	need.ExactCounts = true
 	choice, refusal := s.options.Planner.PlaceModel(v.service.Engine, candidates, need)
 	if refusal != nil || !s.takeCold(v.service, choice.Primary, now) {
@@ -149,14 +142,19 @@
 		state.remove(key)
 	}
 	v.totals, _ = state.tracker.Totals(now)
-	state.list.dispatch(now, func(w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
+	state.list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
 		// A grant for an endpoint in cold start must be used at once, so there must be a reply to carry it.
-		candidates := s.candidates(v, &w.request, now, w.reply != nil)
-		choice, _, placed := s.tryPlace(v, state, candidates, w, now)
+		candidates := markHeld(s.candidates(v, &w.request, now, w.reply != nil), held)
+		need := r.NeedAt(now)
+		choice, refusal, placed := s.tryPlace(v, state, candidates, w, need, now)
 		if placed {
 			v.totals, _ = state.tracker.Totals(now)
+			return choice, nil, true
+		}
+		if refusal == nil {
+			return choice, nil, false
 		}
-		return choice, nil, placed
+		return choice, keysOf(placement.EndpointsToHold(v.service.Engine, candidates, need, held.Free())), false
 	})
 }
 
--- a/internal/scheduler/waitlist.go
+++ b/internal/scheduler/waitlist.go
@@ -8,8 +8,8 @@
 	"github.com/acacialift/acacialift/internal/waitqueue"
 )
 
-// renewTime is how long a decision is kept for a request whose instance has not renewed it yet, as long as the queue keeps a
-// request without a renewal.
+// renewTime is how long a request stays in the queue of a scheduler without a renewal, and how long a decision is kept for a
+// request whose instance has not renewed it yet.
 const renewTime = 500 * time.Millisecond
 
 // outbox collects replies that are sent once a mutex is released.
@@ -42,8 +42,6 @@
 	// decided is set if the request has left the queue between a reply and the next renewal, at decidedAt.
 	decided   *Outcome
 	decidedAt time.Time
-	// place tries to place the request; used by LocalQueue only.
-	place func(held waitqueue.Held) (placement.Choice, []uint32, bool)
 }
 
 func (w *waitingRequest) key() requestKey {
@@ -59,9 +57,10 @@
 	waiting map[requestKey]*waitingRequest
 }
 
-func newWaitList(planner placement.Planner, stats *QueueStats, outbox *outbox) *waitList {
+// newWaitList returns an empty list whose requests leave it unless they are renewed within a time.
+func newWaitList(planner placement.Planner, stats *QueueStats, outbox *outbox, renewTime time.Duration) *waitList {
 	return &waitList{
-		queue: waitqueue.New(waitqueue.Options{}), planner: planner, stats: stats, outbox: outbox,
+		queue: waitqueue.New(waitqueue.Options{RenewTime: renewTime}), planner: planner, stats: stats, outbox: outbox,
 		waiting: make(map[requestKey]*waitingRequest),
 	}
 }
@@ -157,9 +156,12 @@
 	}
 }
 
+// placeFunc tries to place a waiting request. If that fails, it returns the endpoints to hold for the request.
+type placeFunc func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (choice placement.Choice, hold []uint32, ok bool)
+
 // dispatch offers the waiting requests to place, tells those that the queue has given up, and replies to those whose hold time
 // would be over at the next dispatch.
-func (l *waitList) dispatch(now time.Time, place func(w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool)) {
+func (l *waitList) dispatch(now time.Time, place placeFunc) {
 	for _, refused := range l.queue.Expire(now) {
 		l.refuse(refused, now)
 	}
@@ -168,7 +170,7 @@
 		if w == nil {
 			return waitqueue.Attempt{}
 		}
-		choice, hold, ok := place(w, held)
+		choice, hold, ok := place(r, w, held)
 		if !ok {
 			return waitqueue.Attempt{Hold: hold}
 		}
