--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -243,16 +243,6 @@
 	return nil
 }
 
-// hasQueue reports whether requests for a service may wait.
-func (p *Process) hasQueue(service uint32) bool {
-	catalog := p.options.State.Snapshot().Catalog
-	if catalog == nil {
-		return false
-	}
-	s := catalog.ServiceByKey(service)
-	return s != nil && s.Engine != nil && p.options.Settings.Scheduling.Queue.Enabled(catalog.IsRanked(s.Name))
-}
-
 // serveCall calls the handler, which New creates after the callers' server.
 func (p *Process) serveCall(w http.ResponseWriter, r *http.Request) { p.handler.ServeHTTP(w, r) }
 
--- a/internal/entry/queuelog.go
+++ b/internal/entry/queue.go
@@ -77,3 +77,13 @@
 		p.metrics.SetGauge(name, sum)
 	}
 }
+
+// hasQueue reports whether requests for a service may wait.
+func (p *Process) hasQueue(service uint32) bool {
+	catalog := p.options.State.Snapshot().Catalog
+	if catalog == nil {
+		return false
+	}
+	s := catalog.ServiceByKey(service)
+	return s != nil && s.Engine != nil && p.options.Settings.Scheduling.Queue.Enabled(catalog.IsRanked(s.Name))
+}
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -140,6 +140,8 @@
 		case result.Waiting:
 			waitsAt, waiting = result.Scheduler, result.Placement
 			x.observeWait(result.Scheduler)
+		case result.Refusal != nil && result.Refusal.Reason == placement.NoEndpoint:
+			return attemptPlacement{}, nil, undecided
 		case result.Refusal != nil && !result.Queues:
 			return attemptPlacement{}, result.Refusal, withoutQueue
 		case result.Refusal != nil:
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -77,6 +77,8 @@
 	// failure; zero after a reply.
 	backOffUntil time.Time
 	backOff      time.Duration
+	// Requests that may wait are sent to another instance before notReadyUntil.
+	notReadyUntil time.Time
 }
 
 // Client sends place requests to the schedulers of the shards, and reports this instance's requests to them.
@@ -125,6 +127,8 @@
 	Queues bool
 	// Held is a lower bound of the time from the request to the decision.
 	Held time.Duration
+	// notReady is true if the scheduler cannot decide.
+	notReady bool
 }
 
 // Enabled reports whether the fleet is large enough to place requests through schedulers.
@@ -150,21 +154,6 @@
 	return result, ok
 }
 
-// placeOrWait is Place for a request with Terms.
-func (c *Client) placeOrWait(ctx context.Context, request PlaceRequest, start time.Time) (PlaceResult, bool) {
-	address, failed, ok := c.schedulerFor(request.Shard, start)
-	if !ok {
-		return PlaceResult{}, false
-	}
-	terms := *request.Terms
-	terms.Failed = failed
-	request.From, request.Terms = c.options.Self, &terms
-	c.ensureSynced(request.Shard, address)
-	result, ok := c.placeOrWaitAt(ctx, address, &request)
-	result.Scheduler, result.Latency = address, time.Since(start)
-	return result, ok
-}
-
 func (c *Client) placeAt(ctx context.Context, address string, request *PlaceRequest) (PlaceResult, bool) {
 	placed := &Placement{client: c, scheduler: address, shard: request.Shard, number: request.Number}
 	if address == c.options.Self {
@@ -257,51 +246,6 @@
 	}
 }
 
-// ensureSynced sends the list of this instance's requests on a shard to a scheduler that has not received it yet.
-func (c *Client) ensureSynced(shard Shard, address string) {
-	c.mu.Lock()
-	synced := c.syncedWith[shard] == address
-	c.syncedWith[shard] = address
-	c.mu.Unlock()
-	if !synced {
-		c.sync(shard, address, requestsOn(c.options.Load, shard, time.Now()))
-	}
-}
-
-// requestsOn returns the requests of this instance on a shard.
-func requestsOn(tracker *load.Tracker, shard Shard, now time.Time) []load.RequestState {
-	var requests []load.RequestState
-	for _, r := range tracker.Requests(now) {
-		if r.Work.Primary.Service != "" && shard.Service == serviceKey(r.Work.Primary) && usesShard(shard, &r.Work) {
-			requests = append(requests, r)
-		}
-	}
-	return requests
-}
-
-// usesShard reports whether the work uses an endpoint of the shard.
-func usesShard(shard Shard, w *load.Work) bool {
-	if shard.Contains(w.Primary) {
-		return true
-	}
-	for _, e := range w.Helpers {
-		if shard.Contains(e) {
-			return true
-		}
-	}
-	return false
-}
-
-func serviceKey(e *fleet.Endpoint) uint32 { return (&fleet.Service{Name: e.Service}).Key() }
-
-func (c *Client) sync(shard Shard, address string, requests []load.RequestState) {
-	if address == c.options.Self {
-		c.options.Local.Sync(shard, c.options.Self, requests, time.Now())
-		return
-	}
-	c.send(address, peer.KindPlaceSync, syncMessage(c.options.Self, shard, requests))
-}
-
 func (c *Client) send(address string, kind peer.Kind, body any) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -382,35 +326,3 @@
 		}
 	}
 }
-
-// shards returns all shards of the model services.
-func (c *Client) shards() []Shard {
-	snapshot := c.options.State.Snapshot()
-	if snapshot.Catalog == nil {
-		return nil
-	}
-	var all []Shard
-	for name, service := range snapshot.Catalog.Services {
-		count := ShardCount(len(snapshot.Endpoints[name]))
-		if service.Engine == nil {
-			continue
-		}
-		for index := range count {
-			all = append(all, Shard{Service: service.Key(), Index: index, Count: count})
-		}
-	}
-	return all
-}
-
-// syncShard sends the list of this instance's requests to the scheduler of a shard. It does not send an empty list if its
-// previous list of the shard was empty too and that scheduler has already received a list.
-func (c *Client) syncShard(shard Shard, address string, now time.Time) {
-	requests := requestsOn(c.options.Load, shard, now)
-	c.mu.Lock()
-	due := len(requests) > 0 || c.hadRequests[shard] || c.syncedWith[shard] != address
-	c.syncedWith[shard], c.hadRequests[shard] = address, len(requests) > 0
-	c.mu.Unlock()
-	if due {
-		c.sync(shard, address, requests)
-	}
-}
--- a/internal/scheduler/clientwait.go
+++ b/internal/scheduler/clientwait.go
@@ -7,9 +7,39 @@
 	"github.com/acacialift/acacialift/internal/peer"
 )
 
+// notReadyTime is how long another instance is asked in place of a scheduler that is not ready.
+const notReadyTime = 50 * time.Millisecond
+
+// placeOrWait is Place for a request with Terms. If the scheduler of the shard has failed or is not ready, it asks the instance that
+// comes after it.
+func (c *Client) placeOrWait(ctx context.Context, request PlaceRequest, start time.Time) (PlaceResult, bool) {
+	address, ok := c.options.Members.Scheduler(request.Shard.key(), start)
+	if !ok {
+		return PlaceResult{}, false
+	}
+	terms := *request.Terms
+	request.From, request.Terms = c.options.Self, &terms
+	if !c.isOut(address, start) {
+		result, ok := c.placeOrWaitAt(ctx, address, &request)
+		result.Scheduler, result.Latency = address, time.Since(start)
+		if ok || !result.notReady {
+			return result, ok
+		}
+	}
+	next := c.options.Members.NextScheduler(request.Shard.key(), address, start)
+	if next == address || c.isOut(next, start) {
+		return PlaceResult{}, false
+	}
+	terms.Failed = address
+	result, ok := c.placeOrWaitAt(ctx, next, &request)
+	result.Scheduler, result.Latency = next, time.Since(start)
+	return result, ok
+}
+
 // placeOrWaitAt sends a request with Terms, or renews its place in the queue, at a scheduler. It returns false if there was no
 // usable reply.
 func (c *Client) placeOrWaitAt(ctx context.Context, address string, request *PlaceRequest) (PlaceResult, bool) {
+	c.ensureSynced(request.Shard, address)
 	placed := &Placement{client: c, scheduler: address, shard: request.Shard, number: request.Number}
 	if address == c.options.Self {
 		return c.placeOrWaitHere(ctx, placed, request)
@@ -29,7 +59,8 @@
 	result := PlaceResult{Queues: reply.Extension.Queues, Held: microseconds(reply.Extension.HeldUS)}
 	switch {
 	case reply.NotReady:
-		return PlaceResult{}, false
+		c.markNotReady(address)
+		return PlaceResult{notReady: true}, false
 	case reply.Extension.Waiting:
 		result.Waiting, result.Placement = true, placed
 		return result, true
@@ -55,6 +86,7 @@
 		if o.Refusal == nil {
 			result.Placement = placed
 		}
+		result.notReady = o.NotReady
 		return result, !o.NotReady
 	case <-ctx.Done():
 		placed.End()
@@ -87,16 +119,21 @@
 	return state.backOff > 0 && now.Before(state.backOffUntil)
 }
 
-// schedulerFor returns the instance to ask for a request with Terms: the scheduler of the shard, or the instance that comes after
-// it if the scheduler has failed. failed is the scheduler in whose place the instance is asked; empty if there is none.
-func (c *Client) schedulerFor(shard Shard, now time.Time) (address, failed string, ok bool) {
-	address, ok = c.options.Members.Scheduler(shard.key(), now)
-	if !ok || !c.hasFailed(address, now) {
-		return address, "", ok
+// isOut reports whether another instance is to be asked instead of a scheduler, because it has not replied or is not ready.
+func (c *Client) isOut(address string, now time.Time) bool {
+	if c.hasFailed(address, now) {
+		return true
 	}
-	failed = address
-	address = c.options.Members.NextScheduler(shard.key(), failed, now)
-	return address, failed, address != failed && !c.hasFailed(address, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.schedulerState(address).notReadyUntil)
+}
+
+// markNotReady records that a scheduler is not ready.
+func (c *Client) markNotReady(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.schedulerState(address).notReadyUntil = time.Now().Add(notReadyTime)
 }
 
 // collectAll requests the lists of all live instances for a new shard, except that of the failed scheduler in whose place this
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -77,10 +77,7 @@
 		held := markHeld(candidates, queue.Held())
 		choice, refusal, ok := s.tryPlace(v, state, held, w, needNow(&queued, &w.request, now), now)
 		switch {
-		case refusal != nil && refusal.Reason == placement.NoEndpoint:
-			s.outbox.add(w.reply, Outcome{NotReady: true})
-			return
-		case refusal != nil && refusal.Reason == placement.TooLarge:
+		case refusal != nil && (refusal.Reason == placement.NoEndpoint || refusal.Reason == placement.TooLarge):
 			s.outbox.add(w.reply, Outcome{Refusal: refusal})
 			return
 		case ok:
