--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -151,7 +151,7 @@
 		default:
 			return attemptPlacement{
 				Choice: result.Choice, number: number, schedulerPlacement: result.Placement, schedulerName: result.Scheduler,
-				requestedAt: requestedAt + result.Held, schedulerLatency: result.Latency,
+				requestedAt: requestedAt + min(result.Held, result.Latency), schedulerLatency: result.Latency,
 			}, nil, decided
 		}
 	}
--- a/internal/entry/wait_test.go
+++ b/internal/entry/wait_test.go
@@ -281,7 +281,9 @@
 	It("states nothing about waiting if queues are off", func() {
 		e := newEndpoint(respond(sealedResponse("answer")))
 		var r *rig
-		s := &scriptedSchedulers{reply: func(context.Context, int, scheduler.PlaceRequest) (scheduler.PlaceResult, bool) { return placedOn(r), true }}
+		s := &scriptedSchedulers{reply: func(context.Context, int, scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
+			return placedOn(r), true
+		}}
 		r = newRig([]*fakeEndpoint{e}, withEngine, withSchedulers(s))
 		Expect(r.call("/safe/x").status).To(Equal(http.StatusOK))
 		Expect(s.received()[0].Terms).To(BeNil())
