--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -38,6 +38,7 @@
 	sent []sentMessage
 }
 
+// encode returns a message as it arrives, and counts it.
 func (l *link) encode(kind peer.Kind, body any) *peer.Envelope {
 	frame, err := peer.EncodeFrame(kind, 1, false, body)
 	Expect(err).NotTo(HaveOccurred())
