--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -127,8 +127,6 @@
 	Queues bool
 	// Held is a lower bound of the time from the request to the decision.
 	Held time.Duration
-	// notReady is true if the scheduler cannot decide.
-	notReady bool
 }
 
 // Enabled reports whether the fleet is large enough to place requests through schedulers.
--- a/internal/scheduler/clientwait.go
+++ b/internal/scheduler/clientwait.go
@@ -11,7 +11,7 @@
 const notReadyTime = 50 * time.Millisecond
 
 // placeOrWait is Place for a request with Terms. If the scheduler of the shard has failed or is not ready, it asks the instance that
-// comes after it.
+// comes after it, unless finding that out has taken long.
 func (c *Client) placeOrWait(ctx context.Context, request PlaceRequest, start time.Time) (PlaceResult, bool) {
 	address, ok := c.options.Members.Scheduler(request.Shard.key(), start)
 	if !ok {
@@ -22,7 +22,7 @@
 	if !c.isOut(address, start) {
 		result, ok := c.placeOrWaitAt(ctx, address, &request)
 		result.Scheduler, result.Latency = address, time.Since(start)
-		if ok || !result.notReady {
+		if ok || ctx.Err() != nil || time.Since(start) > requestTimeout {
 			return result, ok
 		}
 	}
@@ -60,7 +60,7 @@
 	switch {
 	case reply.NotReady:
 		c.markNotReady(address)
-		return PlaceResult{notReady: true}, false
+		return PlaceResult{}, false
 	case reply.Extension.Waiting:
 		result.Waiting, result.Placement = true, placed
 		return result, true
@@ -86,7 +86,6 @@
 		if o.Refusal == nil {
 			result.Placement = placed
 		}
-		result.notReady = o.NotReady
 		return result, !o.NotReady
 	case <-ctx.Done():
 		placed.End()
@@ -137,9 +136,14 @@
 }
 
 // collectAll requests the lists of all live instances for a new shard, except that of the failed scheduler in whose place this
-// instance is asked. Once all have replied, the shard is complete and its warm-up ends if its service has a wait queue.
+// instance is asked. If the service has a wait queue, the list of this instance is applied too, and the warm-up ends once all have
+// replied. Otherwise it takes its full time, in which this instance lists its requests like the others.
 func (c *Client) collectAll(ctx context.Context, shard Shard, now time.Time) {
 	failed, since := c.options.Local.standIn(shard)
+	endsEarly := c.options.HasQueue != nil && c.options.HasQueue(shard.Service)
+	if endsEarly {
+		c.options.Local.Sync(shard, c.options.Self, requestsOn(c.options.Load, shard, now), now)
+	}
 	replies := make(chan bool)
 	pending := 0
 	for _, address := range c.options.Members.Live(now) {
@@ -158,7 +162,7 @@
 		for range pending {
 			complete = <-replies && complete
 		}
-		if complete && c.options.HasQueue != nil && c.options.HasQueue(shard.Service) {
+		if complete && endsEarly {
 			c.options.Local.markComplete(shard, since)
 		}
 	}()
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,8 +26,13 @@
 	client  *scheduler.Client
 	sharer  *loadshare.Sharer
 	stop    context.CancelFunc
+	// requests are the requests that place has placed.
+	requests []*load.Request
 }
 
+// endFirst ends the first placed request. The schedulers learn of it from the next list.
+func (m *member) endFirst() { m.requests[0].End() }
+
 func startMember(address, seed string, state *fleet.State) *member {
 	m := &member{address: address, tracker: load.NewTracker()}
 	sched := newScheduler(state)
@@ -39,6 +45,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	m.client = scheduler.NewClient(scheduler.ClientOptions{
 		Self: address, Peers: m.sharer.Node(), Members: m.sharer, Local: sched, Load: m.tracker, State: state, Log: zerolog.Nop(),
+		HasQueue: func(uint32) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{}, 2)
@@ -64,7 +71,9 @@
 	request.Need.Objective = 3 * time.Second
 	result, ok := m.client.Place(context.Background(), request)
 	if ok && result.Refusal == nil {
-		m.tracker.AddNumbered(request.Number, result.Choice.Work(request.Need, request.Limit), time.Now()).PrefillDone()
+		placed := m.tracker.AddNumbered(request.Number, result.Choice.Work(request.Need, request.Limit), time.Now())
+		placed.PrefillDone()
+		m.requests = append(m.requests, placed)
 		result.Placement.PrefillDone()
 	}
 	return result, ok
@@ -116,4 +125,70 @@
 		Expect(placed()).To(Equal(engines * slots))
 		Expect(placed()).To(BeNumerically(">", before))
 	})
+
+	// Guards against a request that is lost with the scheduler at which it waits, and against a shard that is idle for seconds after
+	// that. The messages go over real connections.
+	It("let a request wait, and lose only its place when they fail", func() {
+		state := newState(engines)
+		addresses := testkit.FreeAddresses(size)
+		var members []*member
+		for _, address := range addresses {
+			members = append(members, startMember(address, addresses[0], state))
+		}
+		// Instances that have just started collect no lists.
+		time.Sleep(discoveryTime)
+		var placed []scheduler.PlaceResult
+		Eventually(func() int {
+			if result, ok := members[1].place(); ok && result.Refusal == nil {
+				placed = append(placed, result)
+			}
+			return len(placed)
+		}, eventTimeout).Should(Equal(engines * slots))
+		var caller *member
+		for _, m := range members {
+			if m.address != placed[0].Scheduler && m.address != members[1].address {
+				caller = m
+			}
+		}
+		request := waitingRequest(1)
+		request.Terms.Useful, request.Terms.Hold = requestLimit, 100*time.Millisecond
+		replies := make(chan scheduler.PlaceResult, 1)
+		var failures, longestFailure atomic.Int64
+		go func() {
+			var since time.Time
+			for {
+				result, ok := caller.client.Place(context.Background(), request)
+				switch {
+				case !ok && since.IsZero():
+					since = time.Now()
+					failures.Add(1)
+				case ok && !since.IsZero():
+					longestFailure.Store(max(longestFailure.Load(), int64(time.Since(since))))
+					since = time.Time{}
+				}
+				if ok && !result.Waiting {
+					replies <- result
+					return
+				}
+				if !ok {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		}()
+		Consistently(replies, 600*time.Millisecond).ShouldNot(Receive())
+		for _, m := range members {
+			if m.address == placed[0].Scheduler {
+				m.stop()
+			}
+		}
+		Eventually(failures.Load, eventTimeout).Should(BeNumerically(">", 0))
+		Consistently(replies, 600*time.Millisecond).ShouldNot(Receive())
+		members[1].endFirst()
+		var result scheduler.PlaceResult
+		Eventually(replies, eventTimeout).Should(Receive(&result))
+		Expect(result.Refusal).To(BeNil())
+		Expect(result.Scheduler).NotTo(Equal(placed[0].Scheduler))
+		AddReportEntry("longest time without a scheduler", time.Duration(longestFailure.Load()).String())
+		Expect(time.Duration(longestFailure.Load())).To(BeNumerically("<", 500*time.Millisecond))
+	})
 })
