--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -86,14 +86,17 @@
 }
 
 // waitAtSchedulers waits at the scheduler of a shard and, if that one refuses the request or gives no usable reply, at the scheduler
-// of the next shard.
+// of the next shard. If there is only one shard, an instance may have taken the place of a scheduler without a reply.
 func (x *exchange) waitAtSchedulers(ctx context.Context) (attemptPlacement, *placement.Refusal, queueResult) {
 	options := x.handler.options
 	count := scheduler.ShardCount(len(options.State.Snapshot().Endpoints[x.service.Name]))
 	first := x.firstShard(count)
 	var refusal *placement.Refusal
-	for i := range min(int(count), maxShardsWaited) {
+	for i := range maxShardsWaited {
 		shard := scheduler.Shard{Service: x.service.Key(), Index: uint8((first + i) % int(count)), Count: count}
+		if i > 0 && count == 1 && refusal != nil {
+			break
+		}
 		p, r, result := x.waitAt(ctx, shard)
 		switch {
 		case result == withoutQueue, ctx.Err() != nil, result == decided && r == nil:
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -91,7 +91,9 @@
 	syncedWith map[Shard]string
 	// hadRequests is true for shards whose last list was not empty.
 	hadRequests map[Shard]bool
-	started     time.Time
+	// listUntil is how long the lists of a shard are sent although they are empty.
+	listUntil map[Shard]time.Time
+	started   time.Time
 
 	rejections peer.Rejections
 }
@@ -103,7 +105,7 @@
 	}
 	c := &Client{
 		options: options, schedulers: make(map[string]*schedulerState), syncedWith: make(map[Shard]string),
-		hadRequests: make(map[Shard]bool), started: time.Now(),
+		hadRequests: make(map[Shard]bool), listUntil: make(map[Shard]time.Time), started: time.Now(),
 	}
 	dispatches := &dispatcher{run: options.Local.Dispatch, panics: options.Panics}
 	options.Local.OnWaiting(dispatches.wake)
--- a/internal/scheduler/clientwait.go
+++ b/internal/scheduler/clientwait.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		// The scheduler may have placed the request although its reply was lost.
 		placed.End()
+		c.keepListing(request.Shard, time.Now().Add(request.Limit+expiryMargin))
 		return PlaceResult{}, false
 	}
 	if invalid := reply.Invalid(); invalid.Count > 0 {
@@ -76,6 +77,17 @@
 	return result, complete
 }
 
+// keepListing makes this instance list its requests on a shard until a time, also if it has none. A scheduler that was frozen may process
+// a place request after the update that it has ended, because that came over another connection. Only a list then frees the slot,
+// which was otherwise in use until the request's time limit.
+func (c *Client) keepListing(shard Shard, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.listUntil[shard]) {
+		c.listUntil[shard] = until
+	}
+}
+
 // placeOrWaitHere is placeOrWaitAt for a shard whose scheduler is this instance.
 func (c *Client) placeOrWaitHere(ctx context.Context, placed *Placement, request *PlaceRequest) (PlaceResult, bool) {
 	outcomes := make(chan Outcome, 1)
--- a/internal/scheduler/lists.go
+++ b/internal/scheduler/lists.go
@@ -77,7 +77,7 @@
 func (c *Client) syncShard(shard Shard, address string, now time.Time) {
 	requests := requestsOn(c.options.Load, shard, now)
 	c.mu.Lock()
-	due := len(requests) > 0 || c.hadRequests[shard] || c.syncedWith[shard] != address
+	due := len(requests) > 0 || c.hadRequests[shard] || c.syncedWith[shard] != address || now.Before(c.listUntil[shard])
 	c.syncedWith[shard], c.hadRequests[shard] = address, len(requests) > 0
 	c.mu.Unlock()
 	if due {
