--- a/internal/emulator/shardqueue.go
+++ b/internal/emulator/shardqueue.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"os"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -26,8 +27,34 @@
 	return &shardQueue{run: r, shard: shard, queue: waitqueue.New(waitqueue.Options{}), calls: make(map[waitqueue.ID]*request)}
 }
 
-// arrive places a request, lets it wait, or refuses it.
+// arrive places a request at once, if no waiting request precedes it. Otherwise it waits at the next of schedulersPerRequest
+// shards.
 func (s *shardQueue) arrive(call *request) {
+	request := s.request(call)
+	if count := len(s.run.queues); min(count, schedulersPerRequest) > 1 {
+		if !s.queue.Precedes(&request, s.run.virtualTime()) && s.placeNow(call, &request) {
+			return
+		}
+		call.shard = (call.shard + 1 + s.run.random.IntN(count-1)) % count
+		s.run.after(schedulerRoundTrip, func() { s.run.queues[call.shard].wait(call) })
+		return
+	}
+	s.wait(call)
+}
+
+// placeNow places a request that has not waited.
+func (s *shardQueue) placeNow(call *request, request *waitqueue.Request) bool {
+	s.calls[request.ID] = call
+	defer delete(s.calls, request.ID)
+	if s.place(request, s.queue.Held()).Placed {
+		s.queue.CountPlaced(request, s.run.virtualTime())
+		return true
+	}
+	return false
+}
+
+// wait lets a request wait, or refuses it.
+func (s *shardQueue) wait(call *request) {
 	now := s.run.virtualTime()
 	request := s.request(call)
 	candidates := s.run.shardCandidates(s.shard)
@@ -49,7 +76,7 @@
 	e := &s.run.options.Engine
 	need := placement.Need{
 		Tokens: call.tokens, Output: call.output(e.Stride), MaxGap: call.kind.MaxGap, ExactCounts: true,
-		Objective: call.at + call.kind.Objective - networkRoundTrip - s.run.now,
+		Objective: call.kind.Objective,
 	}
 	at := func(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
 	r := waitqueue.Request{
@@ -104,7 +131,14 @@
 	}
 	need := request.NeedAt(s.run.virtualTime())
 	choice, refusal := s.run.options.Policy(s.run.planner, e, candidates, need)
+	if refusal != nil && request.Short && refusal.Reason == placement.TooLate {
+		// An endpoint's backlog does not shrink faster than the time that is left.
+		return waitqueue.Attempt{Missed: true}
+	}
 	if refusal != nil {
+		if DebugQ && request.Short {
+			println(int(s.run.now/1e6), s.shard, "short tokens", request.Need.Tokens, "obj", int(need.Objective/1e6), string(refusal.Reason), int(refusal.Predicted/1e6), "len", s.queue.Len(), "held", held.Free())
+		}
 		return waitqueue.Attempt{Hold: keysOf(placement.EndpointsToHold(e, candidates, need, held.Free()))}
 	}
 	call := s.calls[request.ID]
@@ -128,3 +162,5 @@
 		r.queues[shard].round()
 	}
 }
+
+var DebugQ = os.Getenv("DBG") != ""
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -50,11 +50,16 @@
 	}
 	remaining := t.Objective - used
 	if float64(remaining) < lateFraction*float64(t.Objective) {
-		return min(max(t.Objective, minLateObjective), maxLateObjective)
+		return LateObjective(t.Objective)
 	}
 	return remaining
 }
 
+// LateObjective returns the target time to the first event of a late request with the given objective.
+func LateObjective(objective time.Duration) time.Duration {
+	return min(max(objective, minLateObjective), maxLateObjective)
+}
+
 // WaitLimit returns how long a request that was refused for the reason may wait to be placed. Slots may become free at any
 // time. A prefill queue, however, shrinks at most as fast as the remaining objective. A request refused with TooLate or
 // PrefillBusy is therefore rejected at once.
--- a/internal/waitqueue/dispatch.go
+++ b/internal/waitqueue/dispatch.go
@@ -28,16 +28,32 @@
 		}
 		e.round = q.round
 		attempt := place(&e.Request, q.heldFor(e))
-		if attempt.Placed {
+		switch {
+		case attempt.Placed:
 			q.remove(e)
 			q.CountPlaced(&e.Request, now)
-			continue
+		case attempt.Missed && !e.late:
+			q.missed(e, now)
+		default:
+			failures[e.Rank]++
+			q.hold(e, attempt.Hold)
 		}
-		failures[e.Rank]++
-		q.hold(e, attempt.Hold)
 	}
 }
 
+// missed treats a request as late. A failure of such a request does not count, because those behind it may need less.
+func (q *Queue) missed(e *entry, now time.Time) {
+	q.release(e)
+	l := q.laneOf(e)
+	l.remove(e)
+	usefulWhenLate := e.Until.After(e.OnTimeUntil)
+	e.OnTimeUntil = now.Add(e.Prefill - 1)
+	if !usefulWhenLate {
+		e.Until = e.OnTimeUntil
+	}
+	l.add(e, now)
+}
+
 // Precedes reports whether a waiting request goes before a newcomer of the same class, so that the newcomer must not be placed
 // without waiting.
 func (q *Queue) Precedes(r *Request, now time.Time) bool {
--- a/internal/waitqueue/request.go
+++ b/internal/waitqueue/request.go
@@ -44,14 +44,15 @@
 // lastStart is the last time at which the request can start and be useful.
 func (r *Request) lastStart() time.Time { return r.Until.Add(-r.Prefill) }
 
-// NeedAt returns the need of the request at a time, with the remaining time to the first event. Once the request can no
-// longer be on time, that is the remaining useful time.
+// NeedAt returns the need of the request at a time, with the remaining time to the first event. Need.Objective of the request is
+// the whole objective. A request that can no longer be on time is placed only where its first event is early
+// (placement.LateObjective). With its whole useful time it would fill endpoints with prefills that make others late.
 func (r *Request) NeedAt(now time.Time) placement.Need {
 	need := r.Need
 	need.Queued = true
 	need.Objective = max(r.OnTimeUntil.Sub(now), 0)
-	if now.After(r.latestStart()) {
-		need.Objective = max(r.Until.Sub(now), 0)
+	if r.latestStart().Before(now) {
+		need.Objective = max(min(placement.LateObjective(r.Need.Objective), r.Until.Sub(now)), 0)
 	}
 	return need
 }
@@ -103,6 +104,9 @@
 // Attempt is the result of an attempt to place a request.
 type Attempt struct {
 	Placed bool
+	// Missed is true if the request can no longer be on time, also if it waits. It is then treated as late, and given up at the
+	// next call of Expire if it is useless when late.
+	Missed bool
 	// Hold lists the endpoints to hold for the request, by their keys, if it needs several endpoints and was not placed
 	// (placement.EndpointsToHold). The queue decides whether it holds them.
 	Hold []uint32
