--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -350,6 +350,7 @@
 // dispatch sends a request to its endpoints.
 func (r *run) dispatch(call *request, choice placement.Choice) {
 	call.choice = choice
+	call.placedAt = r.now
 	call.reserved = make(map[*fleet.Endpoint]int64)
 	for _, h := range choice.Reservations {
 		call.reserved[h.Endpoint] = h.Tokens
--- a/internal/load/counts.go
+++ b/internal/load/counts.go
@@ -15,6 +15,9 @@
 	UsedTokens int64
 	// PrefillBacklog is the time that the endpoint still needs to prefill prompts.
 	PrefillBacklog time.Duration
+	// PrefillLeft is an estimate of PrefillBacklog without the parts that are probably done, although the prefill of their
+	// prompts is not, because another endpoint is slower. It is known only where all requests are placed.
+	PrefillLeft time.Duration
 	// PrefillDueIn is the time until the earliest prefill must be done for its first event to be on time; zero if no
 	// prefill has a deadline. Parts of prompts that several endpoints prefill precede all earlier prompts, and may delay
 	// these prompts up to that time.
@@ -29,6 +32,7 @@
 	e.Streams += other.Streams
 	e.UsedTokens += other.UsedTokens
 	e.PrefillBacklog += other.PrefillBacklog
+	e.PrefillLeft += other.PrefillLeft
 	e.Suspect = e.Suspect || other.Suspect
 	e.MaxGap = leastBound(e.MaxGap, other.MaxGap)
 	e.PrefillDueIn = leastBound(e.PrefillDueIn, other.PrefillDueIn)
--- a/internal/load/tracker.go
+++ b/internal/load/tracker.go
@@ -62,13 +62,15 @@
 	demand     map[uint32]*rate
 	changes    uint64
 	lastNumber Number
+	// prefillUntil maps an endpoint to the time when it is expected to have prefilled the parts of all its requests.
+	prefillUntil map[uint32]time.Time
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
 		requests: make(map[*Request]struct{}), peers: make(map[string]peerCounts), demand: make(map[uint32]*rate),
-		lastNumber: Number(rand.Uint64()),
+		lastNumber: Number(rand.Uint64()), prefillUntil: make(map[uint32]time.Time),
 	}
 }
 
@@ -90,9 +92,38 @@
 	defer t.mu.Unlock()
 	t.requests[r] = struct{}{}
 	t.changes++
+	t.addPrefill(work.Primary, work.Part, placed)
+	for _, helper := range work.Helpers {
+		t.addPrefill(helper, work.Part, placed)
+	}
 	return r
 }
 
+// decodingFactor is the factor on the prefill time of a part at an endpoint that also decodes.
+const decodingFactor = 1.2
+
+func (t *Tracker) addPrefill(e *fleet.Endpoint, part time.Duration, placed time.Time) {
+	until := t.prefillUntil[e.Key()]
+	if until.Before(placed) {
+		until = placed
+	}
+	t.prefillUntil[e.Key()] = until.Add(time.Duration(decodingFactor * float64(part)))
+}
+
+// setPrefillLeft sets PrefillLeft of the entries, which have all other counts.
+func (t *Tracker) setPrefillLeft(entries map[uint32]Entry, now time.Time) {
+	for key, until := range t.prefillUntil {
+		if !until.After(now) {
+			delete(t.prefillUntil, key)
+			continue
+		}
+		if e, ok := entries[key]; ok {
+			e.PrefillLeft = min(until.Sub(now), e.PrefillBacklog)
+			entries[key] = e
+		}
+	}
+}
+
 // PrefillDone marks the prefill of the whole prompt as done. It returns true on the first call.
 func (r *Request) PrefillDone() bool {
 	r.tracker.mu.Lock()
@@ -209,6 +240,7 @@
 			}
 		}
 	}
+	t.setPrefillLeft(entries, now)
 	return counts
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,8 @@
 package placement
 
 import (
+	"os"
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -69,6 +71,8 @@
 	Rank int
 	// Queued is true for a request that is placed through a wait queue.
 	Queued bool
+	// Late is true for a queued request that can no longer be on time.
+	Late bool
 }
 
 // Choice is the result of a placement.
@@ -155,9 +159,29 @@
 		}
 		return p.placeShort(e, candidates, group, need)
 	}
+	if need.Queued && need.ExactCounts {
+		candidates = withPrefillLeft(candidates)
+	}
 	return p.placeLong(e, candidates, group, need)
 }
 
+// withPrefillLeft returns the candidates with PrefillLeft in place of PrefillBacklog. An endpoint without prefill left has no
+// earlier prompt that a part could delay.
+func withPrefillLeft(candidates []Candidate) []Candidate {
+	if os.Getenv("LEFT") == "no" {
+		return candidates
+	}
+	candidates = slices.Clone(candidates)
+	for i := range candidates {
+		c := &candidates[i]
+		c.PrefillBacklog = c.PrefillLeft
+		if c.PrefillLeft == 0 {
+			c.PrefillDueIn = 0
+		}
+	}
+	return candidates
+}
+
 // retryAfter returns the advised retry delay if capacity is expected after the given time.
 func (p Planner) retryAfter(excess time.Duration) time.Duration {
 	return p.randomDelay(min(max(excess, minRetryAfter), maxRetryAfter*2/3), maxRetryAfter)
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -38,6 +38,7 @@
 	limit := time.Duration(objectiveFraction * float64(need.Objective))
 	// The capacity of a range includes the capacity of the ranges before it. A request whose rank exceeds the capacity
 	// leaves it to requests of peer instances with lower ranks, and tries the next range.
+	// Held endpoints come last, because the gap of a short stream prevents the prefill for which they are held.
 	inGroup, all := preferred(candidates[:group]), slices.Clone(candidates)
 	for _, r := range []candidateRange{
 		{candidates: inGroup, capacity: freeCapacity(e, inGroup, need, limit)},
@@ -95,9 +96,9 @@
 	return capacity
 }
 
-// preferred returns the candidates that are neither cold nor suspect.
+// preferred returns the candidates that are neither cold nor suspect nor held.
 func preferred(candidates []Candidate) []Candidate {
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect })
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect || c.Held })
 }
 
 // earliest samples count random candidates with capacity, and returns the one with the earliest first event. If every
--- a/internal/waitqueue/admit.go
+++ b/internal/waitqueue/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -84,7 +85,7 @@
 	var victims []*entry
 	order := slices.Clone(q.orderOf(classOf(&newcomer.Request), now))
 	for {
-		at, reason := q.firstInfeasible(order, now), Infeasible
+		at, reason := q.firstInfeasible(order, slices.Index(order, newcomer), now), Infeasible
 		if at < 0 && len(q.entries)-len(victims) > q.options.MaxWaiting {
 			at, reason = len(order)-1, QueueFull
 		}
@@ -103,12 +104,13 @@
 	}
 }
 
-// firstInfeasible returns the first request in order that cannot start in its useful time behind those before it, or -1.
-func (q *Queue) firstInfeasible(order []*entry, now time.Time) int {
+// firstInfeasible returns the first request in order, from the newcomer on, that cannot start in its useful time behind those
+// before it, or -1. The newcomer does not affect the requests before it.
+func (q *Queue) firstInfeasible(order []*entry, newcomer int, now time.Time) int {
 	var ahead time.Duration
 	for i, e := range order {
 		start := q.capacity[classOf(&e.Request)].startTime(ahead, now)
-		if now.Add(start).After(e.lastStart()) {
+		if (os.Getenv("FEAS") == "all" || i >= newcomer) && now.Add(start).After(e.lastStart()) {
 			return i
 		}
 		ahead += e.Cost
--- a/internal/waitqueue/dispatch.go
+++ b/internal/waitqueue/dispatch.go
@@ -1,6 +1,9 @@
 package waitqueue
 
-import "time"
+import (
+	"os"
+	"time"
+)
 
 // failuresPerRank is the number of requests of one class and rank that are offered in vain in one call of Dispatch. Each
 // attempt of a long prompt costs a comparison of up to 17 sets of endpoints.
@@ -21,13 +24,20 @@
 
 func (q *Queue) dispatchClass(c class, now time.Time, place func(r *Request, held Held) Attempt) {
 	var failures [LowestRank + 1]int
+	failed := false
 	q.offers = append(q.offers[:0], q.orderOf(c, now)...)
 	for _, e := range q.offers {
-		if failures[e.Rank] >= failuresPerRank {
+		if failures[e.Rank] >= failuresPerRank || c == longClass && e.late && failed {
+			continue
+		}
+		if c == longClass && q.shortage.blocks(e.Rank, now) && !q.usage[c].belowLeast(e.Rank, now) {
 			continue
 		}
 		e.round = q.round
 		attempt := place(&e.Request, q.heldFor(e))
+		if c == shortClass && !attempt.Placed && !e.late {
+			q.shortage.note(e.Rank, now)
+		}
 		switch {
 		case attempt.Placed:
 			q.remove(e)
@@ -36,6 +46,7 @@
 			q.missed(e, now)
 		default:
 			failures[e.Rank]++
+			failed = failed || !e.late
 			q.hold(e, attempt.Hold)
 		}
 	}
@@ -57,12 +68,15 @@
 // Precedes reports whether a waiting request goes before a newcomer of the same class, so that the newcomer must not be placed
 // without waiting.
 func (q *Queue) Precedes(r *Request, now time.Time) bool {
-	order := q.orderOf(classOf(r), now)
+	rank, c := clampRank(r.Rank), classOf(r)
+	if c == longClass && q.shortage.blocks(rank, now) && !q.usage[c].belowLeast(rank, now) {
+		return true
+	}
+	order := q.orderOf(c, now)
 	if len(order) == 0 {
 		return false
 	}
 	first := order[0]
-	rank := clampRank(r.Rank)
 	switch {
 	case first.Rank != rank:
 		return first.Rank < rank
@@ -73,3 +87,19 @@
 	}
 	return !first.latestStart().After(r.latestStart())
 }
+
+var shortageTime = func() time.Duration { d, _ := time.ParseDuration(os.Getenv("SHORTAGE")); return d }()
+
+// shortage records when the last short prompt of each rank was not placed.
+type shortage [LowestRank + 1]time.Time
+
+func (s *shortage) note(rank int, now time.Time) { s[rank] = now }
+
+func (s *shortage) blocks(rank int, now time.Time) bool {
+	for _, at := range s[:rank] {
+		if now.Sub(at) < shortageTime {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -51,10 +51,11 @@
 	usage    [classes]usage
 	capacity [classes]capacityAt
 	// shard is the number of endpoints of the shard.
-	shard   int
-	holds   map[uint32]ID
-	holders []*entry
-	round   uint64
+	shard    int
+	holds    map[uint32]ID
+	holders  []*entry
+	round    uint64
+	shortage shortage
 	// order and offers are buffers.
 	order, offers []*entry
 }
--- a/internal/waitqueue/ranks.go
+++ b/internal/waitqueue/ranks.go
@@ -58,3 +58,8 @@
 	}
 	return append(below, others...)
 }
+
+// belowLeast reports whether a rank has less than its least share.
+func (u *usage) belowLeast(rank int, now time.Time) bool {
+	return float64(u.ranks[rank].Sum(now)) < leastShare*float64(u.total.Sum(now))
+}
--- a/internal/waitqueue/request.go
+++ b/internal/waitqueue/request.go
@@ -52,6 +52,7 @@
 	need.Queued = true
 	need.Objective = max(r.OnTimeUntil.Sub(now), 0)
 	if r.latestStart().Before(now) {
+		need.Late = true
 		need.Objective = max(min(placement.LateObjective(r.Need.Objective), r.Until.Sub(now)), 0)
 	}
 	return need
