--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -43,13 +43,11 @@
 	// Shards is the number of shards of the endpoints; one scheduler per shard places its requests. With zero shards,
 	// each instance places its requests by the load counts that it has.
 	Shards int
-	// Queue lets the schedulers have wait queues. LateWait is the fraction of the time limit up to which a request waits that
-	// can no longer be on time.
-	Queue    bool
-	LateWait float64
-	Load     Load
-	Policy   Policy
-	Seed     uint64
+	// Queue lets the schedulers have wait queues.
+	Queue  bool
+	Load   Load
+	Policy Policy
+	Seed   uint64
 }
 
 // Result holds the outcomes of a run.
@@ -350,7 +348,6 @@
 // dispatch sends a request to its endpoints.
 func (r *run) dispatch(call *request, choice placement.Choice) {
 	call.choice = choice
-	call.placedAt = r.now
 	call.reserved = make(map[*fleet.Endpoint]int64)
 	for _, h := range choice.Reservations {
 		call.reserved[h.Endpoint] = h.Tokens
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -23,10 +23,9 @@
 	Stride int
 	// Engine replaces the standard engine.
 	Engine *fleet.Engine
-	// Queue lets the schedulers have wait queues. See Options.LateWait.
-	Queue    bool
-	LateWait float64
-	Load     Load
+	// Queue lets the schedulers have wait queues.
+	Queue bool
+	Load  Load
 }
 
 // StandardEngine returns the engine of all patterns, some of which set other slots or another stride: 405,000 tokens of
@@ -191,6 +190,6 @@
 	}
 	return Options{
 		Shards: p.Shards, Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
-		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed, Queue: p.Queue, LateWait: p.LateWait,
+		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed, Queue: p.Queue,
 	}
 }
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -19,7 +19,6 @@
 	// outputTokens is the memory of the response in tokens.
 	outputTokens int64
 	retried      bool
-	placedAt     time.Duration
 	// arrivedAt is the time of the last attempt.
 	arrivedAt      time.Duration
 	inFlight       *load.Request
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -18,9 +18,6 @@
 		return
 	case call.gapExceeded || call.firstEventAt-call.at+networkRoundTrip > call.kind.Objective:
 		result.Late++
-		if DebugQ && call.kind.Name == "short" {
-			println("LATE", int(call.at/1e6), "placed", int((call.placedAt-call.at)/1e6), "first", int((call.firstEventAt-call.at)/1e6), "pred", int(call.choice.Predicted/1e6), "gap", call.gapExceeded, "helpers", len(call.choice.Helpers), call.tokens)
-		}
 		result.Earned += call.value(call.kind.LateValue)
 	default:
 		result.OnTime++
--- a/internal/emulator/shardqueue.go
+++ b/internal/emulator/shardqueue.go
@@ -1,10 +1,8 @@
 package emulator
 
 import (
-	"os"
 	"time"
 
-	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/waitqueue"
 )
@@ -12,6 +10,9 @@
 // dispatchInterval is the shortest time between two rounds of a wait queue.
 const dispatchInterval = 5 * time.Millisecond
 
+// usefulFraction is the fraction of the time limit in which a late first event has a value.
+const usefulFraction = 0.5
+
 // shardQueue is a scheduler with a wait queue.
 type shardQueue struct {
 	run   *run
@@ -85,23 +86,17 @@
 		Returning: call.retried, Arrived: at(call.at), OnTimeUntil: at(call.at + call.kind.Objective - networkRoundTrip),
 	}
 	s.next++
-	useful := call.kind.Objective
-	if r.Short {
-		useful = max(useful, time.Duration(s.run.options.LateWait*float64(call.kind.TimeLimit)))
-	}
-	r.Until = at(call.at + useful - networkRoundTrip)
+	useful := call.at + max(call.kind.Objective, time.Duration(usefulFraction*float64(call.kind.TimeLimit)))
 	if call.retried {
-		r.Until = at(max(call.at+useful, call.arrivedAt+placement.LateObjective(call.kind.Objective)) - networkRoundTrip)
+		useful = max(useful, call.arrivedAt+placement.LateObjective(call.kind.Objective))
 	}
+	r.Until = at(useful - networkRoundTrip)
 	return r
 }
 
 func (s *shardQueue) refuse(refused *waitqueue.Refused) {
 	call := s.calls[refused.Request.ID]
 	delete(s.calls, refused.Request.ID)
-	if DebugQ && call.isInLargestTenth() && !refused.Request.Short {
-		println("LARGE", s.shard, int(s.run.now/1e6), call.kind.Name, call.tokens, string(refused.Reason), "waited", int((s.run.now-call.arrivedAt)/1e6), "retried", call.retried, "team", call.team, "cost", int(refused.Request.Cost/1e6), "drain", int(refused.Wait/1e6))
-	}
 	delay := min(max(refused.Wait, minReturn), maxReturn)
 	delay += time.Duration(s.run.random.Float64() * float64(delay) / 2)
 	s.run.refuseOrRetry(call, &placement.Refusal{Reason: placement.Reason(refused.Reason), RetryAfter: delay})
@@ -140,34 +135,8 @@
 	}
 	need := request.NeedAt(s.run.virtualTime())
 	choice, refusal := s.run.options.Policy(s.run.planner, e, candidates, need)
-	if refusal != nil && request.Short && refusal.Reason == placement.TooLate {
-		// An endpoint's backlog does not shrink faster than the time that is left.
-		return waitqueue.Attempt{Missed: true}
-	}
-	if refusal != nil && DebugQ && !request.Short && s.calls[request.ID].isInLargestTenth() {
-		h := placement.EndpointsToHold(e, candidates, need, held.Free())
-		println("TRY", s.shard, int(s.run.now/1e6), request.Need.Tokens, "obj", int(need.Objective/1e6), string(refusal.Reason), int(refusal.Predicted/1e6), "hold", len(h), "free", held.Free(), "waiting", s.queue.Len(), "id", request.ID.Number)
-		if s.run.now/1e7%30 == 0 {
-			own := 0
-			for i := range candidates {
-				c := &candidates[i]
-				if held.Contains(c.Endpoint.Key()) {
-					print(" H")
-				}
-				if s.queue.Held().Contains(c.Endpoint.Key()) && !held.Contains(c.Endpoint.Key()) {
-					own++
-					print(" O")
-				}
-				print(" ", c.Streams, "/", c.UsedTokens/1000, "k/b", int(c.PrefillBacklog/1e6), "/d", int(c.PrefillDueIn/1e6), "/g", int(c.MaxGap/1e6))
-			}
-			println(" own", own)
-		}
-	}
 	if refusal != nil {
-		if DebugQ && request.Short {
-			println(int(s.run.now/1e6), s.shard, "short tokens", request.Need.Tokens, "obj", int(need.Objective/1e6), string(refusal.Reason), int(refusal.Predicted/1e6), "len", s.queue.Len(), "held", held.Free())
-		}
-		return waitqueue.Attempt{Hold: keysOf(placement.EndpointsToHold(e, candidates, need, held.Free()))}
+		return waitqueue.Failed(e, request, need, candidates, held, refusal)
 	}
 	call := s.calls[request.ID]
 	delete(s.calls, request.ID)
@@ -175,14 +144,6 @@
 	return waitqueue.Attempt{Placed: true}
 }
 
-func keysOf(endpoints []*fleet.Endpoint) []uint32 {
-	var keys []uint32
-	for _, e := range endpoints {
-		keys = append(keys, e.Key())
-	}
-	return keys
-}
-
 // workEnded tells the wait queue of a shard that capacity may have become free. The queue looks at its next round, which is
 // at most dispatchInterval later.
 func (r *run) workEnded(shard int) {
@@ -190,5 +151,3 @@
 		r.queues[shard].round()
 	}
 }
-
-var DebugQ = os.Getenv("DBG") != ""
--- a/internal/fairshare/shares.go
+++ b/internal/fairshare/shares.go
@@ -15,45 +15,63 @@
 
 // Shares holds the engine time that teams have used in the last WindowTime, and the engine time of their waiting requests.
 type Shares struct {
-	teams map[uint32]*team
+	teams map[uint32]*Team
 	total Window
-	// level is the fair share of a team whose demand exceeds it, as of levelAt.
-	level   time.Duration
-	levelAt time.Time
-	demands []time.Duration
+	// level is the fair share of a team whose demand exceeds it, as of updatedAt.
+	level     time.Duration
+	updatedAt time.Time
+	demands   []time.Duration
 }
 
-type team struct {
+// Team is the engine time of one team.
+type Team struct {
+	shares  *Shares
 	used    Window
 	waiting time.Duration
+	// usedAtUpdate is the sum of used when the shares were updated.
+	usedAtUpdate time.Duration
 }
 
 // NewShares returns shares without usage.
-func NewShares() *Shares { return &Shares{teams: make(map[uint32]*team)} }
+func NewShares() *Shares { return &Shares{teams: make(map[uint32]*Team)} }
 
-// AddWaiting counts the engine time of a request that waits, or, if negative, of one that has stopped waiting.
-func (s *Shares) AddWaiting(team uint32, cost time.Duration) {
-	t := s.team(team)
-	t.waiting = max(t.waiting+cost, 0)
+// Team returns a team. It is forgotten once it has neither usage nor waiting requests.
+func (s *Shares) Team(id uint32) *Team {
+	t := s.teams[id]
+	if t == nil {
+		t = &Team{shares: s}
+		s.teams[id] = t
+	}
+	return t
 }
 
+// AddWaiting counts the engine time of a request that waits, or, if negative, of one that has stopped waiting.
+func (t *Team) AddWaiting(cost time.Duration) { t.waiting = max(t.waiting+cost, 0) }
+
 // AddUsed counts the engine time of a placed request.
-func (s *Shares) AddUsed(team uint32, cost time.Duration, now time.Time) {
-	s.team(team).used.Add(cost, now)
-	s.total.Add(cost, now)
+func (t *Team) AddUsed(cost time.Duration, now time.Time) {
+	t.used.Add(cost, now)
+	t.shares.total.Add(cost, now)
 }
 
-// Excess returns by how much the used and waiting engine time of a team exceeds its fair share; zero if it does not. The
-// shares divide the engine time used by all teams. It is only meaningful under shortage, when teams wait.
+// Excess returns by how much the used and waiting engine time of a team exceeds its fair share as of the last update; zero if it
+// does not. The shares divide the engine time used by all teams. The excess is only meaningful under shortage, when teams wait.
+func (t *Team) Excess() time.Duration { return max(t.usedAtUpdate+t.waiting-t.shares.level, 0) }
+
+// Excess returns the excess of a team now; zero for an unknown team.
 func (s *Shares) Excess(id uint32, now time.Time) time.Duration {
-	t := s.teams[id]
-	if t == nil {
-		return 0
+	s.Update(now)
+	if t := s.teams[id]; t != nil {
+		return t.Excess()
 	}
-	if s.levelAt.IsZero() || now.Sub(s.levelAt) >= levelTime {
+	return 0
+}
+
+// Update computes the fair share, unless it was computed in the last levelTime.
+func (s *Shares) Update(now time.Time) {
+	if s.updatedAt.IsZero() || now.Sub(s.updatedAt) >= levelTime {
 		s.updateLevel(now)
 	}
-	return max(t.demand(now)-s.level, 0)
 }
 
 // Teams returns the number of teams with usage or waiting requests.
@@ -62,26 +80,16 @@
 func (s *Shares) updateLevel(now time.Time) {
 	s.demands = s.demands[:0]
 	for id, t := range s.teams {
-		if t.waiting == 0 && t.used.Sum(now) < leastUsage {
+		t.usedAtUpdate = t.used.Sum(now)
+		if t.waiting == 0 && t.usedAtUpdate < leastUsage {
 			delete(s.teams, id)
 			continue
 		}
-		s.demands = append(s.demands, t.demand(now))
+		s.demands = append(s.demands, t.usedAtUpdate+t.waiting)
 	}
-	s.level, s.levelAt = Level(s.total.Sum(now), s.demands), now
+	s.level, s.updatedAt = Level(s.total.Sum(now), s.demands), now
 }
 
-func (s *Shares) team(id uint32) *team {
-	t := s.teams[id]
-	if t == nil {
-		t = &team{}
-		s.teams[id] = t
-	}
-	return t
-}
-
-func (t *team) demand(now time.Time) time.Duration { return t.used.Sum(now) + t.waiting }
-
 // Level returns the max-min fair share: the amount such that the capacity is used up if each demand gets at most this
 // amount. It returns the largest demand if the capacity suffices for all. It sorts the demands.
 func Level(capacity time.Duration, demands []time.Duration) time.Duration {
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"os"
 	"cmp"
 	"slices"
 	"time"
@@ -13,11 +12,11 @@
 // The rest is a margin for streams that end later than assumed.
 const holdObjectiveFraction = 0.6
 
-// EndpointsToHold returns the endpoints to hold for a long prompt that was not placed: those of the long group that will have
-// free memory and prefill time soonest, as few as suffice and at most the given number. It returns nil if no number of them
-// suffices.
+// EndpointsToHold returns the endpoints to hold for a prompt that was not placed and exceeds the memory of one engine: those
+// of the long group that will have free memory and prefill time soonest, as few as suffice and at most the given number. It
+// returns none if no number of them suffices. Holds for smaller prompts made fewer prompts of all sizes succeed in the emulator.
 func EndpointsToHold(e *fleet.Engine, candidates []Candidate, need Need, most int) []*fleet.Endpoint {
-	if IsShort(e, need) || os.Getenv("HOLD") == "no" || os.Getenv("HOLD") == "gang" && need.Tokens+need.Output <= e.MemoryTokens {
+	if need.Tokens+need.Output <= e.MemoryTokens {
 		return nil
 	}
 	var available []*Candidate
@@ -48,7 +47,7 @@
 			continue
 		}
 		best, bestTime = count, predicted
-		if predicted <= target || os.Getenv("HOLD") == "mem" {
+		if predicted <= target {
 			break
 		}
 	}
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"os"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -59,11 +58,8 @@
 // streams are added to the long group.
 func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
 	pool := &longPool{engine: e, need: need, exceedsEngine: need.Tokens+need.Output > e.MemoryTokens, dueFraction: dueFraction}
-	if isLargest(e, need) && (variant != "none" || !need.Queued) {
+	if mayBeLate(e, need) {
 		pool.dueFraction = largestDueFraction
-		if variant == "nodue" && need.Queued {
-			pool.dueFraction = 1000
-		}
 	}
 	for i := len(candidates) - 1; i >= 0; i-- {
 		c := candidates[i]
@@ -122,18 +118,20 @@
 // slightly late. Otherwise hardly any of them would be served under high load.
 func maxPredicted(e *fleet.Engine, need Need) time.Duration {
 	fraction := objectiveFraction
-	if isLargest(e, need) && (!need.Queued || variant == "late") {
+	if mayBeLate(e, need) {
 		fraction = largestObjectiveFraction
 	}
 	return time.Duration(fraction * float64(need.Objective))
 }
 
+// mayBeLate reports whether a prompt may be slightly late and delay earlier prompts, because it is among the largest. Prompts of
+// a wait queue may not: it lets the largest ones wait longer instead (waitqueue). With the exception, every prompt would become
+// one of the largest as its remaining time shrinks.
+func mayBeLate(e *fleet.Engine, need Need) bool { return !need.Queued && isLargest(e, need) }
+
 // isLargest reports whether a prompt is among the largest: its prefill on one engine takes more than largestPrefill times
 // the objective.
 func isLargest(e *fleet.Engine, need Need) bool {
-	if variant == "late" && need.Late {
-		return false
-	}
 	return float64(e.PrefillTime(need.Tokens)) > largestPrefill*float64(need.Objective)
 }
 
@@ -292,5 +290,3 @@
 	}
 	return earliestHelper(l.engine, l.shortGroup, chosen, part, l.dueFraction)
 }
-
-var variant = os.Getenv("VAR")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"os"
 	"slices"
 	"time"
 
@@ -71,8 +70,6 @@
 	Rank int
 	// Queued is true for a request that is placed through a wait queue.
 	Queued bool
-	// Late is true for a queued request that can no longer be on time.
-	Late bool
 }
 
 // Choice is the result of a placement.
@@ -166,11 +163,9 @@
 }
 
 // withPrefillLeft returns the candidates with PrefillLeft in place of PrefillBacklog. An endpoint without prefill left has no
-// earlier prompt that a part could delay.
+// earlier prompt that a part could delay. Short prompts are not placed by this estimate: their objectives are shorter than its
+// error.
 func withPrefillLeft(candidates []Candidate) []Candidate {
-	if os.Getenv("LEFT") == "no" {
-		return candidates
-	}
 	candidates = slices.Clone(candidates)
 	for i := range candidates {
 		c := &candidates[i]
--- a/internal/waitqueue/admit.go
+++ b/internal/waitqueue/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -22,28 +21,22 @@
 	at time.Time
 }
 
+// rate returns the engine time that is dispatched per time.
+func (c *capacityAt) rate() float64 { return usableFraction * float64(max(c.Endpoints, 1)) }
+
 // startTime returns when engine time of an amount has been dispatched, if it follows the placed requests.
 func (c *capacityAt) startTime(ahead time.Duration, now time.Time) time.Duration {
-	if c.Endpoints == 0 {
-		return 0
-	}
-	rate := usableFraction * float64(c.Endpoints)
-	backlog := max(float64(c.Backlog)-rate*float64(now.Sub(c.at)), 0)
-	return time.Duration((backlog + float64(ahead)) / rate)
+	return time.Duration((c.backlogAt(now) + float64(ahead)) / c.rate())
+}
+
+// backlogAt returns the backlog, which has been worked on since the capacity was stated.
+func (c *capacityAt) backlogAt(now time.Time) float64 {
+	return max(float64(c.Backlog)-c.rate()*float64(now.Sub(c.at)), 0)
 }
 
 // drainTime returns when the waiting requests of a class have been dispatched.
 func (q *Queue) drainTime(c class, now time.Time) time.Duration {
-	var cost time.Duration
-	for rank := range q.lanes[c] {
-		l := &q.lanes[c][rank]
-		for _, list := range [][]*entry{l.returning, l.onTime, l.late} {
-			for _, e := range list {
-				cost += e.Cost
-			}
-		}
-	}
-	return q.capacity[c].startTime(cost, now)
+	return q.capacity[c].startTime(q.cost[c], now)
 }
 
 // Add lets a request wait, or refuses it if it cannot be served in its useful time. Other requests may be displaced. A request
@@ -54,11 +47,12 @@
 	c := classOf(&r)
 	q.capacity[c] = capacityAt{Capacity: capacity, at: now}
 	q.shard = capacity.Shard
+	r.Until = r.waitsUntil(now)
 	if r.lastStart().Before(now) {
 		return Decision{Reason: TooLate, Wait: q.drainTime(c, now)}
 	}
-	newcomer := &entry{Request: r, renewedAt: now}
-	q.insert(newcomer, now)
+	newcomer := &entry{Request: r, renewedAt: now, late: r.latestStart().Before(now)}
+	q.insert(newcomer)
 	victims, reason := q.shed(newcomer, now)
 	if reason != "" {
 		q.remove(newcomer)
@@ -83,9 +77,9 @@
 // It returns a reason if the newcomer itself is to be refused. Nothing is displaced then.
 func (q *Queue) shed(newcomer *entry, now time.Time) ([]*entry, Reason) {
 	var victims []*entry
-	order := slices.Clone(q.orderOf(classOf(&newcomer.Request), now))
+	order := q.orderOf(classOf(&newcomer.Request), now)
 	for {
-		at, reason := q.firstInfeasible(order, slices.Index(order, newcomer), now), Infeasible
+		at, reason := q.firstInfeasible(order, newcomer, now), Infeasible
 		if at < 0 && len(q.entries)-len(victims) > q.options.MaxWaiting {
 			at, reason = len(order)-1, QueueFull
 		}
@@ -94,7 +88,7 @@
 		}
 		victim := q.worst(order[:at+1], now)
 		if order[victim] == newcomer || len(victims) == maxDisplaced {
-			if q.shares.Excess(newcomer.Team, now) > 0 && reason == Infeasible && newcomer != order[at] {
+			if reason == Infeasible && newcomer != order[at] && q.shares.Excess(newcomer.Team, now) > 0 {
 				reason = OverShare
 			}
 			return nil, reason
@@ -106,14 +100,15 @@
 
 // firstInfeasible returns the first request in order, from the newcomer on, that cannot start in its useful time behind those
 // before it, or -1. The newcomer does not affect the requests before it.
-func (q *Queue) firstInfeasible(order []*entry, newcomer int, now time.Time) int {
-	var ahead time.Duration
+func (q *Queue) firstInfeasible(order []*entry, newcomer *entry, now time.Time) int {
+	capacity := &q.capacity[classOf(&newcomer.Request)]
+	rate, ahead, affected := capacity.rate(), capacity.backlogAt(now), false
 	for i, e := range order {
-		start := q.capacity[classOf(&e.Request)].startTime(ahead, now)
-		if (os.Getenv("FEAS") == "all" || i >= newcomer) && now.Add(start).After(e.lastStart()) {
+		affected = affected || e == newcomer
+		if affected && ahead > rate*float64(e.lastStart().Sub(now)) {
 			return i
 		}
-		ahead += e.Cost
+		ahead += float64(e.Cost)
 	}
 	return -1
 }
@@ -121,16 +116,20 @@
 // worst returns the request to give up first: of the lowest rank, not of a returning caller, of the team that is furthest
 // above its fair share, with the latest start.
 func (q *Queue) worst(order []*entry, now time.Time) int {
-	worst, worstExcess := 0, time.Duration(0)
-	for i, e := range order {
-		excess := q.shares.Excess(e.Team, now)
+	q.shares.Update(now)
+	worst, worstExcess := 0, order[0].team.Excess()
+	for i, e := range order[1:] {
+		if e.Rank < order[worst].Rank {
+			continue
+		}
+		excess := e.team.Excess()
 		other := order[worst]
 		difference := cmp.Or(
 			cmp.Compare(e.Rank, other.Rank), compareReturning(e, other), cmp.Compare(excess, worstExcess),
 			e.latestStart().Compare(other.latestStart()),
 		)
-		if i == 0 || difference >= 0 {
-			worst, worstExcess = i, excess
+		if difference >= 0 {
+			worst, worstExcess = i+1, excess
 		}
 	}
 	return worst
--- a/internal/waitqueue/dispatch.go
+++ b/internal/waitqueue/dispatch.go
@@ -1,17 +1,17 @@
 package waitqueue
 
-import (
-	"os"
-	"time"
-)
+import "time"
 
 // failuresPerRank is the number of requests of one class and rank that are offered in vain in one call of Dispatch. Each
 // attempt of a long prompt costs a comparison of up to 17 sets of endpoints.
 const failuresPerRank = 3
 
-// Dispatch offers requests in order to place until it has failed for a few of them. place gets the endpoints held for
-// others, and must not call the queue. Placed requests leave the queue and count for the shares of their team and rank.
-func (q *Queue) Dispatch(now time.Time, place func(r *Request, held Held) Attempt) {
+// PlaceFunc attempts to place a request on endpoints that are not held for others. It must not call the queue.
+type PlaceFunc = func(r *Request, held Held) Attempt
+
+// Dispatch offers requests in order to place until it has failed for a few of them. Placed requests leave the queue and count for
+// the shares of their team and rank.
+func (q *Queue) Dispatch(now time.Time, place PlaceFunc) {
 	if len(q.entries) == 0 {
 		return
 	}
@@ -22,15 +22,11 @@
 	q.releaseUnoffered()
 }
 
-func (q *Queue) dispatchClass(c class, now time.Time, place func(r *Request, held Held) Attempt) {
-	var failures [LowestRank + 1]int
-	failed := false
+func (q *Queue) dispatchClass(c class, now time.Time, place PlaceFunc) {
+	var failures offerFailures
 	q.offers = append(q.offers[:0], q.orderOf(c, now)...)
 	for _, e := range q.offers {
-		if failures[e.Rank] >= failuresPerRank || c == longClass && e.late && failed {
-			continue
-		}
-		if c == longClass && q.shortage.blocks(e.Rank, now) && !q.usage[c].belowLeast(e.Rank, now) {
+		if failures.exclude(e, c) || c == longClass && q.yields(e.Rank, now) {
 			continue
 		}
 		e.round = q.round
@@ -43,33 +39,50 @@
 			q.remove(e)
 			q.CountPlaced(&e.Request, now)
 		case attempt.Missed && !e.late:
-			q.missed(e, now)
+			q.miss(e, now)
 		default:
-			failures[e.Rank]++
-			failed = failed || !e.late
+			failures.count(e)
 			q.hold(e, attempt.Hold)
 		}
 	}
 }
 
-// missed treats a request as late. A failure of such a request does not count, because those behind it may need less.
-func (q *Queue) missed(e *entry, now time.Time) {
+// offerFailures counts the requests of a class that were offered in vain in one round.
+type offerFailures struct {
+	ranks  [LowestRank + 1]int
+	onTime bool
+}
+
+func (f *offerFailures) count(e *entry) {
+	f.ranks[e.Rank]++
+	f.onTime = f.onTime || !e.late
+}
+
+// exclude reports whether a request is not to be offered. A late long prompt is offered only if no prompt that can be on time
+// waits for capacity.
+func (f *offerFailures) exclude(e *entry, c class) bool {
+	return f.ranks[e.Rank] >= failuresPerRank || c == longClass && e.late && f.onTime
+}
+
+// miss treats a request as late. A failure of such a request does not count, because those behind it may need less.
+func (q *Queue) miss(e *entry, now time.Time) {
 	q.release(e)
 	l := q.laneOf(e)
 	l.remove(e)
-	usefulWhenLate := e.Until.After(e.OnTimeUntil)
+	usefulWhenLate := e.Until.After(e.onTimeEnd())
 	e.OnTimeUntil = now.Add(e.Prefill - 1)
 	if !usefulWhenLate {
 		e.Until = e.OnTimeUntil
 	}
-	l.add(e, now)
+	e.late = true
+	l.add(e)
 }
 
 // Precedes reports whether a waiting request goes before a newcomer of the same class, so that the newcomer must not be placed
-// without waiting.
+// without waiting. A long prompt must also wait while a higher rank lacks endpoints for short prompts.
 func (q *Queue) Precedes(r *Request, now time.Time) bool {
 	rank, c := clampRank(r.Rank), classOf(r)
-	if c == longClass && q.shortage.blocks(rank, now) && !q.usage[c].belowLeast(rank, now) {
+	if c == longClass && q.yields(rank, now) {
 		return true
 	}
 	order := q.orderOf(c, now)
@@ -87,19 +100,3 @@
 	}
 	return !first.latestStart().After(r.latestStart())
 }
-
-var shortageTime = func() time.Duration { d, _ := time.ParseDuration(os.Getenv("SHORTAGE")); return d }()
-
-// shortage records when the last short prompt of each rank was not placed.
-type shortage [LowestRank + 1]time.Time
-
-func (s *shortage) note(rank int, now time.Time) { s[rank] = now }
-
-func (s *shortage) blocks(rank int, now time.Time) bool {
-	for _, at := range s[:rank] {
-		if now.Sub(at) < shortageTime {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/waitqueue/hold.go
+++ b/internal/waitqueue/hold.go
@@ -1,7 +1,5 @@
 package waitqueue
 
-import "slices"
-
 // heldFraction is the largest fraction of a shard's endpoints that are held.
 const heldFraction = 0.5
 
@@ -22,48 +20,47 @@
 func (h Held) Free() int { return h.free }
 
 // Held returns the endpoints held for any request.
-func (q *Queue) Held() Held { return Held{owners: q.holds, free: q.mostHeld() - len(q.holds)} }
+func (q *Queue) Held() Held { return Held{owners: q.holds} }
 
 // heldFor returns the endpoints held for requests other than this one.
 func (q *Queue) heldFor(e *entry) Held {
-	return Held{owners: q.holds, owner: e.ID, free: q.mostHeld() - len(q.holds) + len(e.held)}
+	held := Held{owners: q.holds, owner: e.ID}
+	if q.holder == nil || q.holder == e {
+		held.free = q.mostHeld()
+	}
+	return held
 }
 
 func (q *Queue) mostHeld() int { return int(heldFraction * float64(q.shard)) }
 
 // hold replaces the endpoints held for a request. Endpoints that are held for other requests, and those beyond the bound, are
-// left out.
+// left out. Only one request of a queue has endpoints held for it: with holds for several, fewer long prompts were served in the
+// emulator, and no more of the largest ones.
 func (q *Queue) hold(e *entry, endpoints []uint32) {
+	if q.holder != nil && q.holder != e {
+		return
+	}
 	q.release(e)
 	for _, endpoint := range endpoints {
-		if _, held := q.holds[endpoint]; held || len(q.holds) >= q.mostHeld() {
-			continue
+		if len(q.holds) < q.mostHeld() {
+			q.holds[endpoint] = e.ID
+			q.holder = e
 		}
-		q.holds[endpoint] = e.ID
-		e.held = append(e.held, endpoint)
-	}
-	if len(e.held) > 0 && !slices.Contains(q.holders, e) {
-		q.holders = append(q.holders, e)
 	}
 }
 
 // release releases the endpoints held for a request.
 func (q *Queue) release(e *entry) {
-	for _, endpoint := range e.held {
-		delete(q.holds, endpoint)
-	}
-	e.held = e.held[:0]
-	if at := slices.Index(q.holders, e); at >= 0 {
-		q.holders = slices.Delete(q.holders, at, at+1)
+	if q.holder == e {
+		clear(q.holds)
+		q.holder = nil
 	}
 }
 
-// releaseUnoffered releases the endpoints held for requests that were not offered in the last round of Dispatch, because
-// others precede them now.
+// releaseUnoffered releases the held endpoints if their holder was not offered in the last round of Dispatch, because others
+// precede it now.
 func (q *Queue) releaseUnoffered() {
-	for _, e := range slices.Clone(q.holders) {
-		if e.round != q.round {
-			q.release(e)
-		}
+	if q.holder != nil && q.holder.round != q.round {
+		q.release(q.holder)
 	}
 }
--- a/internal/waitqueue/lane.go
+++ b/internal/waitqueue/lane.go
@@ -3,14 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/acacialift/acacialift/internal/fairshare"
 )
 
 // entry is a waiting request.
 type entry struct {
 	Request
+	team      *fairshare.Team
 	renewedAt time.Time
-	// held lists the endpoints held for the request.
-	held []uint32
 	// round is the last round of Dispatch that offered the request.
 	round uint64
 	// late is true if the entry is in the list of late requests.
@@ -39,10 +40,9 @@
 	return slices.Insert(list, at, e)
 }
 
-func (l *lane) add(e *entry, now time.Time) {
+func (l *lane) add(e *entry) {
 	switch {
-	case e.latestStart().Before(now):
-		e.late = true
+	case e.late:
 		l.late = insert(l.late, e, byArrival)
 	case e.Returning:
 		l.returning = insert(l.returning, e, byLatestStart)
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -50,11 +50,15 @@
 	shares   *fairshare.Shares
 	usage    [classes]usage
 	capacity [classes]capacityAt
+	// cost is the engine time of the waiting requests.
+	cost [classes]time.Duration
 	// shard is the number of endpoints of the shard.
-	shard    int
-	holds    map[uint32]ID
-	holders  []*entry
-	round    uint64
+	shard int
+	// holds maps each held endpoint to the request it is held for, which is that of holder.
+	holds  map[uint32]ID
+	holder *entry
+	round  uint64
+	// shortage tells when short prompts were not placed.
 	shortage shortage
 	// order and offers are buffers.
 	order, offers []*entry
@@ -101,24 +105,27 @@
 	counted := *r
 	counted.Rank = clampRank(r.Rank)
 	q.usage[classOf(r)].add(&counted, now)
-	q.shares.AddUsed(r.Team, r.Cost, now)
+	q.shares.Team(r.Team).AddUsed(r.Cost, now)
 }
 
 func clampRank(rank int) int { return min(max(rank, 0), LowestRank) }
 
 func (q *Queue) laneOf(e *entry) *lane { return &q.lanes[classOf(&e.Request)][e.Rank] }
 
-func (q *Queue) insert(e *entry, now time.Time) {
+func (q *Queue) insert(e *entry) {
 	q.entries[e.ID] = e
-	q.laneOf(e).add(e, now)
-	q.shares.AddWaiting(e.Team, e.Cost)
+	q.laneOf(e).add(e)
+	q.cost[classOf(&e.Request)] += e.Cost
+	e.team = q.shares.Team(e.Team)
+	e.team.AddWaiting(e.Cost)
 }
 
 func (q *Queue) remove(e *entry) {
 	q.release(e)
 	delete(q.entries, e.ID)
 	q.laneOf(e).remove(e)
-	q.shares.AddWaiting(e.Team, -e.Cost)
+	q.cost[classOf(&e.Request)] -= e.Cost
+	e.team.AddWaiting(-e.Cost)
 }
 
 // orderOf returns the waiting requests of a class in their order. The result is valid until the next call.
@@ -146,9 +153,14 @@
 		case !e.lastStart().Before(now):
 			continue
 		}
-		refused = append(refused, Refused{Request: e.Request, Reason: reason, Wait: q.drainTime(classOf(&e.Request), now)})
-		q.remove(e)
+		refused = append(refused, Refused{Request: e.Request, Reason: reason})
 	}
 	sortByID(refused)
+	for i := range refused {
+		q.Remove(refused[i].Request.ID)
+	}
+	for i := range refused {
+		refused[i].Wait = q.drainTime(classOf(&refused[i].Request), now)
+	}
 	return refused
 }
--- a/internal/waitqueue/ranks.go
+++ b/internal/waitqueue/ranks.go
@@ -46,11 +46,11 @@
 		}
 	}
 	var below, others []int
-	least := min(leastShare, leastShares/float64(max(waiting-1, 1))) * float64(u.total.Sum(now))
+	least := min(leastShare, leastShares/float64(max(waiting-1, 1)))
 	for rank := range lanes {
 		switch {
 		case lanes[rank].isEmpty():
-		case rank > first && float64(u.ranks[rank].Sum(now)) < least:
+		case rank > first && u.isBelow(rank, least, now):
 			below = append(below, rank)
 		default:
 			others = append(others, rank)
@@ -59,7 +59,7 @@
 	return append(below, others...)
 }
 
-// belowLeast reports whether a rank has less than its least share.
-func (u *usage) belowLeast(rank int, now time.Time) bool {
-	return float64(u.ranks[rank].Sum(now)) < leastShare*float64(u.total.Sum(now))
+// isBelow reports whether a rank has less than a fraction of the dispatched engine time.
+func (u *usage) isBelow(rank int, fraction float64, now time.Time) bool {
+	return float64(u.ranks[rank].Sum(now)) < fraction*float64(u.total.Sum(now))
 }
--- a/internal/waitqueue/request.go
+++ b/internal/waitqueue/request.go
@@ -24,7 +24,8 @@
 	// Short is true for a short prompt (placement.IsShort). Short and long prompts use different endpoints, and do not wait
 	// for each other.
 	Short bool
-	Need  placement.Need
+	// Need states the whole objective of the request, not the remaining time.
+	Need placement.Need
 	// Cost is the engine time of the request, summed over all endpoints that prefill its prompt.
 	Cost time.Duration
 	// Prefill is the shortest time from the start to the first event, with as many helpers as the request may use.
@@ -38,26 +39,6 @@
 	Until time.Time
 }
 
-// latestStart is the last time at which the request can start and be on time.
-func (r *Request) latestStart() time.Time { return r.OnTimeUntil.Add(-r.Prefill) }
-
-// lastStart is the last time at which the request can start and be useful.
-func (r *Request) lastStart() time.Time { return r.Until.Add(-r.Prefill) }
-
-// NeedAt returns the need of the request at a time, with the remaining time to the first event. Need.Objective of the request is
-// the whole objective. A request that can no longer be on time is placed only where its first event is early
-// (placement.LateObjective). With its whole useful time it would fill endpoints with prefills that make others late.
-func (r *Request) NeedAt(now time.Time) placement.Need {
-	need := r.Need
-	need.Queued = true
-	need.Objective = max(r.OnTimeUntil.Sub(now), 0)
-	if r.latestStart().Before(now) {
-		need.Late = true
-		need.Objective = max(min(placement.LateObjective(r.Need.Objective), r.Until.Sub(now)), 0)
-	}
-	return need
-}
-
 // LowestRank is the lowest rank. Lower ones count as this one.
 const LowestRank = 9
 
@@ -101,14 +82,3 @@
 	// Displaced lists requests that left the queue in favour of this one.
 	Displaced []Refused
 }
-
-// Attempt is the result of an attempt to place a request.
-type Attempt struct {
-	Placed bool
-	// Missed is true if the request can no longer be on time, also if it waits. It is then treated as late, and given up at the
-	// next call of Expire if it is useless when late.
-	Missed bool
-	// Hold lists the endpoints to hold for the request, by their keys, if it needs several endpoints and was not placed
-	// (placement.EndpointsToHold). The queue decides whether it holds them.
-	Hold []uint32
-}
