--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -43,13 +43,11 @@
 	// Shards is the number of shards of the endpoints; one scheduler per shard places its requests. With zero shards,
 	// each instance places its requests by the load counts that it has.
 	Shards int
-	// Queue lets the schedulers have wait queues. LateWait is the fraction of the time limit up to which a request waits that
-	// can no longer be on time.
-	Queue    bool
-	LateWait float64
-	Load     Load
-	Policy   Policy
-	Seed     uint64
+	// Queue lets the schedulers have wait queues.
+	Queue  bool
+	Load   Load
+	Policy Policy
+	Seed   uint64
 }
 
 // Result holds the outcomes of a run.
--- a/internal/emulator/shardqueue.go
+++ b/internal/emulator/shardqueue.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/waitqueue"
 )
@@ -11,6 +10,9 @@
 // dispatchInterval is the shortest time between two rounds of a wait queue.
 const dispatchInterval = 5 * time.Millisecond
 
+// usefulFraction is the fraction of the time limit in which a late first event has a value.
+const usefulFraction = 0.5
+
 // shardQueue is a scheduler with a wait queue.
 type shardQueue struct {
 	run   *run
@@ -26,8 +28,34 @@
 	return &shardQueue{run: r, shard: shard, queue: waitqueue.New(waitqueue.Options{}), calls: make(map[waitqueue.ID]*request)}
 }
 
-// arrive places a request, lets it wait, or refuses it.
+// arrive places a request at once, if no waiting request precedes it. Otherwise it waits at the next of schedulersPerRequest
+// shards.
 func (s *shardQueue) arrive(call *request) {
+	request := s.request(call)
+	if count := len(s.run.queues); min(count, schedulersPerRequest) > 1 {
+		if !s.queue.Precedes(&request, s.run.virtualTime()) && s.placeNow(call, &request) {
+			return
+		}
+		call.shard = (call.shard + 1 + s.run.random.IntN(count-1)) % count
+		s.run.after(schedulerRoundTrip, func() { s.run.queues[call.shard].wait(call) })
+		return
+	}
+	s.wait(call)
+}
+
+// placeNow places a request that has not waited.
+func (s *shardQueue) placeNow(call *request, request *waitqueue.Request) bool {
+	s.calls[request.ID] = call
+	defer delete(s.calls, request.ID)
+	if s.place(request, s.queue.Held()).Placed {
+		s.queue.CountPlaced(request, s.run.virtualTime())
+		return true
+	}
+	return false
+}
+
+// wait lets a request wait, or refuses it.
+func (s *shardQueue) wait(call *request) {
 	now := s.run.virtualTime()
 	request := s.request(call)
 	candidates := s.run.shardCandidates(s.shard)
@@ -49,7 +77,7 @@
 	e := &s.run.options.Engine
 	need := placement.Need{
 		Tokens: call.tokens, Output: call.output(e.Stride), MaxGap: call.kind.MaxGap, ExactCounts: true,
-		Objective: call.at + call.kind.Objective - networkRoundTrip - s.run.now,
+		Objective: call.kind.Objective,
 	}
 	at := func(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
 	r := waitqueue.Request{
@@ -58,8 +86,11 @@
 		Returning: call.retried, Arrived: at(call.at), OnTimeUntil: at(call.at + call.kind.Objective - networkRoundTrip),
 	}
 	s.next++
-	useful := max(call.kind.Objective, time.Duration(s.run.options.LateWait*float64(call.kind.TimeLimit)))
-	r.Until = at(call.at + useful - networkRoundTrip)
+	useful := call.at + max(call.kind.Objective, time.Duration(usefulFraction*float64(call.kind.TimeLimit)))
+	if call.retried {
+		useful = max(useful, call.arrivedAt+placement.LateObjective(call.kind.Objective))
+	}
+	r.Until = at(useful - networkRoundTrip)
 	return r
 }
 
@@ -105,7 +136,7 @@
 	need := request.NeedAt(s.run.virtualTime())
 	choice, refusal := s.run.options.Policy(s.run.planner, e, candidates, need)
 	if refusal != nil {
-		return waitqueue.Attempt{Hold: keysOf(placement.EndpointsToHold(e, candidates, need, held.Free()))}
+		return waitqueue.Failed(e, request, need, candidates, held, refusal)
 	}
 	call := s.calls[request.ID]
 	delete(s.calls, request.ID)
@@ -113,14 +144,6 @@
 	return waitqueue.Attempt{Placed: true}
 }
 
-func keysOf(endpoints []*fleet.Endpoint) []uint32 {
-	var keys []uint32
-	for _, e := range endpoints {
-		keys = append(keys, e.Key())
-	}
-	return keys
-}
-
 // workEnded tells the wait queue of a shard that capacity may have become free. The queue looks at its next round, which is
 // at most dispatchInterval later.
 func (r *run) workEnded(shard int) {
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -48,25 +48,40 @@
 	}
 	remaining := t.Objective - Used(t)
 	if float64(remaining) < lateFraction*float64(t.Objective) {
-		return min(max(t.Objective, minLateObjective), maxLateObjective)
+		return LateObjective(t.Objective)
 	}
 	return remaining
 }
 
+// LateObjective returns the target time to the first event of a late request with the given objective.
+func LateObjective(objective time.Duration) time.Duration {
+	return min(max(objective, minLateObjective), maxLateObjective)
+}
+
 // Used returns the time since the caller's first attempt.
 func Used(t Timing) time.Duration {
-	if t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit) {
+	if t.isRetry() {
 		return t.Waited + t.TimeLimit - t.Budget
 	}
 	return t.Waited
 }
 
-// UsefulLeft returns the remaining time in which the first event has any value.
+// isRetry reports whether the caller has made an attempt before.
+func (t Timing) isRetry() bool {
+	return t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit)
+}
+
+// UsefulLeft returns the remaining time in which the first event has any value. A caller that returns late gets a moment in any
+// case.
 func UsefulLeft(t Timing) time.Duration {
 	if t.Resumed {
 		return resumeFactor * t.Objective
 	}
-	return max(max(t.Objective, time.Duration(usefulFraction*float64(t.TimeLimit)))-Used(t), 0)
+	left := max(t.Objective, time.Duration(usefulFraction*float64(t.TimeLimit))) - Used(t)
+	if t.isRetry() {
+		left = max(left, LateObjective(t.Objective)-t.Waited)
+	}
+	return max(left, 0)
 }
 
 // WaitLimit returns how long a request that was refused for the reason may wait to be placed. Slots may become free at any
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -155,9 +156,27 @@
 		}
 		return p.placeShort(e, candidates, group, need)
 	}
+	if need.Queued && need.ExactCounts {
+		candidates = withPrefillLeft(candidates)
+	}
 	return p.placeLong(e, candidates, group, need)
 }
 
+// withPrefillLeft returns the candidates with PrefillLeft in place of PrefillBacklog. An endpoint without prefill left has no
+// earlier prompt that a part could delay. Short prompts are not placed by this estimate: their objectives are shorter than its
+// error.
+func withPrefillLeft(candidates []Candidate) []Candidate {
+	candidates = slices.Clone(candidates)
+	for i := range candidates {
+		c := &candidates[i]
+		c.PrefillBacklog = c.PrefillLeft
+		if c.PrefillLeft == 0 {
+			c.PrefillDueIn = 0
+		}
+	}
+	return candidates
+}
+
 // retryAfter returns the advised retry delay if capacity is expected after the given time.
 func (p Planner) retryAfter(excess time.Duration) time.Duration {
 	return p.randomDelay(min(max(excess, minRetryAfter), maxRetryAfter*2/3), maxRetryAfter)
--- a/internal/scheduler/localqueue.go
+++ b/internal/scheduler/localqueue.go
@@ -91,7 +91,7 @@
 	mustWait := list.queue.Precedes(&queued, now)
 	if !mustWait {
 		held := markHeld(candidates, list.queue.Held())
-		choice, refusal := request.Place(held, needNow(&queued, &request.PlaceRequest, now), now)
+		choice, refusal := request.Place(held, queued.NeedAt(now), now)
 		switch {
 		case refusal == nil:
 			list.queue.CountPlaced(&queued, now)
@@ -138,17 +138,17 @@
 	q.mu.Lock()
 	defer q.unlock()
 	for _, list := range q.lists {
-		list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
+		list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, waitqueue.Attempt) {
 			request := q.requests[w.key()]
 			if request == nil {
-				return placement.Choice{}, nil, false
+				return placement.Choice{}, waitqueue.Attempt{}
 			}
 			candidates, need := markHeld(request.Candidates(now), held), r.NeedAt(now)
 			choice, refusal := request.Place(candidates, need, now)
 			if refusal == nil {
-				return choice, nil, true
+				return choice, waitqueue.Attempt{Placed: true}
 			}
-			return choice, keysOf(placement.EndpointsToHold(request.Engine, candidates, need, held.Free())), false
+			return choice, waitqueue.Failed(request.Engine, r, need, candidates, held, refusal)
 		})
 	}
 	q.forgetSettled()
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -74,11 +74,10 @@
 
 // queuedRequest returns the entry of a request in a wait queue.
 func queuedRequest(r *PlaceRequest, e *fleet.Engine, endpoints int, now time.Time) waitqueue.Request {
-	onTime := r.Need.Objective
+	need, onTime := r.Need, r.Need.Objective
 	if r.Terms.FullObjective > 0 {
-		onTime = r.Terms.FullObjective - r.Terms.Used
+		need.Objective, onTime = r.Terms.FullObjective, r.Terms.FullObjective-r.Terms.Used
 	}
-	need := r.Need
 	need.Rank = r.Terms.Rank
 	return waitqueue.Request{
 		ID: r.id(), Rank: r.Terms.Rank, Team: r.Terms.Team, Prompt: r.Terms.Prompt, Short: placement.IsShort(e, need), Need: need,
@@ -87,16 +86,6 @@
 	}
 }
 
-// needNow returns what a request needs that is placed without waiting. One that returns late is placed if its first event can
-// be early, also after its useful time.
-func needNow(queued *waitqueue.Request, r *PlaceRequest, now time.Time) placement.Need {
-	need := queued.NeedAt(now)
-	if now.After(queued.OnTimeUntil) {
-		need.Objective = max(need.Objective, r.Need.Objective)
-	}
-	return need
-}
-
 // id identifies the request in a wait queue.
 func (r *PlaceRequest) id() waitqueue.ID {
 	return waitqueue.ID{Instance: r.From, Number: uint64(r.Number)}
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -74,7 +74,7 @@
 	mustWait := queue.Precedes(&queued, now)
 	if !mustWait {
 		held := markHeld(candidates, queue.Held())
-		choice, refusal, ok := s.tryPlace(v, state, held, w, needNow(&queued, &w.request, now), now)
+		choice, refusal, ok := s.tryPlace(v, state, held, w, queued.NeedAt(now), now)
 		switch {
 		case refusal != nil && (refusal.Reason == placement.NoEndpoint || refusal.Reason == placement.TooLarge):
 			s.outbox.add(w.reply, Outcome{Refusal: refusal})
@@ -137,19 +137,19 @@
 	for _, key := range state.list.lapsed(now) {
 		state.remove(key)
 	}
-	state.list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, []uint32, bool) {
+	state.list.dispatch(now, func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, waitqueue.Attempt) {
 		// A grant for an endpoint in cold start must be used at once, so there must be a reply to carry it.
 		candidates := markHeld(s.candidates(v, &w.request, now, w.reply != nil), held)
 		need := r.NeedAt(now)
 		choice, refusal, placed := s.tryPlace(v, state, candidates, w, need, now)
 		if placed {
 			v.usable = nil
-			return choice, nil, true
+			return choice, waitqueue.Attempt{Placed: true}
 		}
 		if refusal == nil {
-			return choice, nil, false
+			return choice, waitqueue.Attempt{}
 		}
-		return choice, keysOf(placement.EndpointsToHold(v.service.Engine, candidates, need, held.Free())), false
+		return choice, waitqueue.Failed(v.service.Engine, r, need, candidates, held, refusal)
 	})
 }
 
--- a/internal/scheduler/waitlist.go
+++ b/internal/scheduler/waitlist.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// placeFunc tries to place a waiting request. If that fails, it returns the endpoints to hold for the request.
-type placeFunc func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (choice placement.Choice, hold []uint32, ok bool)
+// placeFunc tries to place a waiting request.
+type placeFunc func(r *waitqueue.Request, w *waitingRequest, held waitqueue.Held) (placement.Choice, waitqueue.Attempt)
 
 // dispatch offers the waiting requests to place, tells those that the queue has given up, and replies to those whose hold time
 // would be over at the next dispatch.
@@ -170,13 +170,12 @@
 		if w == nil {
 			return waitqueue.Attempt{}
 		}
-		choice, hold, ok := place(r, w, held)
-		if !ok {
-			return waitqueue.Attempt{Hold: hold}
+		choice, attempt := place(r, w, held)
+		if attempt.Placed {
+			l.stats.PlacedAfterWaiting.Add(1)
+			l.settle(w, Outcome{Choice: choice}, now)
 		}
-		l.stats.PlacedAfterWaiting.Add(1)
-		l.settle(w, Outcome{Choice: choice}, now)
-		return waitqueue.Attempt{Placed: true}
+		return attempt
 	})
 	for _, w := range l.waiting {
 		if w.reply != nil && w.decided == nil && now.Sub(w.received)+maxDispatchInterval > w.request.Terms.Hold {
