Try the other shard once before a request waits

The emulator of the queue places a request at another shard at once if it can't be placed at its own; without that, one shard is idle while requests wait at the other.

--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -97,7 +97,11 @@
 		if i > 0 && count == 1 && refusal != nil {
 			break
 		}
-		p, r, result := x.waitAt(ctx, shard)
+		other := shard
+		if i == 0 {
+			other.Index = uint8((first + 1) % int(count))
+		}
+		p, r, result := x.waitAt(ctx, shard, other)
 		switch {
 		case result == withoutQueue, ctx.Err() != nil, result == decided && r == nil:
 			return p, r, result
@@ -121,14 +125,20 @@
 }
 
 // waitAt sends the request to the scheduler of a shard and renews its place there until it is placed or refused, the scheduler
-// gives no usable reply, or the request ends.
-func (x *exchange) waitAt(ctx context.Context, shard scheduler.Shard) (attemptPlacement, *placement.Refusal, queueResult) {
+// gives no usable reply, or the request ends. Once it waits there, the scheduler of the other shard, if there is one, may place it
+// at once: one shard must not be idle while requests wait at another.
+func (x *exchange) waitAt(ctx context.Context, shard, other scheduler.Shard) (attemptPlacement, *placement.Refusal, queueResult) {
 	options := x.handler.options
 	number := options.Load.NextNumber()
 	waitsAt, waiting := "", (*scheduler.Placement)(nil)
 	for {
 		sentAt, requestedAt := time.Now(), clock.Boot()
-		result, ok := options.Schedulers.Place(ctx, x.waitRequest(shard, number, sentAt))
+		request := x.waitRequest(shard, number, sentAt)
+		triesOther := waitsAt == "" && other != shard
+		if triesOther {
+			request.Terms.Hold = 0
+		}
+		result, ok := options.Schedulers.Place(ctx, request)
 		if waiting != nil && result.Scheduler != waitsAt {
 			// Another instance has become the scheduler of the shard.
 			waiting.End()
@@ -142,6 +152,12 @@
 			return attemptPlacement{}, nil, undecided
 		case result.Waiting:
 			waitsAt, waiting = result.Scheduler, result.Placement
+			if triesOther {
+				if p, ok := x.tryAt(ctx, other); ok {
+					waiting.End()
+					return p, nil, decided
+				}
+			}
 			x.observeWait(result.Scheduler)
 		case result.Refusal != nil && result.Refusal.Reason == placement.NoEndpoint:
 			return attemptPlacement{}, nil, undecided
@@ -152,14 +168,33 @@
 			x.observeDisplacement(result.Refusal)
 			return attemptPlacement{}, result.Refusal, decided
 		default:
-			return attemptPlacement{
-				Choice: result.Choice, number: number, schedulerPlacement: result.Placement, schedulerName: result.Scheduler,
-				requestedAt: requestedAt + min(result.Held, result.Latency), schedulerLatency: result.Latency,
-			}, nil, decided
+			return placedBy(&result, number, requestedAt), nil, decided
 		}
 	}
 }
 
+// placedBy returns the placement by a scheduler of a request that was sent to it at a time.
+func placedBy(result *scheduler.PlaceResult, number load.Number, requestedAt time.Duration) attemptPlacement {
+	return attemptPlacement{
+		Choice: result.Choice, number: number, schedulerPlacement: result.Placement, schedulerName: result.Scheduler,
+		requestedAt: requestedAt + min(result.Held, result.Latency), schedulerLatency: result.Latency,
+	}
+}
+
+// tryAt sends the request to the scheduler of a shard at which it does not wait. It returns false if the request was not placed.
+func (x *exchange) tryAt(ctx context.Context, shard scheduler.Shard) (attemptPlacement, bool) {
+	options := x.handler.options
+	number, requestedAt := options.Load.NextNumber(), clock.Boot()
+	request := x.waitRequest(shard, number, time.Now())
+	request.Terms.Try, request.Terms.Hold = true, 0
+	result, ok := options.Schedulers.Place(ctx, request)
+	if !ok || result.Waiting || result.Refusal != nil {
+		result.Placement.End()
+		return attemptPlacement{}, false
+	}
+	return placedBy(&result, number, requestedAt), true
+}
+
 // waitRequest returns the message to a scheduler at which the request may wait.
 func (x *exchange) waitRequest(shard scheduler.Shard, number load.Number, now time.Time) scheduler.PlaceRequest {
 	options := x.handler.options
--- a/internal/entry/wait_test.go
+++ b/internal/entry/wait_test.go
@@ -216,8 +216,8 @@
 		requests := s.received()
 		Expect(requests).To(HaveLen(2))
 		Expect(requests[0].Shard).NotTo(Equal(requests[1].Shard))
-		Expect(requests[0].Terms.Hold).To(Equal(scheduler.HoldTime))
-		Expect(requests[1].Need.Objective).To(BeNumerically("<=", requests[0].Need.Objective-scheduler.HoldTime))
+		Expect(requests[1].Terms.Try).To(BeFalse())
+		Expect(requests[1].Need.Objective).To(BeNumerically("<=", requests[0].Need.Objective-replyTimeout))
 	})
 
 	// Guards against a request that waits at three schedulers, and against one that is refused by the first although another has
@@ -227,9 +227,11 @@
 		var r *rig
 		s := &scriptedSchedulers{reply: func(ctx context.Context, n int, request scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
 			switch n {
-			case 0:
+			case 0, 2:
 				return stillWaiting(ctx, n, request)
 			case 1:
+				return refused(placement.SlotsFull), true
+			case 3:
 				return refused("displaced"), true
 			}
 			return placedOn(r), true
@@ -238,13 +240,39 @@
 		addShards(r, "127.0.0.1:1")
 		Expect(r.call("/safe/x").status).To(Equal(http.StatusOK))
 		requests := s.received()
-		Expect(requests).To(HaveLen(3))
-		Expect(requests[2].Shard).NotTo(Equal(requests[0].Shard))
-		Expect(requests[2].Number).NotTo(Equal(requests[0].Number))
-		Expect(requests[2].Terms.Used).To(BeNumerically(">=", requests[0].Terms.Hold))
+		Expect(requests).To(HaveLen(5))
+		for _, n := range []int{2, 3} {
+			Expect(requests[n].Shard).To(Equal(requests[0].Shard))
+			Expect(requests[n].Number).To(Equal(requests[0].Number))
+		}
+		Expect(requests[4].Shard).NotTo(Equal(requests[0].Shard))
+		Expect(requests[4].Number).NotTo(Equal(requests[0].Number))
+		Expect(requests[4].Terms.Try).To(BeFalse())
+		Expect(requests[4].Terms.Used).To(BeNumerically(">=", requests[2].Terms.Hold))
 		Expect(log.String()).To(ContainSubstring(`"displaced":"displaced"`))
 	})
 
+	// Guards against a shard that is idle while requests wait at the other one.
+	It("is placed at once by the other shard while it waits at the first", func() {
+		e := newEndpoint(respond(sealedResponse("answer")))
+		var r *rig
+		s := &scriptedSchedulers{reply: func(ctx context.Context, n int, request scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
+			if n == 0 {
+				return stillWaiting(ctx, n, request)
+			}
+			return placedOn(r), true
+		}}
+		r = newRig([]*fakeEndpoint{e}, withQueue, withSchedulers(s), withLog(&log))
+		addShards(r, "127.0.0.1:1")
+		Expect(r.call("/safe/x").status).To(Equal(http.StatusOK))
+		requests := s.received()
+		Expect(requests).To(HaveLen(2))
+		Expect(requests[0].Terms.Hold).To(BeZero())
+		Expect(requests[1].Shard).NotTo(Equal(requests[0].Shard))
+		Expect(requests[1].Terms.Try).To(BeTrue())
+		Expect(log.String()).NotTo(ContainSubstring("request_waits"))
+	})
+
 	// Guards against a caller that waits in vain after all schedulers have refused it.
 	It("is refused with the first scheduler's return time if both refuse it", func() {
 		s := &scriptedSchedulers{reply: func(context.Context, int, scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -63,6 +63,8 @@
 	FullObjectiveMS int64 `msgpack:"objective,omitempty"`
 	// UsefulMS is the remaining time in which the first event has any value.
 	UsefulMS int64 `msgpack:"useful,omitempty"`
+	// Try is true if the request must not wait: it is placed at once, if no waiting request precedes it, or refused.
+	Try bool `msgpack:"try,omitempty"`
 	// HoldMS is how long the scheduler may defer its reply.
 	HoldMS int64 `msgpack:"hold,omitempty"`
 	// Failed is the address of the scheduler that did not reply, if the receiver is asked in its place.
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -20,7 +20,7 @@
 		message.Extension = peer.PlaceRequestExtension{
 			Waits: true, Rank: int64(t.Rank), Team: t.Team, Prompt: t.Prompt, UsedMS: t.Used.Milliseconds(),
 			FullObjectiveMS: t.FullObjective.Milliseconds(), UsefulMS: t.Useful.Milliseconds(),
-			HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
+			Try: t.Try, HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
 		}
 	}
 	return message
@@ -34,7 +34,7 @@
 	return &WaitTerms{
 		Rank: int(m.Rank), Team: m.Team, Prompt: m.Prompt, Used: milliseconds(m.UsedMS),
 		FullObjective: milliseconds(m.FullObjectiveMS), Useful: milliseconds(m.UsefulMS),
-		Hold: min(milliseconds(m.HoldMS), HoldTime), Failed: m.Failed,
+		Try: m.Try, Hold: min(milliseconds(m.HoldMS), HoldTime), Failed: m.Failed,
 	}
 }
 
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -26,7 +26,9 @@
 	FullObjective time.Duration
 	// Useful is the remaining time in which the first event has any value.
 	Useful time.Duration
-	// Hold is how long the reply may be deferred; at most HoldTime.
+	// Try is true if the request must not wait: it is placed at once, if no waiting request precedes it, or refused.
+	Try bool
+	// Hold is how long the reply may be deferred; at most HoldTime. If it is zero, a request that begins to wait is told at once.
 	Hold time.Duration
 	// Failed is the scheduler of the shard that did not reply, if another instance is asked in its place.
 	Failed string
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -85,6 +85,12 @@
 			return
 		}
 	}
+	if w.request.Terms.Try {
+		s.outbox.add(w.reply, Outcome{Refusal: &placement.Refusal{
+			Reason: placement.SlotsFull, RetryAfter: s.options.Planner.RetryAfter(0), Candidates: len(candidates),
+		}})
+		return
+	}
 	state.list.join(w, queued, placement.CapacityFor(engine, candidates, queued.Need), now)
 	s.wakeUp(mustWait)
 }
--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -307,6 +307,31 @@
 		Expect(result.Refusal.Reason).To(Equal(placement.SlotsFull))
 	})
 
+	// Guards against a request that waits at two schedulers, or goes before those that wait.
+	It("is placed at once or refused if it only tries", func() {
+		placed := r.fill()
+		try := func(n int) scheduler.PlaceResult {
+			request := waitingRequest(n)
+			request.Terms.Try, request.Terms.Hold = true, 0
+			result, ok := r.client.Place(context.Background(), request)
+			Expect(ok).To(BeTrue())
+			return result
+		}
+		Expect(try(1).Refusal).NotTo(BeNil())
+		Expect(r.waiting()).To(BeZero())
+		placed[0].Placement.End()
+		Expect(try(2).Refusal).To(BeNil())
+		first := waitingRequest(3)
+		first.Terms.Rank = 0
+		first.Terms.Hold = 0
+		start := time.Now()
+		result, _ := r.client.Place(context.Background(), first)
+		Expect(result.Waiting).To(BeTrue())
+		Expect(time.Since(start)).To(BeNumerically("<", 50*time.Millisecond))
+		placed[1].Placement.End()
+		Expect(try(4).Refusal).NotTo(BeNil())
+	})
+
 	// Guards against a request that waits in vain for a place that another one has got.
 	It("is told at once that it is displaced", func() {
 		r.fill()
--- a/internal/scheduler/waitlist.go
+++ b/internal/scheduler/waitlist.go
@@ -100,6 +100,10 @@
 	}
 	if decision.Waits {
 		l.waiting[w.key()] = w
+		if w.request.Terms.Hold == 0 {
+			l.outbox.add(w.reply, Outcome{Waiting: true})
+			w.reply = nil
+		}
 		return
 	}
 	l.stats.countRefused(decision.Reason)
