--- a/internal/waitqueue/admit.go
+++ b/internal/waitqueue/admit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -51,7 +50,7 @@
 	if r.lastStart().Before(now) {
 		return Decision{Reason: TooLate, Wait: q.drainTime(c, now)}
 	}
-	newcomer := &entry{Request: r, renewedAt: now, late: r.latestStart().Before(now)}
+	newcomer := newEntry(r, now)
 	q.insert(newcomer)
 	victims, reason := q.shed(newcomer, now)
 	if reason != "" {
@@ -102,10 +101,10 @@
 // before it, or -1. The newcomer does not affect the requests before it.
 func (q *Queue) firstInfeasible(order []*entry, newcomer *entry, now time.Time) int {
 	capacity := &q.capacity[classOf(&newcomer.Request)]
-	rate, ahead, affected := capacity.rate(), capacity.backlogAt(now), false
+	rate, ahead, affected, nanoseconds := capacity.rate(), capacity.backlogAt(now), false, now.UnixNano()
 	for i, e := range order {
 		affected = affected || e == newcomer
-		if affected && ahead > rate*float64(e.lastStart().Sub(now)) {
+		if affected && ahead > rate*float64(e.last-nanoseconds) {
 			return i
 		}
 		ahead += float64(e.Cost)
@@ -126,7 +125,7 @@
 		other := order[worst]
 		difference := cmp.Or(
 			cmp.Compare(e.Rank, other.Rank), compareReturning(e, other), cmp.Compare(excess, worstExcess),
-			e.latestStart().Compare(other.latestStart()),
+			byLatestStart(e, other),
 		)
 		if difference >= 0 {
 			worst, worstExcess = i+1, excess
@@ -145,10 +144,3 @@
 	}
 	return 1
 }
-
-// sortByID gives refusals a fixed order, so that equal inputs have equal results.
-func sortByID(refused []Refused) {
-	slices.SortFunc(refused, func(a, b Refused) int {
-		return cmp.Or(strings.Compare(a.Request.ID.Instance, b.Request.ID.Instance), cmp.Compare(a.Request.ID.Number, b.Request.ID.Number))
-	})
-}
--- a/internal/waitqueue/dispatch.go
+++ b/internal/waitqueue/dispatch.go
@@ -75,6 +75,7 @@
 		e.Until = e.OnTimeUntil
 	}
 	e.late = true
+	e.setTimes()
 	l.add(e)
 }
 
--- a/internal/waitqueue/lane.go
+++ b/internal/waitqueue/lane.go
@@ -1,6 +1,7 @@
 package waitqueue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +11,10 @@
 // entry is a waiting request.
 type entry struct {
 	Request
-	team      *fairshare.Team
-	renewedAt time.Time
+	team *fairshare.Team
+	// latest and last are latestStart and lastStart, renewed is the time of the last renewal, all in Unix nanoseconds. They are
+	// compared for all entries.
+	latest, last, renewed int64
 	// round is the last round of Dispatch that offered the request.
 	round uint64
 	// late is true if the entry is in the list of late requests.
@@ -25,7 +28,16 @@
 	returning, onTime, late []*entry
 }
 
-func byLatestStart(a, b *entry) int { return a.latestStart().Compare(b.latestStart()) }
+func newEntry(r Request, now time.Time) *entry {
+	e := &entry{Request: r, renewed: now.UnixNano(), late: r.latestStart().Before(now)}
+	e.setTimes()
+	return e
+}
+
+// setTimes sets the times that follow from the request.
+func (e *entry) setTimes() { e.latest, e.last = e.latestStart().UnixNano(), e.lastStart().UnixNano() }
+
+func byLatestStart(a, b *entry) int { return cmp.Compare(a.latest, b.latest) }
 
 func byArrival(a, b *entry) int { return a.Arrived.Compare(b.Arrived) }
 
@@ -68,7 +80,7 @@
 func (l *lane) update(now time.Time) {
 	for _, list := range []*[]*entry{&l.returning, &l.onTime} {
 		passed := 0
-		for passed < len(*list) && (*list)[passed].latestStart().Before(now) {
+		for passed < len(*list) && (*list)[passed].latest < now.UnixNano() {
 			e := (*list)[passed]
 			e.late = true
 			l.late = insert(l.late, e, byArrival)
@@ -100,4 +112,6 @@
 	return append(order, l.late...)
 }
 
+func (l *lane) lists() [3][]*entry { return [3][]*entry{l.returning, l.onTime, l.late} }
+
 func (l *lane) isEmpty() bool { return len(l.returning)+len(l.onTime)+len(l.late) == 0 }
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -89,7 +89,7 @@
 	if e == nil {
 		return false
 	}
-	e.renewedAt = now
+	e.renewed = now.UnixNano()
 	return true
 }
 
@@ -144,18 +144,17 @@
 
 // Expire removes the requests that were not renewed, and those that can no longer be served in their useful time.
 func (q *Queue) Expire(now time.Time) []Refused {
+	if len(q.entries) == 0 {
+		return nil
+	}
 	var refused []Refused
-	for _, e := range q.entries {
-		reason := TooLate
-		switch {
-		case now.Sub(e.renewedAt) > q.options.RenewTime:
-			reason = NotRenewed
-		case !e.lastStart().Before(now):
-			continue
+	for c := range q.lanes {
+		for rank := range q.lanes[c] {
+			for _, list := range q.lanes[c][rank].lists() {
+				refused = q.appendExpired(refused, list, now)
+			}
 		}
-		refused = append(refused, Refused{Request: e.Request, Reason: reason})
 	}
-	sortByID(refused)
 	for i := range refused {
 		q.Remove(refused[i].Request.ID)
 	}
@@ -164,3 +163,16 @@
 	}
 	return refused
 }
+
+func (q *Queue) appendExpired(refused []Refused, list []*entry, now time.Time) []Refused {
+	nanoseconds := now.UnixNano()
+	for _, e := range list {
+		switch {
+		case nanoseconds-e.renewed > int64(q.options.RenewTime):
+			refused = append(refused, Refused{Request: e.Request, Reason: NotRenewed})
+		case e.last < nanoseconds:
+			refused = append(refused, Refused{Request: e.Request, Reason: TooLate})
+		}
+	}
+	return refused
+}
--- a/internal/waitqueue/times.go
+++ b/internal/waitqueue/times.go
@@ -28,24 +28,27 @@
 // lastStart is the last time at which the request can start and be useful.
 func (r *Request) lastStart() time.Time { return r.Until.Add(-r.Prefill) }
 
-// waitsUntil returns the end of the time for which an arriving request is useful to the queue. Short prompts are served late as
-// long as that has a value. Long ones are not, except for a moment if they return late: in the emulator, late ones made
-// more others late than were served in addition.
+// waitsUntil returns the end of the time for which an arriving request waits. Short prompts are served late as long as that
+// has a value. Long ones are not, except for a moment if their callers return or are late already: in the emulator, late ones made more others late
+// than were served in addition.
 func (r *Request) waitsUntil(now time.Time) time.Time {
-	until := r.Until
-	switch {
-	case r.Short:
-	case r.latestStart().Before(now):
-		until = now.Add(placement.LateObjective(r.Need.Objective))
-	default:
-		return r.onTimeEnd()
-	}
-	if until.After(r.Until) {
+	if r.Short {
 		return r.Until
 	}
+	until := r.onTimeEnd()
+	if late := earlier(now.Add(placement.LateObjective(r.Need.Objective)), r.Until); (r.Returning || r.latestStart().Before(now)) && late.After(until) {
+		return late
+	}
 	return until
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // NeedAt returns the need of the request at a time, with the remaining time to the first event. A request that can no longer be
 // on time is placed only where its first event is early (placement.LateObjective). With its whole useful time it would fill
 // endpoints with prefills that make others late.
