--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -66,8 +66,8 @@
 // TeamResult sums the outcomes of a team.
 type TeamResult struct {
 	Requests, Served int
-	// UsedTime is the engine time of the requests served.
-	UsedTime time.Duration
+	// RequestedTime is the engine time of all requests, UsedTime that of the served ones.
+	RequestedTime, UsedTime time.Duration
 }
 
 // KindResult sums the outcomes of a kind.
@@ -205,7 +205,9 @@
 			result.LargeRequests++
 		}
 		if a.team > 0 {
-			r.teamResult(a.team).Requests++
+			team := r.teamResult(a.team)
+			team.Requests++
+			team.RequestedTime += r.engineTime(call)
 		}
 		r.after(a.at, func() { r.arrive(call) })
 	}
@@ -306,6 +308,12 @@
 	} else {
 		r.kindResult(call.kind).Refused++
 	}
+	if call.retriesAtOnce < r.options.Load.RetriesAtOnce[call.team] && remaining > 0 {
+		call.retriesAtOnce++
+		call.retried = true
+		r.after(networkRoundTrip, func() { r.arrive(call) })
+		return
+	}
 	if call.retried || refusal.RetryAfter > remaining/3 {
 		r.kindResult(call.kind).NotServed++
 		return
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -49,8 +49,11 @@
 	// i^-TeamExponent (Zipf), counted from 1.
 	Teams        int
 	TeamExponent float64
-	// TeamFactors maps a team to the factor on its share of all requests.
+	// TeamFactors maps a team to the factor on its requests. The other teams send as many as without it.
 	TeamFactors map[int]float64
+	// RetriesAtOnce maps a team to the number of times that its callers retry a refused request, at once and whatever time
+	// they were told.
+	RetriesAtOnce map[uint32]int
 }
 
 // Wave is a rate that swings around its mean as a sine.
@@ -85,20 +88,35 @@
 	return peak
 }
 
-// assignTeams draws a team from 1 on for each arrival.
-func (l *Load) assignTeams(arrivals []arrival, random *rand.Rand) {
-	var bounds []float64
+// teamBounds returns the sums of the shares of the first teams, and the sum of all shares without factors.
+func (l *Load) teamBounds() (bounds []float64, plain float64) {
 	var sum float64
 	for i := range l.Teams {
 		share := math.Pow(float64(i+1), -l.TeamExponent)
+		plain += share
 		if factor, named := l.TeamFactors[i+1]; named {
 			share *= factor
 		}
 		sum += share
 		bounds = append(bounds, sum)
 	}
+	return bounds, plain
+}
+
+// teamFactor returns the factor on all arrivals that follows from TeamFactors.
+func (l *Load) teamFactor() float64 {
+	if len(l.TeamFactors) == 0 || l.Teams == 0 {
+		return 1
+	}
+	bounds, plain := l.teamBounds()
+	return bounds[len(bounds)-1] / plain
+}
+
+// assignTeams draws a team from 1 on for each arrival.
+func (l *Load) assignTeams(arrivals []arrival, random *rand.Rand) {
+	bounds, _ := l.teamBounds()
 	for i := range arrivals {
-		at, _ := slices.BinarySearch(bounds, random.Float64()*sum)
+		at, _ := slices.BinarySearch(bounds, random.Float64()*bounds[len(bounds)-1])
 		arrivals[i].team = uint32(at + 1)
 	}
 }
@@ -117,16 +135,18 @@
 // arrivals draws the requests of a load, in no particular order.
 func (l *Load) arrivals(random *rand.Rand) []arrival {
 	var all []arrival
+	teamFactor := l.teamFactor()
 	for i := range l.Kinds {
 		kind := &l.Kinds[i]
+		rate := kind.Rate * teamFactor
 		for at := time.Duration(0); ; {
 			// A Poisson process at the peak rate is thinned to the current rate.
-			peak := kind.Rate * l.peakFactor(kind.Name) * l.peakWaveFactor()
+			peak := rate * l.peakFactor(kind.Name) * l.peakWaveFactor()
 			at += time.Duration(random.ExpFloat64() / peak * float64(time.Second))
 			if at >= l.Length {
 				break
 			}
-			if random.Float64()*peak > kind.Rate*l.factor(kind.Name, at)*l.waveFactor(at) {
+			if random.Float64()*peak > rate*l.factor(kind.Name, at)*l.waveFactor(at) {
 				continue
 			}
 			all = append(all, arrival{
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -19,6 +19,8 @@
 	// outputTokens is the memory of the response in tokens.
 	outputTokens int64
 	retried      bool
+	// retriesAtOnce counts the retries at once of an impatient team.
+	retriesAtOnce int
 	// arrivedAt is the time of the last attempt.
 	arrivedAt      time.Duration
 	inFlight       *load.Request
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/acacialift/acacialift/internal/placement"
 )
@@ -29,10 +30,14 @@
 	if call.team > 0 {
 		team := r.teamResult(call.team)
 		team.Served++
-		team.UsedTime += placement.EngineTime(&r.options.Engine, placement.Need{Tokens: call.tokens, Output: call.outputTokens})
+		team.UsedTime += r.engineTime(call)
 	}
 }
 
+func (r *run) engineTime(call *request) time.Duration {
+	return placement.EngineTime(&r.options.Engine, placement.Need{Tokens: call.tokens, Output: call.outputTokens})
+}
+
 // RunSeeds runs a pattern with several seeds. It adds up the counts and values of the kinds, and averages Value and
 // PrefillFraction.
 func RunSeeds(pattern Pattern, policy Policy, seeds int) Result {
@@ -62,6 +67,7 @@
 		}
 		r.Teams[id].Requests += t.Requests
 		r.Teams[id].Served += t.Served
+		r.Teams[id].RequestedTime += t.RequestedTime
 		r.Teams[id].UsedTime += t.UsedTime
 	}
 }
@@ -86,8 +92,10 @@
 // LargeServedFraction returns the fraction of the requests in the largest tenth that were served.
 func (k *KindResult) LargeServedFraction() float64 { return fraction(k.LargeServed, k.LargeRequests) }
 
-// ServedFraction returns the fraction of the team's requests that were served.
-func (t *TeamResult) ServedFraction() float64 { return fraction(t.Served, t.Requests) }
+// UsedFraction returns the fraction of the requested engine time that was served.
+func (t *TeamResult) UsedFraction() float64 {
+	return t.UsedTime.Seconds() / max(t.RequestedTime.Seconds(), time.Millisecond.Seconds())
+}
 
 func fraction(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
@@ -103,7 +111,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.Teams)) {
 		t := r.Teams[id]
-		fmt.Fprintf(&b, "team %2d requests %4d served %.3f used %.1f s\n", id, t.Requests, t.ServedFraction(), t.UsedTime.Seconds())
+		fmt.Fprintf(&b, "team %2d requests %4d served %.3f used %.1f s of %.1f s\n",
+			id, t.Requests, fraction(t.Served, t.Requests), t.UsedTime.Seconds(), t.RequestedTime.Seconds())
 	}
 	return b.String()
 }
--- a/internal/load/tracker.go
+++ b/internal/load/tracker.go
@@ -99,15 +99,21 @@
 	return r
 }
 
-// decodingFactor is the factor on the prefill time of a part at an endpoint that also decodes.
-const decodingFactor = 1.2
+const (
+	// decodingFactor is the factor on the prefill time of a part at an endpoint that also decodes.
+	decodingFactor = 1.2
+	// maxPrefillLeft bounds the prefill that an endpoint can owe, so that a wrong length of a part does not last.
+	maxPrefillLeft = time.Minute
+)
 
+// addPrefill counts a part at one of the endpoints that prefill it.
 func (t *Tracker) addPrefill(e *fleet.Endpoint, part time.Duration, placed time.Time) {
 	until := t.prefillUntil[e.Key()]
 	if until.Before(placed) {
 		until = placed
 	}
-	t.prefillUntil[e.Key()] = until.Add(time.Duration(decodingFactor * float64(part)))
+	left := until.Sub(placed) + time.Duration(decodingFactor*float64(part))
+	t.prefillUntil[e.Key()] = placed.Add(min(left, maxPrefillLeft))
 }
 
 // setPrefillLeft sets PrefillLeft of the entries, which have all other counts.
--- a/internal/load/tracker_test.go
+++ b/internal/load/tracker_test.go
@@ -28,9 +28,11 @@
 		request := tracker.Add(work, start)
 		local := tracker.Local(start).Entries
 		Expect(local[a.Key()]).To(Equal(load.Entry{
-			Endpoint: a.Key(), Streams: 1, UsedTokens: 700, PrefillBacklog: time.Second, MaxGap: time.Minute,
+			Endpoint: a.Key(), Streams: 1, UsedTokens: 700, PrefillBacklog: time.Second, PrefillLeft: time.Second, MaxGap: time.Minute,
+		}))
+		Expect(local[b.Key()]).To(Equal(load.Entry{
+			Endpoint: b.Key(), UsedTokens: 300, PrefillBacklog: time.Second, PrefillLeft: time.Second,
 		}))
-		Expect(local[b.Key()]).To(Equal(load.Entry{Endpoint: b.Key(), UsedTokens: 300, PrefillBacklog: time.Second}))
 		request.PrefillDone()
 		Expect(tracker.Local(start).Entries[a.Key()].PrefillBacklog).To(BeZero())
 		Expect(tracker.Local(start).Entries[b.Key()]).To(Equal(load.Entry{Endpoint: b.Key(), UsedTokens: 300}))
@@ -52,6 +54,22 @@
 		Expect(backlog(time.Minute)).To(Equal(250 * time.Millisecond))
 	})
 
+	// Guards against an endpoint that has long prefilled its part of a prompt and counts as busy until a slower helper of that
+	// prompt is done. PrefillBacklog counts it, because it is not known which helper is slow.
+	It("estimates the prefill that is left without the parts that are probably done", func() {
+		tracker := load.NewTracker()
+		left := func(after time.Duration) time.Duration {
+			return tracker.Local(start.Add(after)).Entries[b.Key()].PrefillLeft
+		}
+		tracker.Add(work, start)
+		Expect(left(900*time.Millisecond)).To(Equal(300*time.Millisecond), "1 s, and a fifth more for decoding")
+		tracker.Add(work, start.Add(time.Second))
+		Expect(left(1100 * time.Millisecond)).To(Equal(1300 * time.Millisecond))
+		Expect(left(2300 * time.Millisecond)).To(Equal(100 * time.Millisecond))
+		Expect(left(2400 * time.Millisecond)).To(BeZero())
+		Expect(tracker.Local(start.Add(2400 * time.Millisecond)).Entries[b.Key()].PrefillBacklog).To(BeNumerically(">", 0))
+	})
+
 	// Guards against prompts that become late because it is not known when their prefill is due, and against a late prompt
 	// that is preceded by later prompts until its caller disconnects.
 	It("states when the prefill is due: at the objective, and for late prompts at the limit", func() {
