--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -19,6 +19,7 @@
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 // HandlerOptions configures a Handler.
@@ -36,10 +37,11 @@
 	Quarantine *quarantine.Tracker
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
+	// Queue states for which services requests wait in queues while there is no capacity. With ModeOn, requests of higher rank go
+	// first under shortage of slots on plain services too.
+	Queue settings.Mode
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
 	CountsAge func(now time.Time) time.Duration
-	// RanksOnPlain lets requests of higher rank go first under shortage of slots on plain services.
-	RanksOnPlain bool
 	// Domain is the failure domain of this instance.
 	Domain string
 	// MaxCatalogAge is the greatest time since the last confirmation of the catalog at which keys are still accepted. If
@@ -76,6 +78,8 @@
 	unframed unframedServices
 	shutdown shutdown
 	panics   *panics.Recorder
+	// localQueue holds the requests that wait where no scheduler decides.
+	localQueue *scheduler.LocalQueue
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
@@ -90,6 +94,7 @@
 	}
 	h := &Handler{
 		options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now(), panics: options.Panics,
+		localQueue: scheduler.NewLocalQueue(options.Planner, options.Panics),
 	}
 	h.shutdown.init()
 	return h
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -27,12 +27,12 @@
 		Dur("predicted_ms", choice.Predicted).
 		Dur("budget_ms", x.call.Budget).
 		Dur("time_limit_ms", x.profile.TimeLimit).
-		Int("rank", x.rank()).
 		Int("attempt", x.sent+1).
 		Str("after_event", x.events.lastID).
 		Dur("waited_ms", time.Since(x.received)).
 		Str("scheduler", p.schedulerName).
 		Dur("ask_ms", p.schedulerLatency)
+	line = x.queueFields(line)
 	if rate, age, limited := x.handler.options.RateLimiter.Rate(choice.Primary.Key(), time.Now()); limited {
 		x.handler.options.Metrics.PlacedOnLimited()
 		line = line.Float64("max_rate", rate).Dur("max_rate_age_ms", age)
@@ -59,11 +59,10 @@
 
 // logUnplaced logs why no endpoint was chosen.
 func (x *exchange) logUnplaced(refusal *placement.Refusal) {
-	x.handler.options.Log.Info().
+	x.queueFields(x.handler.options.Log.Info()).
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("reason", string(refusal.Reason)).
-		Int("rank", x.rank()).
 		Int64("prompt_tokens", x.call.PromptTokens).
 		Dur("objective_ms", x.objectiveLeft(time.Now())).
 		Dur("predicted_ms", refusal.Predicted).
@@ -175,5 +174,8 @@
 		m.FirstEvent(x.firstEventAt.Sub(x.received))
 		event.Dur("first_ms", x.firstEventAt.Sub(x.received))
 	}
+	if x.longestGap > 0 {
+		event.Dur("longest_gap_ms", x.longestGap)
+	}
 	event.Msg("request_ended")
 }
--- a/internal/entry/rank_test.go
+++ b/internal/entry/rank_test.go
@@ -10,6 +10,7 @@
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 const urgencyHeader = "Acacialift-Request-Urgency"
@@ -54,9 +55,9 @@
 	)
 
 	// Guards against ranks that take effect on a plain service without the mode "on", and against a mode without effect.
-	DescribeTable("decides about the queue of a plain endpoint", func(isOn bool, low int) {
+	DescribeTable("decides about the queue of a plain endpoint", func(mode settings.Mode, low int) {
 		e := newEndpoint(respond(sealedResponse("answer")))
-		r := newRig([]*fakeEndpoint{e}, withPriorities, func(_ *fleet.Catalog, o *entry.HandlerOptions) { o.RanksOnPlain = isOn })
+		r := newRig([]*fakeEndpoint{e}, withPriorities, func(_ *fleet.Catalog, o *entry.HandlerOptions) { o.Queue = mode })
 		endpoint := r.state.Snapshot().Endpoints["pool"][0]
 		// The endpoint has 4 slots and 4 queue places, of which the lowest rank leaves 2 to the higher one.
 		for range 6 {
@@ -66,7 +67,7 @@
 		Expect(r.call("/safe/").status).To(Equal(low))
 		Expect(r.call("/resume/").status).To(Equal(http.StatusOK))
 	},
-		Entry("where the mode is on", true, http.StatusServiceUnavailable),
-		Entry("not where it is off", false, http.StatusOK),
+		Entry("where the mode is on", settings.ModeOn, http.StatusServiceUnavailable),
+		Entry("not where it is by_priority", settings.ModeByPriority, http.StatusOK),
 	)
 })
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -53,18 +53,18 @@
 	dueFraction float64
 }
 
-// newLongPool groups the candidates. It leaves out cold and suspect endpoints, because one slow endpoint delays the first
-// event of the whole prompt. If the prompt exceeds one engine's memory, the endpoints of the short group that have no
+// newLongPool groups the candidates. It leaves out held endpoints, and cold and suspect ones, because one slow endpoint delays
+// the first event of the whole prompt. If the prompt exceeds one engine's memory, the endpoints of the short group that have no
 // streams are added to the long group.
 func newLongPool(e *fleet.Engine, candidates []Candidate, group int, need Need) *longPool {
 	pool := &longPool{engine: e, need: need, exceedsEngine: need.Tokens+need.Output > e.MemoryTokens, dueFraction: dueFraction}
-	if isLargest(e, need) {
+	if mayBeLate(e, need) {
 		pool.dueFraction = largestDueFraction
 	}
 	for i := len(candidates) - 1; i >= 0; i-- {
 		c := candidates[i]
 		switch {
-		case c.Cold || c.Suspect:
+		case c.Cold || c.Suspect || c.Held:
 		case i < group && (!pool.exceedsEngine || c.Streams > 0):
 			pool.shortGroup = append(pool.shortGroup, c)
 		default:
@@ -118,12 +118,17 @@
 // slightly late. Otherwise hardly any of them would be served under high load.
 func maxPredicted(e *fleet.Engine, need Need) time.Duration {
 	fraction := objectiveFraction
-	if isLargest(e, need) {
+	if mayBeLate(e, need) {
 		fraction = largestObjectiveFraction
 	}
 	return time.Duration(fraction * float64(need.Objective))
 }
 
+// mayBeLate reports whether a prompt may be slightly late and delay earlier prompts, because it is among the largest. Prompts of
+// a wait queue may not: it lets the largest ones wait longer instead (waitqueue). With the exception, every prompt would become
+// one of the largest as its remaining time shrinks.
+func mayBeLate(e *fleet.Engine, need Need) bool { return !need.Queued && isLargest(e, need) }
+
 // isLargest reports whether a prompt is among the largest: its prefill on one engine takes more than largestPrefill times
 // the objective.
 func isLargest(e *fleet.Engine, need Need) bool {
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -16,6 +16,8 @@
 	// resumeFactor is the time to the next event of a resumed stream, in objectives. Callers disconnect after four
 	// objectives.
 	resumeFactor = 2
+	// usefulFraction is the fraction of the time limit in which a late first event still has a value.
+	usefulFraction = 0.5
 )
 
 // Timing holds the times of a request.
@@ -44,17 +46,44 @@
 	if t.Resumed {
 		return resumeFactor * t.Objective
 	}
-	used := t.Waited
-	if t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit) {
-		used += t.TimeLimit - t.Budget
-	}
-	remaining := t.Objective - used
+	remaining := t.Objective - Used(t)
 	if float64(remaining) < lateFraction*float64(t.Objective) {
-		return min(max(t.Objective, minLateObjective), maxLateObjective)
+		return LateObjective(t.Objective)
 	}
 	return remaining
 }
 
+// LateObjective returns the target time to the first event of a late request with the given objective.
+func LateObjective(objective time.Duration) time.Duration {
+	return min(max(objective, minLateObjective), maxLateObjective)
+}
+
+// Used returns the time since the caller's first attempt.
+func Used(t Timing) time.Duration {
+	if t.isRetry() {
+		return t.Waited + t.TimeLimit - t.Budget
+	}
+	return t.Waited
+}
+
+// isRetry reports whether the caller has made an attempt before.
+func (t Timing) isRetry() bool {
+	return t.Budget > 0 && float64(t.Budget) < retryFraction*float64(t.TimeLimit)
+}
+
+// UsefulLeft returns the remaining time in which the first event has any value. A caller that returns late gets a moment in any
+// case.
+func UsefulLeft(t Timing) time.Duration {
+	if t.Resumed {
+		return resumeFactor * t.Objective
+	}
+	left := max(t.Objective, time.Duration(usefulFraction*float64(t.TimeLimit))) - Used(t)
+	if t.isRetry() {
+		left = max(left, LateObjective(t.Objective)-t.Waited)
+	}
+	return max(left, 0)
+}
+
 // WaitLimit returns how long a request that was refused for the reason may wait to be placed. Slots may become free at any
 // time. A prefill queue, however, shrinks at most as fast as the remaining objective. A request refused with TooLate or
 // PrefillBusy is therefore rejected at once.
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -47,6 +47,8 @@
 	// Scheduler returns the instance that is the scheduler for a key. It may be this instance. All instances that know the
 	// same members choose the same scheduler. It returns false if the fleet is so small that no scheduler is needed.
 	Scheduler(key uint64, now time.Time) (address string, ok bool)
+	// NextScheduler returns the instance that would be the scheduler for a key if the failed one were not live.
+	NextScheduler(key uint64, failed string, now time.Time) (address string)
 	// IsLive reports whether a message of an instance was received recently.
 	IsLive(address string, now time.Time) bool
 	// Live returns the addresses of the other instances that are live.
@@ -62,7 +64,9 @@
 	Local   *Scheduler
 	Load    *load.Tracker
 	State   *fleet.State
-	Log     zerolog.Logger
+	// HasQueue reports whether requests for a service may wait at its schedulers; if nil, none has a wait queue.
+	HasQueue func(service uint32) bool
+	Log      zerolog.Logger
 	// Panics records panics in the handling of messages; the default only logs them.
 	Panics *panics.Recorder
 }
@@ -73,6 +77,8 @@
 	// failure; zero after a reply.
 	backOffUntil time.Time
 	backOff      time.Duration
+	// Requests that may wait are sent to another instance before notReadyUntil.
+	notReadyUntil time.Time
 }
 
 // Client sends place requests to the schedulers of the shards, and reports this instance's requests to them.
@@ -85,7 +91,9 @@
 	syncedWith map[Shard]string
 	// hadRequests is true for shards whose last list was not empty.
 	hadRequests map[Shard]bool
-	started     time.Time
+	// listUntil is how long the lists of a shard are sent although they are empty.
+	listUntil map[Shard]time.Time
+	started   time.Time
 
 	rejections peer.Rejections
 }
@@ -95,10 +103,13 @@
 	if options.Panics == nil {
 		options.Panics = panics.NewRecorder(options.Log, func() {})
 	}
-	return &Client{
+	c := &Client{
 		options: options, schedulers: make(map[string]*schedulerState), syncedWith: make(map[Shard]string),
-		hadRequests: make(map[Shard]bool), started: time.Now(),
+		hadRequests: make(map[Shard]bool), listUntil: make(map[Shard]time.Time), started: time.Now(),
 	}
+	dispatches := &dispatcher{run: options.Local.Dispatch, panics: options.Panics}
+	options.Local.OnWaiting(dispatches.wake)
+	return c
 }
 
 // PlaceResult is the outcome of a PlaceRequest.
@@ -111,6 +122,13 @@
 	Scheduler string
 	// Latency is the time from the request to the reply.
 	Latency time.Duration
+	// Waiting is true if a request with Terms is still waiting. It leaves the queue unless it is placed again, with the same
+	// number and shard, or once Placement.End is called.
+	Waiting bool
+	// Queues is true if the scheduler has a wait queue, and has considered it.
+	Queues bool
+	// Held is a lower bound of the time from the request to the decision.
+	Held time.Duration
 }
 
 // Enabled reports whether the fleet is large enough to place requests through schedulers.
@@ -122,6 +140,9 @@
 // Place sends a request to the scheduler of a shard. It returns false if there was no usable reply.
 func (c *Client) Place(ctx context.Context, request PlaceRequest) (PlaceResult, bool) {
 	start := time.Now()
+	if request.Terms != nil {
+		return c.placeOrWait(ctx, request, start)
+	}
 	address, ok := c.options.Members.Scheduler(request.Shard.key(), start)
 	if !ok || !c.isAvailable(address, start) {
 		return PlaceResult{}, false
@@ -225,51 +246,6 @@
 	}
 }
 
-// ensureSynced sends the list of this instance's requests on a shard to a scheduler that has not received it yet.
-func (c *Client) ensureSynced(shard Shard, address string) {
-	c.mu.Lock()
-	synced := c.syncedWith[shard] == address
-	c.syncedWith[shard] = address
-	c.mu.Unlock()
-	if !synced {
-		c.sync(shard, address, requestsOn(c.options.Load, shard, time.Now()))
-	}
-}
-
-// requestsOn returns the requests of this instance on a shard.
-func requestsOn(tracker *load.Tracker, shard Shard, now time.Time) []load.RequestState {
-	var requests []load.RequestState
-	for _, r := range tracker.Requests(now) {
-		if r.Work.Primary.Service != "" && shard.Service == serviceKey(r.Work.Primary) && usesShard(shard, &r.Work) {
-			requests = append(requests, r)
-		}
-	}
-	return requests
-}
-
-// usesShard reports whether the work uses an endpoint of the shard.
-func usesShard(shard Shard, w *load.Work) bool {
-	if shard.Contains(w.Primary) {
-		return true
-	}
-	for _, e := range w.Helpers {
-		if shard.Contains(e) {
-			return true
-		}
-	}
-	return false
-}
-
-func serviceKey(e *fleet.Endpoint) uint32 { return (&fleet.Service{Name: e.Service}).Key() }
-
-func (c *Client) sync(shard Shard, address string, requests []load.RequestState) {
-	if address == c.options.Self {
-		c.options.Local.Sync(shard, c.options.Self, requests, time.Now())
-		return
-	}
-	c.send(address, peer.KindPlaceSync, syncMessage(c.options.Self, shard, requests))
-}
-
 func (c *Client) send(address string, kind peer.Kind, body any) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -303,27 +279,27 @@
 // startScheduling deletes the shard, so that the state is created again, and collected, once this instance is the scheduler.
 func (c *Client) startScheduling(ctx context.Context, shard Shard, now time.Time) {
 	c.resign(now)
-	if !c.isScheduler(shard, now) || now.Sub(c.started) < discoveryTime {
+	if !c.isScheduler(shard, now) && !c.options.Local.isStandIn(shard, now) || now.Sub(c.started) < discoveryTime {
 		return
 	}
-	for _, address := range c.options.Members.Live(now) {
-		go c.options.Panics.Recover("message of a peer", func() { c.collect(ctx, shard, address) })
-	}
+	c.collectAll(ctx, shard, now)
 }
 
-// collect requests the list of an instance's requests on a shard and applies it to the local scheduler.
-func (c *Client) collect(ctx context.Context, shard Shard, address string) {
+// collect requests the list of an instance's requests on a shard and applies it to the local scheduler. It returns false if the
+// instance did not reply.
+func (c *Client) collect(ctx context.Context, shard Shard, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	var list peer.PlaceSync
 	err := c.options.Peers.Call(ctx, address, peer.KindPlaceCollect, peer.PlaceCollect{Shard: shard.message()}, &list)
 	if err != nil {
 		c.options.Log.Debug().Str("address", address).Err(err).Msg("placements_not_collected")
-		return
+		return false
 	}
 	logInvalid(c.options.Log, &c.rejections, address, list.RemoveInvalid())
 	requests := requestStatesOf(list.Works, c.options.State.Snapshot().ByKey)
 	c.options.Local.Sync(shard, address, requests, time.Now())
+	return true
 }
 
 // isScheduler reports whether this instance is the scheduler of a shard.
@@ -334,7 +310,7 @@
 
 // resign deletes the shards of the local scheduler whose scheduler is another instance.
 func (c *Client) resign(now time.Time) {
-	c.options.Local.Resign(func(shard Shard) bool { return c.isScheduler(shard, now) })
+	c.options.Local.Resign(func(shard Shard) bool { return c.isScheduler(shard, now) }, now)
 }
 
 func (c *Client) tick(now time.Time) {
@@ -350,35 +326,3 @@
 		}
 	}
 }
-
-// shards returns all shards of the model services.
-func (c *Client) shards() []Shard {
-	snapshot := c.options.State.Snapshot()
-	if snapshot.Catalog == nil {
-		return nil
-	}
-	var all []Shard
-	for name, service := range snapshot.Catalog.Services {
-		count := ShardCount(len(snapshot.Endpoints[name]))
-		if service.Engine == nil {
-			continue
-		}
-		for index := range count {
-			all = append(all, Shard{Service: service.Key(), Index: index, Count: count})
-		}
-	}
-	return all
-}
-
-// syncShard sends the list of this instance's requests to the scheduler of a shard. It does not send an empty list if its
-// previous list of the shard was empty too and that scheduler has already received a list.
-func (c *Client) syncShard(shard Shard, address string, now time.Time) {
-	requests := requestsOn(c.options.Load, shard, now)
-	c.mu.Lock()
-	due := len(requests) > 0 || c.hadRequests[shard] || c.syncedWith[shard] != address
-	c.syncedWith[shard], c.hadRequests[shard] = address, len(requests) > 0
-	c.mu.Unlock()
-	if due {
-		c.sync(shard, address, requests)
-	}
-}
