Take the return times of refusals by an instance from a schedule where the settings ask for it

While keys cannot be checked and this instance reaches more than half of the fleet, the times told lie between a sixth and a third of the caller's remaining time. Refusals of a full plain service and endpoint_refused spread returns where the mode is on.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -18,7 +18,7 @@
 	snapshot, confirmedAt := x.handler.options.State.ConfirmedSnapshot()
 	catalog := snapshot.Catalog
 	if catalog == nil {
-		return refuseUnavailable(outcome.StageAdmission, codeNoCatalog, "no configuration has been loaded yet", unavailableRetryAfter)
+		return refuseUnavailable(outcome.StageAdmission, codeNoCatalog, "no configuration has been loaded yet", x.outageDelay(time.Now()))
 	}
 	x.catalog, x.catalogAge = catalog, clock.Boot()-confirmedAt
 	x.profile = catalog.Match(x.call.Host, x.call.Path)
@@ -53,7 +53,7 @@
 	}
 	maxAge := x.handler.options.MaxCatalogAge
 	if maxAge > 0 && x.catalogAge > maxAge {
-		return refuseUnavailable(outcome.StageAdmission, codeUnconfirmed, "the configuration has not been confirmed recently enough", unavailableRetryAfter)
+		return refuseUnavailable(outcome.StageAdmission, codeUnconfirmed, "the configuration has not been confirmed recently enough", x.outageDelay(time.Now()))
 	}
 	team, known := x.catalog.Teams[x.call.Key]
 	if !known {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/returntimes"
 )
 
 const (
@@ -49,6 +50,8 @@
 	// minBackOff is the shortest remaining back-off among the endpoints that the last placement left out because of it. It is
 	// zero if there were none.
 	minBackOff time.Duration
+	// returns is what is known of the caller's return times.
+	returns returnState
 	// timeLimit is how long the call may take from its arrival.
 	timeLimit time.Duration
 
@@ -135,6 +138,8 @@
 	x.logPlaced(&p)
 	request := x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
 	defer request.End()
+	x.observePlaced(now)
+	defer x.observeWorkEnded(returntimes.Short)
 	reserved, err := x.reserve(ctx, choice.Reservations)
 	if err != nil {
 		return x.handleNotReserved(ctx, choice, err)
@@ -145,13 +150,14 @@
 	r := &relay{x: x, endpoint: primary, reserved: reserved, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
 	r.onEvents = func() {
+		if x.firstEventAt.IsZero() {
+			x.firstEventAt = time.Now()
+		}
 		if request.PrefillDone() {
 			p.schedulerPlacement.PrefillDone()
+			x.observeWorkEnded(returntimes.Long)
 			x.watch.pause()
 		}
-		if x.firstEventAt.IsZero() {
-			x.firstEventAt = time.Now()
-		}
 	}
 	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.reservations), func() error {
 		r.sentAt = time.Now()
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -50,12 +50,15 @@
 			http.StatusBadGateway, outcome.StagePrefill, codeEndpointFailed, "the endpoint failed", x.profile.Retryable(),
 		))
 	default:
-		x.endWithError(refuseUnavailable(outcome.StageConnect, codeEndpointRefused, "no endpoint accepted the request", notRunRetryAfter))
+		x.endWithError(refuseUnavailable(outcome.StageConnect, codeEndpointRefused, "no endpoint accepted the request", x.notRunDelay(time.Now())))
 	}
 }
 
 // endUnplaced ends a call for which no endpoint was chosen.
 func (x *exchange) endUnplaced(ctx context.Context, refusal *placement.Refusal) {
+	if ctx.Err() == nil && !x.mayHaveRun && !x.streamStarted {
+		x.tellReturn(refusal, time.Now())
+	}
 	x.logUnplaced(refusal)
 	switch {
 	case ctx.Err() != nil:
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -19,6 +19,7 @@
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 // HandlerOptions configures a Handler.
@@ -43,6 +44,10 @@
 	// MaxCatalogAge is the greatest time since the last confirmation of the catalog at which keys are still accepted. If
 	// zero, keys are accepted at any age of the catalog.
 	MaxCatalogAge time.Duration
+	// ReturnTimes states for which services the Retry-After of refusals is taken from a schedule.
+	ReturnTimes settings.Mode
+	// HasMajority reports whether this instance reaches more than half of the fleet; if nil, it does not.
+	HasMajority func(now time.Time) bool
 	// MaxBufferedBytes bounds the memory of all buffered responses; zero selects the default.
 	MaxBufferedBytes int64
 	Log              zerolog.Logger
@@ -71,6 +76,8 @@
 	// numbering is what the streams of each service have shown about the numbers of their events.
 	numbering serviceNumbering
 	shutdown  shutdown
+	// returns holds the return times of the refusals that this instance decides.
+	returns returnSchedules
 	panics    *panics.Recorder
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
@@ -88,6 +95,7 @@
 		options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now(), panics: options.Panics,
 	}
 	h.shutdown.init()
+	h.returns.mode, h.returns.metrics = options.ReturnTimes, options.Metrics
 	return h
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -58,7 +58,7 @@
 
 // logUnplaced logs why no endpoint was chosen.
 func (x *exchange) logUnplaced(refusal *placement.Refusal) {
-	x.handler.options.Log.Info().
+	line := x.handler.options.Log.Info().
 		Str("request_id", x.call.ID).
 		Str("profile", x.profile.Name).
 		Str("reason", string(refusal.Reason)).
@@ -72,8 +72,11 @@
 		Str("scheduler", x.refusingScheduler).
 		Float64("number", x.randomRank).
 		Float64("unseen", x.unseen(time.Now())).
-		Dur("counts_age_ms", x.handler.options.CountsAge(time.Now())).
-		Msg("request_not_placed")
+		Dur("counts_age_ms", x.handler.options.CountsAge(time.Now()))
+	if x.returns.schedule != nil {
+		line = line.Dur("told_ms", refusal.RetryAfter).Bool("returning", x.returns.returning)
+	}
+	line.Msg("request_not_placed")
 }
 
 // logAttemptFailed logs a failed attempt and whether it is retried. suspect is the part of the prompt that forbids it; zero if
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -82,6 +82,24 @@
 // is not a stream.
 func (m *Metrics) FirstEvent(latency time.Duration) { m.firstLatency.Update(latency.Milliseconds()) }
 
+// ReturnError implements returntimes.Observer. It records the first moment with capacity less the time told to a refused caller.
+func (m *Metrics) ReturnError(d time.Duration) { m.histogram("return_error_ms").Update(d.Milliseconds()) }
+
+// Returned implements returntimes.Observer. It counts a caller that has returned, and whether it was refused again.
+func (m *Metrics) Returned(late, refusedAgain bool) {
+	if late {
+		m.count("returned_late")
+	} else {
+		m.count("returned_in_time")
+	}
+	if refusedAgain {
+		m.count("refused_again")
+	}
+}
+
+// NotReturned implements returntimes.Observer. It counts a caller that has not returned at the time that it was told.
+func (m *Metrics) NotReturned() { m.count("not_returned") }
+
 // SetGauge sets the value of a gauge.
 func (m *Metrics) SetGauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -43,6 +43,7 @@
 // refusal.
 func (x *exchange) place(ctx context.Context) (attemptPlacement, *placement.Refusal) {
 	x.countArrival()
+	x.beginReturns(time.Now())
 	for {
 		p, refusal := x.tryPlace(ctx, x.objectiveLeft(time.Now()))
 		if refusal == nil {
@@ -150,6 +151,7 @@
 	need := x.need()
 	need.Objective = objective
 	need.RandomRank, need.Unseen = x.randomRank, x.unseen(now)
+	x.leaveRoomForReturns(&need, now)
 	need.PeersUnknown = instances == 0 && now.Sub(x.handler.started) < discoveryTime
 	return x.handler.options.Planner.PlaceModel(e, candidates, need)
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -142,6 +142,8 @@
 		Planner:   placement.Planner{IntN: rand.IntN},
 		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
 		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics, Panics: p.panics,
+		ReturnTimes: s.Scheduling.ReturnTimes,
+		HasMajority: func(now time.Time) bool { return p.sharer.HasMajority(now) },
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
--- /dev/null
+++ b/internal/placement/leaveroom.go
@@ -0,0 +1,12 @@
+package placement
+
+// LeaveRoom makes a request leave room for a number of other short prompts: it is placed only if there is capacity for them as
+// well. This adds to the room that it leaves for requests of peer instances.
+func (n *Need) LeaveRoom(requests float64) {
+	if requests <= 0 {
+		return
+	}
+	left := n.RandomRank*n.Unseen + requests
+	n.Unseen += requests
+	n.RandomRank = left / n.Unseen
+}
