--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -52,6 +52,7 @@
 	minBackOff time.Duration
 	// returns is what is known of the caller's return times.
 	returns returnState
+	waiting    waiting
 	// timeLimit is how long the call may take from its arrival.
 	timeLimit time.Duration
 
@@ -77,6 +78,9 @@
 	streamStarted bool
 	// firstEventAt is the time of the first event of a stream, or of the end of a response that is not a stream.
 	firstEventAt time.Time
+	// lastEventAt is the time of the last event of a stream, and longestGap the longest time between two of them.
+	lastEventAt time.Time
+	longestGap  time.Duration
 }
 
 // run admits the call and makes attempts until one succeeds or no further attempt is allowed.
@@ -129,6 +133,9 @@
 		return false
 	}
 	defer p.schedulerPlacement.End()
+	if p.tracked != nil {
+		defer p.tracked.End()
+	}
 	now := time.Now()
 	choice, primary := p.Choice, p.Primary
 	if !x.takeColdStart(&p, now) {
@@ -136,8 +143,14 @@
 		return true
 	}
 	x.logPlaced(&p)
-	request := x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
-	defer request.End()
+	request := p.tracked
+	if request == nil {
+		request = x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
+	}
+	defer func() {
+		request.End()
+		x.handler.localQueue.Wake()
+	}()
 	x.observePlaced(now)
 	defer x.observeWorkEnded(returntimes.Short)
 	reserved, err := x.reserve(ctx, choice.Reservations)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -37,6 +37,8 @@
 	Quarantine *quarantine.Tracker
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
+	// Queue states for which services requests wait in queues while there is no capacity.
+	Queue settings.Mode
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
 	CountsAge func(now time.Time) time.Duration
 	// Domain is the failure domain of this instance.
@@ -79,6 +81,8 @@
 	// returns holds the return times of the refusals that this instance decides.
 	returns returnSchedules
 	panics    *panics.Recorder
+	// localQueue holds the requests that wait where no scheduler decides.
+	localQueue *scheduler.LocalQueue
 	// started is the time at which the instance began to discover its peers.
 	started time.Time
 }
@@ -93,6 +97,7 @@
 	}
 	h := &Handler{
 		options: options, responseMemory: budget.New(options.MaxBufferedBytes), started: time.Now(), panics: options.Panics,
+		localQueue: scheduler.NewLocalQueue(options.Planner, options.Panics),
 	}
 	h.shutdown.init()
 	h.returns.mode, h.returns.metrics = options.ReturnTimes, options.Metrics
