Tell return times at the scheduler of the shard that the caller's prompt selects

The scheduler of that shard assigns the time, and recognises the caller when it comes back. Callers that keep to their time precede newcomers in the queue of the shard, or without a queue have room left for them, up to a quarter of the turnover.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -52,7 +52,7 @@
 	minBackOff time.Duration
 	// returns is what is known of the caller's return times.
 	returns returnState
-	waiting    waiting
+	waiting waiting
 	// timeLimit is how long the call may take from its arrival.
 	timeLimit time.Duration
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -80,7 +80,7 @@
 	shutdown  shutdown
 	// returns holds the return times of the refusals that this instance decides.
 	returns returnSchedules
-	panics    *panics.Recorder
+	panics  *panics.Recorder
 	// localQueue holds the requests that wait where no scheduler decides.
 	localQueue *scheduler.LocalQueue
 	// started is the time at which the instance began to discover its peers.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -86,7 +86,9 @@
 func (m *Metrics) FirstEvent(latency time.Duration) { m.firstLatency.Update(latency.Milliseconds()) }
 
 // ReturnError implements returntimes.Observer. It records the first moment with capacity less the time told to a refused caller.
-func (m *Metrics) ReturnError(d time.Duration) { m.histogram("return_error_ms").Update(d.Milliseconds()) }
+func (m *Metrics) ReturnError(d time.Duration) {
+	m.histogram("return_error_ms").Update(d.Milliseconds())
+}
 
 // Returned implements returntimes.Observer. It counts a caller that has returned, and whether it was refused again.
 func (m *Metrics) Returned(late, refusedAgain bool) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -113,13 +113,16 @@
 ) (attemptPlacement, *placement.Refusal, bool) {
 	options := x.handler.options
 	request := scheduler.PlaceRequest{
-		Need: x.need(), Limit: x.timeLimit - time.Since(x.received), Avoid: x.excluded(time.Now()),
+		Need: x.need(), Limit: x.timeLimit - time.Since(x.received), Avoid: x.excluded(time.Now()), Returns: x.returnTerms(),
 	}
 	request.Need.Objective = objective
 	request.Suspects = options.Health.Suspects(time.Now())
 	request.Full = slices.Collect(maps.Keys(options.RateLimiter.Full(time.Now())))
 	count := scheduler.ShardCount(len(options.State.Snapshot().Endpoints[x.service.Name]))
 	first := options.Planner.IntN(int(count))
+	if request.Returns != nil {
+		first = x.firstShard(count)
+	}
 	var refusal *placement.Refusal
 	for i := range min(int(count), maxShardsTried) {
 		request.Number = options.Load.NextNumber()
@@ -131,6 +134,7 @@
 		case result.Refusal != nil:
 			refusal = result.Refusal
 			x.refusingScheduler = result.Scheduler
+			x.observeTold(refusal, time.Now())
 		default:
 			return attemptPlacement{
 				Choice: result.Choice, number: request.Number, schedulerPlacement: result.Placement,
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -159,6 +159,7 @@
 			return p.sharer.HasMajority(now)
 		}),
 		State: options.State, IsSuspect: healthTracker.IsSuspect, Planner: handlerOptions.Planner,
+		Returns: returnOptions(s.Scheduling.ReturnTimes, p.metrics),
 	})
 	if memory := memoryBytes(s); memory > 0 {
 		handlerOptions.MaxBufferedBytes = min(memory/responseMemoryDivisor, defaultBufferedBytes)
--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -8,6 +8,7 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/returntimes"
+	"github.com/acacialift/acacialift/internal/scheduler"
 	"github.com/acacialift/acacialift/internal/settings"
 )
 
@@ -21,6 +22,14 @@
 	byService map[string]*returntimes.Schedule
 }
 
+// returnOptions configures the return times of the shards for which this instance is the scheduler.
+func returnOptions(mode settings.Mode, m *Metrics) scheduler.ReturnOptions {
+	return scheduler.ReturnOptions{
+		Enabled: func(catalog *fleet.Catalog, service string) bool { return mode.Enabled(catalog.IsRanked(service)) },
+		Options: returntimes.Options{Random: rand.Float64, Observer: m},
+	}
+}
+
 // enabledFor reports whether return times are enabled for a service.
 func (r *returnSchedules) enabledFor(catalog *fleet.Catalog, service string) bool {
 	return r.mode.Enabled(catalog.IsRanked(service))
@@ -64,10 +73,14 @@
 	rank     int
 	// returning is true if the caller keeps to the time that it was told, and precedes if it also goes before newcomers.
 	returning, precedes bool
-	// told is the return time that a scheduler has assigned; zero if none did.
-	told time.Duration
+	// toldFor is the time at which a scheduler expects the caller; zero if none does.
+	toldFor time.Time
 }
 
+// minReturn is the least delay that is left of a return time which a scheduler has assigned. The request may have waited at another
+// scheduler since then.
+const minReturn = 50 * time.Millisecond
+
 // beginReturns looks for the caller's place in the schedule of this instance.
 func (x *exchange) beginReturns(now time.Time) {
 	h := x.handler
@@ -78,9 +91,6 @@
 	x.returns = returnState{schedule: s, work: x.returnWork(), rank: x.catalog.Rank(x.service.Name, x.profile, x.team)}
 	x.returns.returning = s.Arrived(uint64(x.call.Prompt.Own), now)
 	x.returns.precedes = x.returns.returning && s.MayPrecede(x.returns.work, now)
-	if !x.returns.returning {
-		s.ObserveArrival(x.returns.work, now)
-	}
 }
 
 // returnWork returns what the call needs of the capacity of its service.
@@ -92,14 +102,31 @@
 	return returntimes.Work{Class: returntimes.Long, EngineTime: e.PrefillTime(x.call.PromptTokens)}
 }
 
-// leaveRoomForReturns makes a newcomer with a short prompt leave room for the callers that are due.
+// leaveRoomForReturns makes a newcomer with a short prompt leave room for the callers that are due. In a queue they precede it
+// anyway.
 func (x *exchange) leaveRoomForReturns(need *placement.Need, now time.Time) {
 	r := &x.returns
-	if r.schedule != nil && r.work.Class == returntimes.Short && !r.precedes {
+	if r.schedule != nil && r.work.Class == returntimes.Short && !r.precedes && !x.mayWait() {
 		need.LeaveRoom(r.schedule.Due(r.rank, now))
 	}
 }
 
+// returnTerms returns how the caller is known to the schedulers; nil if there are no return times for the service.
+func (x *exchange) returnTerms() *scheduler.ReturnTerms {
+	if x.returns.schedule == nil {
+		return nil
+	}
+	return &scheduler.ReturnTerms{Prompt: uint64(x.call.Prompt.Own), Rank: x.returns.rank}
+}
+
+// observeTold records what a scheduler's refusal says of return times.
+func (x *exchange) observeTold(refusal *placement.Refusal, now time.Time) {
+	x.returns.returning = x.returns.returning || refusal.Returning
+	if refusal.Told {
+		x.returns.toldFor = now.Add(refusal.RetryAfter)
+	}
+}
+
 // observePlaced records that the call was placed.
 func (x *exchange) observePlaced(now time.Time) {
 	if x.returns.schedule != nil {
@@ -124,12 +151,12 @@
 		return
 	}
 	r.schedule.ObserveRefused(r.work, now)
-	if r.told > 0 {
-		refusal.RetryAfter = r.told
+	if left := r.toldFor.Sub(now); !r.toldFor.IsZero() && left >= minReturn {
+		refusal.RetryAfter = left
 		return
 	}
 	refusal.RetryAfter = r.schedule.Assign(returntimes.Return{
-		Prompt: uint64(x.call.Prompt.Own), Rank: r.rank, First: x.received, Work: r.work,
+		Caller: returntimes.Caller{Prompt: uint64(x.call.Prompt.Own), Rank: r.rank, First: x.received}, Work: r.work,
 		Earliest: refusal.RetryAfter, Latest: returntimes.Latest(x.remaining(now)),
 	}, now)
 }
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -145,6 +145,7 @@
 		case result.Refusal != nil:
 			x.refusingScheduler = result.Scheduler
 			x.observeDisplacement(result.Refusal)
+			x.observeTold(result.Refusal, time.Now())
 			return attemptPlacement{}, result.Refusal, decided
 		default:
 			return attemptPlacement{
@@ -171,7 +172,7 @@
 func (x *exchange) terms(now time.Time) *scheduler.WaitTerms {
 	timing := x.timing(now)
 	t := &scheduler.WaitTerms{
-		Rank: x.rank(), Prompt: uint64(x.call.Prompt.Own), Used: placement.Used(timing),
+		Rank: x.rank(), Prompt: uint64(x.call.Prompt.Own), Returning: x.returns.precedes, Used: placement.Used(timing),
 		Useful: placement.UsefulLeft(timing), Hold: x.holdTime(now),
 	}
 	if x.team.Name != "" {
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -49,7 +49,7 @@
 
 // PlaceRequestExtension states how a request may wait at the scheduler for capacity.
 type PlaceRequestExtension struct {
-	// Waits is true if the request may wait. Without it no other field has a meaning.
+	// Waits is true if the request may wait. Without it only Rank and Prompt have a meaning, and only with HasReturns.
 	Waits bool `msgpack:"waits,omitempty"`
 	// Rank is the urgency of the request; 0 is the highest.
 	Rank int64 `msgpack:"rank,omitempty"`
@@ -67,6 +67,8 @@
 	HoldMS int64 `msgpack:"hold,omitempty"`
 	// Failed is the address of the scheduler that did not reply, if the receiver is asked in its place.
 	Failed string `msgpack:"failed,omitempty"`
+	// HasReturns is true for a request that may not wait, but whose refusal is to state a return time.
+	HasReturns bool `msgpack:"returns,omitempty"`
 }
 
 // Extended implements Extended.
@@ -99,7 +101,7 @@
 	Extension PlaceReplyExtension `msgpack:"-"`
 }
 
-// PlaceReplyExtension is the part of a reply that concerns waiting.
+// PlaceReplyExtension is the part of a reply that concerns waiting and return times.
 type PlaceReplyExtension struct {
 	// Queues is true if the scheduler has a wait queue. An earlier version refuses what it cannot place now.
 	Queues bool `msgpack:"queues,omitempty"`
@@ -107,6 +109,10 @@
 	Waiting bool `msgpack:"waiting,omitempty"`
 	// HeldUS is the time from the receipt of the request to the decision, in microseconds.
 	HeldUS int64 `msgpack:"held,omitempty"`
+	// Told is true if the scheduler expects the caller after RetryAfterMS. Returning is true if the caller has kept to a time that
+	// it was told before.
+	Told      bool `msgpack:"told,omitempty"`
+	Returning bool `msgpack:"returning,omitempty"`
 }
 
 // Extended implements Extended.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -125,6 +125,8 @@
 	Predicted time.Duration
 	// Candidates is the number of endpoints that were considered.
 	Candidates int
+	// Told is true if a scheduler expects the caller after RetryAfter. Returning is true if the caller has kept to such a time.
+	Told, Returning bool
 }
 
 // IsShort reports whether a prompt may be prefilled on endpoints with short streams.
--- a/internal/returntimes/capacity.go
+++ b/internal/returntimes/capacity.go
@@ -27,16 +27,11 @@
 	return r.value * math.Exp(-float64(at-r.at)/float64(averagingTime))
 }
 
-// ObserveArrival counts the arrival of a newcomer.
-func (s *Schedule) ObserveArrival(w Work, now time.Time) { s.observe(&s.arrived, w, now) }
-
 // ObserveEnd counts a request whose work on the shard has ended.
-func (s *Schedule) ObserveEnd(w Work, now time.Time) { s.observe(&s.ended, w, now) }
-
-func (s *Schedule) observe(rates *[classCount]rate, w Work, now time.Time) {
+func (s *Schedule) ObserveEnd(w Work, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rates[w.Class].add(w.cost(), s.advance(now))
+	s.ended[w.Class].add(w.cost(), s.advance(now))
 }
 
 // MayPrecede reports whether a returning caller may go before newcomers of its rank, and counts it. Returning callers use at
--- a/internal/returntimes/measure.go
+++ b/internal/returntimes/measure.go
@@ -7,18 +7,20 @@
 	placed, refused int
 }
 
-// ObservePlaced records that a request was placed. prompt identifies a returning caller.
+// ObservePlaced records that a request was placed. prompt identifies a returning caller; a newcomer counts as an arrival. A caller
+// that is still expected, because it was refused before while it waited or has not kept to its time, is expected no more.
 func (s *Schedule) ObservePlaced(w Work, prompt uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.advance(now)
 	s.shortage[w.Class].placed++
-	if prompt == 0 {
-		return
-	}
-	if p, _ := s.find(prompt, at); p != nil && p.state != expected {
+	if p, _ := s.find(prompt, at); prompt != 0 && p != nil && p.state != expected {
 		p.outcome = placed
 		s.measure(p, at)
+		return
+	}
+	if s.release(prompt) == hasNoPlace {
+		s.arrived[w.Class].add(w.cost(), at)
 	}
 }
 
--- a/internal/returntimes/places.go
+++ b/internal/returntimes/places.go
@@ -103,12 +103,11 @@
 // maxRank is the lowest rank that is distinguished.
 const maxRank = 9
 
-// release removes the place of a caller that has not returned yet and is refused again, for example because it is placed
-// repeatedly while it waits. A caller thus never has two places. It returns true if the caller has returned at the time that it
-// was told.
-func (s *Schedule) release(prompt uint64) bool {
+// release removes the place of a caller that has not returned yet and is refused or placed, for example because it is placed
+// repeatedly while it waits. A caller thus never has two places. It returns what was known of the caller.
+func (s *Schedule) release(prompt uint64) previousPlace {
 	if prompt == 0 {
-		return false
+		return hasNoPlace
 	}
 	for number := s.current - pastBuckets; number < s.current-pastBuckets+bucketCount; number++ {
 		b := s.bucket(number)
@@ -120,17 +119,29 @@
 			}
 			if p.state != expected {
 				p.outcome = refusedAgain
-				return true
+				return hasReturned
 			}
 			s.empty(p, number)
 			*link = p.next
 			s.places.put(i)
-			return false
+			return isExpected
 		}
 	}
-	return false
+	return hasNoPlace
 }
 
+// previousPlace is what is known of a caller from an earlier refusal.
+type previousPlace uint8
+
+const (
+	// hasNoPlace means that the caller is a newcomer.
+	hasNoPlace previousPlace = iota
+	// isExpected means that it has not returned yet.
+	isExpected
+	// hasReturned means that it has.
+	hasReturned
+)
+
 // empty subtracts the cost of a place from its buckets.
 func (s *Schedule) empty(p *place, at int64) {
 	rest := float64(p.cost)
--- a/internal/returntimes/properties_test.go
+++ b/internal/returntimes/properties_test.go
@@ -27,8 +27,7 @@
 
 func (m *scheduleModel) assign(t *rapid.T) {
 	r := Return{
-		Prompt:   rapid.Uint64Range(0, 40).Draw(t, "prompt"),
-		Rank:     rapid.IntRange(0, 12).Draw(t, "rank"),
+		Caller:   Caller{Prompt: rapid.Uint64Range(0, 40).Draw(t, "prompt"), Rank: rapid.IntRange(0, 12).Draw(t, "rank")},
 		Work:     drawWork(t),
 		Earliest: time.Duration(rapid.Int64Range(0, int64(6*time.Second)).Draw(t, "earliest")),
 		Latest:   time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "latest")),
@@ -104,7 +103,7 @@
 	w, repeats := drawWork(t), rapid.IntRange(1, 60).Draw(t, "repeats")
 	for range repeats {
 		if rapid.Bool().Draw(t, "arrival") {
-			m.schedule.ObserveArrival(w, m.now)
+			m.schedule.ObservePlaced(w, 0, m.now)
 		} else {
 			m.schedule.ObserveEnd(w, m.now)
 		}
--- a/internal/returntimes/returntimes_test.go
+++ b/internal/returntimes/returntimes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 }
 
 func shortReturn(prompt uint64, earliest, latest time.Duration) Return {
-	return Return{Prompt: prompt, Work: Work{Class: Short}, Earliest: earliest, Latest: latest}
+	return Return{Caller: Caller{Prompt: prompt}, Work: Work{Class: Short}, Earliest: earliest, Latest: latest}
 }
 
 var _ = Describe("the schedule", func() {
@@ -64,7 +65,7 @@
 		perBucket := make(map[time.Duration]int)
 		for prompt := range uint64(100) {
 			delay := s.Assign(shortReturn(prompt+1, 200*time.Millisecond, 3*time.Second), now)
-			perBucket[(now.Add(delay).Sub(s.epoch))/bucketWidth]++
+			perBucket[now.Add(delay).Sub(s.epoch)/bucketWidth]++
 		}
 		for bucket, callers := range perBucket {
 			Expect(callers).To(BeNumerically("<=", 6), "bucket %d", bucket)
@@ -99,21 +100,26 @@
 	It("tells the earliest useful time to a caller that cannot follow it, and does not count that caller", func() {
 		s, now, o := newSchedule(200, 200)
 		Expect(s.Assign(shortReturn(1, 2*time.Second, time.Second), now)).To(Equal(2 * time.Second))
-		s.ObserveArrival(Work{}, now.Add(20*time.Second))
+		s.ObserveRefused(Work{}, now.Add(20*time.Second))
 		Expect(o.lost).To(Equal(0))
 	})
 
 	// Guards against lower ranks, or later arrivals, with the earlier of two free times.
-	It("gives earlier times to higher ranks, and within a rank to earlier arrivals", func() {
+	It("orders callers by rank, then by their first arrival", func() {
+		callers := []Caller{
+			{Prompt: 1, Rank: 2, First: start},
+			{Prompt: 2, Rank: 0, First: start.Add(time.Second)},
+			{Prompt: 4, Rank: 0, First: start},
+			{Prompt: 3, Rank: 0, First: start},
+		}
+		slices.SortFunc(callers, Compare)
 		s, now, _ := newSchedule(40, 40)
-		returns := []Return{
-			{Prompt: 1, Rank: 2, First: start, Work: Work{Class: Short}},
-			{Prompt: 2, Rank: 0, First: start.Add(time.Second), Work: Work{Class: Short}},
-			{Prompt: 3, Rank: 0, First: start, Work: Work{Class: Short}},
+		var delays []time.Duration
+		for i, prompt := range []uint64{3, 4, 2, 1} {
+			Expect(callers[i].Prompt).To(Equal(prompt))
+			delays = append(delays, s.Assign(Return{Caller: callers[i], Work: Work{Class: Short}}, now))
 		}
-		delays := s.AssignAll(returns, now)
-		Expect(delays[2]).To(BeNumerically("<", delays[1]))
-		Expect(delays[1]).To(BeNumerically("<", delays[0]))
+		Expect(slices.IsSorted(delays)).To(BeTrue())
 	})
 
 	// Guards against long prompts that are told to return before the engine time that they need is free: 20 s per second are
@@ -124,12 +130,12 @@
 		for range 3000 {
 			now = now.Add(time.Millisecond)
 			s.ObserveEnd(Work{Class: Long, EngineTime: 80 * time.Millisecond}, now)
-			s.ObserveArrival(Work{Class: Long, EngineTime: 80 * time.Millisecond}, now)
+			s.ObservePlaced(Work{Class: Long, EngineTime: 80 * time.Millisecond}, 0, now)
 		}
 		work := Work{Class: Long, EngineTime: 4 * time.Second}
 		var delays []time.Duration
 		for prompt := range uint64(3) {
-			delays = append(delays, s.Assign(Return{Prompt: prompt + 1, Work: work, Latest: 5 * time.Second}, now))
+			delays = append(delays, s.Assign(Return{Caller: Caller{Prompt: prompt + 1}, Work: work, Latest: 5 * time.Second}, now))
 		}
 		for i, delay := range delays {
 			Expect(delay).To(BeNumerically("~", time.Duration(i+1)*200*time.Millisecond, 110*time.Millisecond), "prompt %d", i)
@@ -154,7 +160,7 @@
 		s, now, o := newSchedule(200, 200)
 		told := s.Assign(shortReturn(7, time.Second, 3*time.Second), now)
 		Expect(s.Arrived(7, now.Add(told+lateTolerance+time.Millisecond))).To(BeFalse())
-		s.ObserveArrival(Work{}, now.Add(20*time.Second))
+		s.ObserveRefused(Work{}, now.Add(20*time.Second))
 		Expect(*o).To(Equal(observed{late: 1}))
 	})
 
@@ -163,7 +169,7 @@
 		s, now, o := newSchedule(200, 200)
 		told := s.Assign(shortReturn(7, 0, time.Second), now)
 		later := now.Add(told + 2*time.Second)
-		s.ObserveArrival(Work{}, later)
+		s.ObserveRefused(Work{}, later)
 		Expect(o.lost).To(Equal(1))
 		Expect(s.Arrived(7, later)).To(BeFalse())
 	})
@@ -179,10 +185,19 @@
 			load += s.buckets[i].load[Short]
 		}
 		Expect(load).To(BeNumerically("~", 1, 1e-6))
-		s.ObserveArrival(Work{}, now.Add(20*time.Second))
+		s.ObserveRefused(Work{}, now.Add(20*time.Second))
 		Expect(o.lost).To(Equal(1))
 	})
 
+	// Guards against places of callers that are placed without returning, for example by another attempt while they wait.
+	It("releases the place of a caller that is placed", func() {
+		s, now, o := newSchedule(200, 200)
+		s.Assign(shortReturn(7, time.Second, 3*time.Second), now)
+		s.ObservePlaced(Work{Class: Short}, 7, now.Add(25*time.Millisecond))
+		s.ObserveRefused(Work{}, now.Add(20*time.Second))
+		Expect(*o).To(Equal(observed{}))
+	})
+
 	// Guards against a caller that counts as coming although it does not return after its second refusal.
 	It("does not expect a caller after its second refusal", func() {
 		s, now, o := newSchedule(200, 200)
@@ -190,7 +205,7 @@
 		back := now.Add(told)
 		Expect(s.Arrived(7, back)).To(BeTrue())
 		s.Assign(shortReturn(7, 0, time.Second), back)
-		s.ObserveArrival(Work{}, back.Add(20*time.Second))
+		s.ObserveRefused(Work{}, back.Add(20*time.Second))
 		Expect(*o).To(Equal(observed{again: 1}))
 	})
 
@@ -212,7 +227,7 @@
 	// of a lower rank or for more than a quarter of the turnover.
 	It("keep room free around their time", func() {
 		s, now, _ := newSchedule(200, 200)
-		told := s.Assign(Return{Prompt: 1, Rank: 1, Earliest: time.Second, Work: Work{Class: Short}}, now)
+		told := s.Assign(Return{Caller: Caller{Prompt: 1, Rank: 1}, Earliest: time.Second, Work: Work{Class: Short}}, now)
 		Expect(s.Due(1, now)).To(BeZero())
 		at := now.Add(told)
 		for now.Before(at) {
@@ -222,7 +237,7 @@
 		Expect(s.Due(1, at)).To(Equal(1.0))
 		Expect(s.Due(0, at)).To(BeZero())
 		for prompt := range uint64(100) {
-			s.Assign(Return{Prompt: prompt + 2, Earliest: 0, Latest: time.Millisecond, Work: Work{Class: Short}}, at)
+			s.Assign(Return{Caller: Caller{Prompt: prompt + 2}, Earliest: 0, Latest: time.Millisecond, Work: Work{Class: Short}}, at)
 		}
 		Expect(s.Due(1, at)).To(BeNumerically("~", 5, 0.2))
 		Expect(s.Arrived(1, at)).To(BeTrue())
@@ -253,7 +268,7 @@
 		s.Arrived(7, back)
 		s.ObservePlaced(Work{Class: Short}, 7, back)
 		Expect(o.errors).To(Equal([]time.Duration{10 * time.Millisecond}))
-		s.ObserveArrival(Work{}, back.Add(20*time.Second))
+		s.ObserveRefused(Work{}, back.Add(20*time.Second))
 		Expect(o.inTime).To(Equal(1))
 	})
 })
--- a/internal/returntimes/schedule.go
+++ b/internal/returntimes/schedule.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
@@ -55,15 +54,26 @@
 	return max(w.EngineTime.Seconds(), 0)
 }
 
-// Return is a refused request.
-type Return struct {
+// Caller is the caller of a refused request.
+type Caller struct {
 	// Prompt is the hash of the caller's own part of the prompt, by which it is recognised; zero if there is none.
 	Prompt uint64
-	// Rank orders requests that are assigned together; 0 is the highest.
+	// Rank is the rank of the request; 0 is the highest.
 	Rank int
-	// First is the time of the request's first arrival. It orders requests of a rank that are assigned together.
+	// First is the time of the request's first arrival.
 	First time.Time
-	Work  Work
+}
+
+// Compare orders callers that are refused together, so that the first one gets the earlier of two free times: by rank, then by the
+// first arrival. Prompts make the order unique.
+func Compare(a, b Caller) int {
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.First.Compare(b.First), cmp.Compare(a.Prompt, b.Prompt))
+}
+
+// Return is a refused request.
+type Return struct {
+	Caller
+	Work Work
 	// Earliest is the earliest useful delay, the refusal's own estimate. Latest is the longest one that the caller follows; zero
 	// if it is not known.
 	Earliest, Latest time.Duration
@@ -127,36 +137,19 @@
 // Assign returns the delay after which a refused caller is to return, and counts the caller as coming. The delay is at least
 // Earliest. If it is also at most Latest, it is the end of the time in which the request's cost becomes available. If not
 // enough capacity is expected by then, it is the time with the most room in the range. A caller that would not follow any
-// useful delay is told the earliest one and not counted.
+// useful delay is told the earliest one and not counted. A refused newcomer also counts as an arrival.
 func (s *Schedule) Assign(r Return, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.assign(&r, s.advance(now))
 }
 
-// AssignAll is Assign for several requests. Of two free times, the request of higher rank gets the earlier one; within a rank,
-// the one that arrived first does. The delays are in the order of the requests.
-func (s *Schedule) AssignAll(returns []Return, now time.Time) []time.Duration {
-	order := make([]int, len(returns))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		x, y := &returns[a], &returns[b]
-		return cmp.Or(cmp.Compare(x.Rank, y.Rank), x.First.Compare(y.First), cmp.Compare(x.Prompt, y.Prompt))
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	at := s.advance(now)
-	delays := make([]time.Duration, len(returns))
-	for _, i := range order {
-		delays[i] = s.assign(&returns[i], at)
-	}
-	return delays
-}
-
 func (s *Schedule) assign(r *Return, now time.Duration) time.Duration {
-	final := s.release(r.Prompt) || r.Final
+	previous := s.release(r.Prompt)
+	final := previous == hasReturned || r.Final
+	if previous == hasNoPlace && !final {
+		s.arrived[r.Work.Class].add(r.Work.cost(), now)
+	}
 	earliest := min(max(r.Earliest, 0), Horizon)
 	latest := r.Latest
 	if latest == 0 {
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -23,9 +23,20 @@
 			HoldMS: t.Hold.Milliseconds(), Failed: t.Failed,
 		}
 	}
+	if r := request.Returns; r != nil && request.Terms == nil {
+		message.Extension = peer.PlaceRequestExtension{Rank: int64(r.Rank), Prompt: r.Prompt, HasReturns: true}
+	}
 	return message
 }
 
+// returnTermsOf returns the return terms of a message; nil if it has none.
+func returnTermsOf(m *peer.PlaceRequestExtension) *ReturnTerms {
+	if !m.HasReturns {
+		return nil
+	}
+	return &ReturnTerms{Prompt: m.Prompt, Rank: int(m.Rank)}
+}
+
 // termsOf returns the terms of a message; nil if its request may not wait.
 func termsOf(m *peer.PlaceRequestExtension) *WaitTerms {
 	if !m.Waits {
@@ -47,7 +58,7 @@
 		Need: placement.Need{
 			Tokens: m.Tokens, Output: m.Output, Objective: milliseconds(m.ObjectiveMS), MaxGap: milliseconds(m.MaxGapMS),
 		},
-		Terms: termsOf(&m.Extension),
+		Terms: termsOf(&m.Extension), Returns: returnTermsOf(&m.Extension),
 	}, ok
 }
 
@@ -60,6 +71,7 @@
 		return peer.PlaceReply{
 			Reason: string(refusal.Reason), RetryAfterMS: refusal.RetryAfter.Milliseconds(),
 			PredictedUS: refusal.Predicted.Microseconds(), Candidates: refusal.Candidates,
+			Extension: peer.PlaceReplyExtension{Told: refusal.Told, Returning: refusal.Returning},
 		}
 	}
 	reply := peer.PlaceReply{
@@ -82,7 +94,8 @@
 	default:
 		reply = replyMessage(o.Choice, o.Refusal)
 	}
-	reply.Extension = peer.PlaceReplyExtension{Queues: true, Waiting: o.Waiting, HeldUS: min(o.Held, peer.MaxHold).Microseconds()}
+	x := &reply.Extension
+	x.Queues, x.Waiting, x.HeldUS = true, o.Waiting, min(o.Held, peer.MaxHold).Microseconds()
 	return &reply
 }
 
@@ -98,6 +111,7 @@
 	return &placement.Refusal{
 		Reason: placement.Reason(m.Reason), RetryAfter: milliseconds(m.RetryAfterMS),
 		Predicted: microseconds(m.PredictedUS), Candidates: m.Candidates,
+		Told: m.Extension.Told, Returning: m.Extension.Returning,
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/returntimes"
 )
 
 const (
@@ -43,6 +44,8 @@
 	Full []uint32
 	// Terms states how the request may wait; nil if it may not.
 	Terms *WaitTerms
+	// Returns identifies the caller if there are no Terms; nil if its service has no return times.
+	Returns *ReturnTerms
 }
 
 // requestKey identifies a request of an instance.
@@ -56,6 +59,8 @@
 	request   *load.Request
 	placedAt  time.Time
 	expiresAt time.Time
+	// work is what the schedule of return times counts.
+	work returntimes.Work
 }
 
 // shardState is the load of one shard, as its scheduler has counted it.
@@ -64,6 +69,8 @@
 	requests map[requestKey]*placedRequest
 	// list holds the requests that wait for capacity of the shard.
 	list *waitList
+	// returns is the schedule of return times; nil if the service has none.
+	returns *returntimes.Schedule
 	// isComplete is true once all live instances have listed their requests, which ends the warm-up.
 	isComplete bool
 	// standInFor is the scheduler in whose place this instance was asked, last at standInTime before standInUntil.
@@ -81,6 +88,7 @@
 	// ColdLimiter bounds the requests to endpoints in cold start.
 	ColdLimiter *limit.FleetColdLimiter
 	Planner     placement.Planner
+	Returns     ReturnOptions
 }
 
 // Scheduler tracks the load of the shards for which this instance is the scheduler, and places requests there. It does no
@@ -120,6 +128,8 @@
 	}
 	state.expire(now)
 	request.Need.ExactCounts = true
+	returns := s.beginReturn(v, state, &request, now)
+	returns.leaveRoom(&request.Need, now)
 	v.totals, _ = state.tracker.Totals(now)
 	choice, refusal := s.options.Planner.PlaceModel(v.service.Engine, s.candidates(v, &request, now, true), request.Need)
 	switch {
@@ -131,6 +141,9 @@
 		state.add(
 			requestKey{from: request.From, number: request.Number}, choice.Work(request.Need, request.Limit), now, request.Limit,
 		)
+		returns.observePlaced(now)
+	default:
+		returns.tell(refusal, request.Limit, now)
 	}
 	return choice, refusal, true
 }
@@ -193,7 +206,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.find(shard, from, number); p != nil {
-		p.request.PrefillDone()
+		s.shards[shard].prefillDone(p)
 		s.wakeIfWaiting(s.shards[shard])
 	}
 }
@@ -300,7 +313,7 @@
 	st.remove(key)
 	p := &placedRequest{
 		request: st.tracker.AddNumbered(key.number, work, placedAt), placedAt: placedAt,
-		expiresAt: placedAt.Add(limit + expiryMargin),
+		expiresAt: placedAt.Add(limit + expiryMargin), work: placedWork(&work),
 	}
 	st.requests[key] = p
 	return p
@@ -313,13 +326,20 @@
 		p = st.add(key, r.Work, now.Add(-r.Elapsed), r.Work.Limit)
 	}
 	if r.PrefillDone {
-		p.request.PrefillDone()
+		st.prefillDone(p)
+	}
+}
+
+func (st *shardState) prefillDone(p *placedRequest) {
+	if p.request.PrefillDone() {
+		st.observeEnd(p, returntimes.Long)
 	}
 }
 
 func (st *shardState) remove(key requestKey) {
 	if p := st.requests[key]; p != nil {
 		p.request.End()
+		st.observeEnd(p, returntimes.Short)
 		delete(st.requests, key)
 	}
 }
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -28,6 +28,8 @@
 	Useful time.Duration
 	// Hold is how long the reply may be deferred; at most HoldTime.
 	Hold time.Duration
+	// Returning is true if the caller keeps to a time that its instance has told it. It is not sent to schedulers.
+	Returning bool
 	// Failed is the scheduler of the shard that did not reply, if another instance is asked in its place.
 	Failed string
 }
@@ -81,7 +83,7 @@
 	need := r.Need
 	need.Rank = r.Terms.Rank
 	return waitqueue.Request{
-		ID: r.id(), Rank: r.Terms.Rank, Team: r.Terms.Team, Prompt: r.Terms.Prompt, Short: placement.IsShort(e, need), Need: need,
+		ID: r.id(), Rank: r.Terms.Rank, Team: r.Terms.Team, Prompt: r.Terms.Prompt, Returning: r.Terms.Returning, Short: placement.IsShort(e, need), Need: need,
 		Cost: placement.EngineTime(e, need), Prefill: placement.ShortestPrefill(e, need, endpoints),
 		Arrived: now.Add(-r.Terms.Used), OnTimeUntil: now.Add(onTime), Until: now.Add(min(r.Terms.Useful, r.Limit)),
 	}
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -72,6 +72,8 @@
 	engine, queue := v.service.Engine, state.list.queue
 	candidates := s.candidates(v, &w.request, now, true)
 	queued := queuedRequest(&w.request, engine, len(candidates), now)
+	w.returns = s.beginReturn(v, state, &w.request, now)
+	queued.Returning = w.returns.precedes
 	mustWait := queue.Precedes(&queued, now)
 	if !mustWait {
 		held := markHeld(candidates, queue.Held())
@@ -113,6 +115,7 @@
 	}
 	limit := w.request.Limit - now.Sub(w.received)
 	state.add(w.key(), choice.Work(need, limit), now, limit)
+	w.returns.observePlaced(now)
 	return choice, nil, true
 }
 
--- a/internal/scheduler/waitlist.go
+++ b/internal/scheduler/waitlist.go
@@ -42,6 +42,8 @@
 	// decided is set if the request has left the queue between a reply and the next renewal, at decidedAt.
 	decided   *Outcome
 	decidedAt time.Time
+	// returns is what the schedule of return times knows of the request.
+	returns returningRequest
 }
 
 func (w *waitingRequest) key() requestKey {
@@ -95,7 +97,7 @@
 // join lets a request wait, or refuses it.
 func (l *waitList) join(w *waitingRequest, queued waitqueue.Request, capacity waitqueue.Capacity, now time.Time) {
 	decision := l.queue.Add(queued, capacity, now)
-	for _, displaced := range decision.Displaced {
+	for _, displaced := range inReturnOrder(decision.Displaced) {
 		l.refuse(displaced, now)
 	}
 	if decision.Waits {
@@ -103,7 +105,8 @@
 		return
 	}
 	l.stats.countRefused(decision.Reason)
-	l.outbox.add(w.reply, Outcome{Refusal: queueRefusal(l.planner, decision.Reason, decision.Wait, capacity.Endpoints)})
+	refusal := queueRefusal(l.planner, decision.Reason, decision.Wait, capacity.Endpoints)
+	l.outbox.add(w.reply, Outcome{Refusal: w.tell(refusal, now)})
 }
 
 // refuse tells a request that the queue has given up.
@@ -116,7 +119,7 @@
 	case refused.Reason == waitqueue.NotRenewed:
 		l.drop(w)
 	default:
-		l.settle(w, Outcome{Refusal: queueRefusal(l.planner, refused.Reason, refused.Wait, 0)}, now)
+		l.settle(w, Outcome{Refusal: w.tell(queueRefusal(l.planner, refused.Reason, refused.Wait, 0), now)}, now)
 	}
 }
 
@@ -162,7 +165,7 @@
 // dispatch offers the waiting requests to place, tells those that the queue has given up, and replies to those whose hold time
 // would be over at the next dispatch.
 func (l *waitList) dispatch(now time.Time, place placeFunc) {
-	for _, refused := range l.queue.Expire(now) {
+	for _, refused := range inReturnOrder(l.queue.Expire(now)) {
 		l.refuse(refused, now)
 	}
 	l.queue.Dispatch(now, func(r *waitqueue.Request, held waitqueue.Held) waitqueue.Attempt {
