--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -189,7 +189,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var reply peer.PlaceReply
-	err := c.options.Peers.Call(callCtx, address, peer.KindPlaceRequest, placeRequestMessage(request), &reply)
+	err := c.options.Peers.Call(callCtx, address, peer.KindPlaceRequest, messageWithReturns(request), &reply)
 	switch {
 	case err == nil:
 		c.recordReply(address)
--- a/internal/scheduler/returns.go
+++ b/internal/scheduler/returns.go
@@ -6,6 +6,7 @@
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/peer"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/returntimes"
 	"github.com/acacialift/acacialift/internal/waitqueue"
@@ -132,6 +133,25 @@
 	return refused
 }
 
+// messageWithReturns returns the message of a request without Terms. Its extension is sent only if there are return times, because
+// extensions are sent with pointers to messages only.
+func messageWithReturns(request *PlaceRequest) any {
+	message := placeRequestMessage(request)
+	if request.Returns == nil {
+		return message
+	}
+	return &message
+}
+
+// replyWithReturns returns the reply to a request without Terms. Its extension is sent only if it says something.
+func replyWithReturns(choice placement.Choice, refusal *placement.Refusal) any {
+	reply := replyMessage(choice, refusal)
+	if reply.Extension == (peer.PlaceReplyExtension{}) {
+		return reply
+	}
+	return &reply
+}
+
 // placedWork returns the work of a placed request as the schedule of its shard counts it.
 func placedWork(w *load.Work) returntimes.Work {
 	return workOf(w.Part * time.Duration(1+len(w.Helpers)))
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -90,7 +90,7 @@
 	if !ok {
 		return peer.KindPlaceReply, peer.PlaceReply{NotReady: true}
 	}
-	return peer.KindPlaceReply, replyMessage(choice, refusal)
+	return peer.KindPlaceReply, replyWithReturns(choice, refusal)
 }
 
 // list returns the requests of this instance on a shard.
