--- a/internal/returntimes/schedule.go
+++ b/internal/returntimes/schedule.go
@@ -174,11 +174,17 @@
 func (s *Schedule) findRoom(w Work, first, last int64) (at, span int64) {
 	capacity, cost := s.capacity(w.Class), w.cost()
 	missing, start := cost, int64(-1)
-	best, bestLoad := first, math.Inf(1)
+	best, bestLoad, ties := first, math.Inf(1), 0.0
 	for b := first; b <= last; b++ {
 		load := s.bucket(b).load[w.Class]
-		if load < bestLoad {
-			best, bestLoad = b, load
+		switch {
+		case load < bestLoad-minShare*cost:
+			best, bestLoad, ties = b, load, 1
+		case load <= bestLoad+minShare*cost:
+			// Each of the equal buckets is chosen with the same probability: without capacity the first one is no better.
+			if ties++; s.options.Random()*ties < 1 {
+				best = b
+			}
 		}
 		room := capacity - load
 		if room <= minShare*cost {
