--- a/internal/entry/returns_test.go
+++ b/internal/entry/returns_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,8 @@
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/scheduler"
 	"github.com/acacialift/acacialift/internal/settings"
 	"github.com/acacialift/acacialift/internal/testkit"
 	"github.com/acacialift/acacialift/platform"
@@ -186,3 +189,57 @@
 		Entry("is short otherwise", settings.ModeOff, time.Duration(0), 250*time.Millisecond),
 	)
 })
+
+const (
+	toldDelay      = 1500 * time.Millisecond
+	estimatedDelay = 300 * time.Millisecond
+)
+
+// refuseAll refuses a request. The scheduler of the shard that the caller's prompt selects tells a return time.
+func refuseAll(_ context.Context, _ int, r scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
+	refusal := &placement.Refusal{Reason: placement.TooLate, RetryAfter: estimatedDelay}
+	if r.Returns != nil && r.Returns.Prompt%uint64(r.Shard.Count) == uint64(r.Shard.Index) {
+		refusal.RetryAfter, refusal.Told = toldDelay, true
+	}
+	return scheduler.PlaceResult{Refusal: refusal}, true
+}
+
+var _ = Describe("the time told by the schedulers of a larger fleet", func() {
+	const ownPart = 0x4e6a3
+
+	newFleet := func(mode settings.Mode) (*rig, *scriptedSchedulers) {
+		schedulers := &scriptedSchedulers{reply: refuseAll}
+		r := newRig(nil, withReturnTimes(mode, true), withEngine, withSchedulers(schedulers))
+		for i := range 200 {
+			r.state.PutEndpoint(&fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Service: "pool", Domain: "yard-1", Slots: 4})
+		}
+		return r, schedulers
+	}
+	call := func(r *rig) time.Duration {
+		return retryAfter(r.call("/safe/", partsHeader, fmt.Sprintf("%x", ownPart), "Acacialift-Prompt-Tokens", "1000"))
+	}
+
+	// Guards against a time of a shard at which nobody expects the caller: its next attempt goes first to the shard that its
+	// prompt selects.
+	It("is that of the shard which the caller's prompt selects", func() {
+		r, schedulers := newFleet(settings.ModeOn)
+		Expect(call(r)).To(BeNumerically("~", toldDelay, 100*time.Millisecond))
+		requests := schedulers.received()
+		Expect(len(requests)).To(BeNumerically(">", 1))
+		first := requests[0]
+		Expect(first.Shard.Count).To(BeNumerically(">", 1))
+		Expect(first.Shard.Index).To(Equal(uint8(ownPart % int(first.Shard.Count))))
+		for _, request := range requests {
+			Expect(request.Returns.Prompt).To(Equal(uint64(ownPart)))
+		}
+	})
+
+	// Guards against an effect on the place requests of deployments that do not ask for return times.
+	It("is the estimate of a scheduler if return times are off", func() {
+		r, schedulers := newFleet(settings.ModeOff)
+		Expect(call(r)).To(Equal(estimatedDelay))
+		for _, request := range schedulers.received() {
+			Expect(request.Returns).To(BeNil())
+		}
+	})
+})
