--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/acacialift/acacialift/internal/httpserver"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/returntimes"
 )
 
 const (
@@ -49,7 +50,9 @@
 	// minBackOff is the shortest remaining back-off among the endpoints that the last placement left out because of it. It is
 	// zero if there were none.
 	minBackOff time.Duration
-	waiting    waiting
+	// returns is what is known of the caller's return times.
+	returns returnState
+	waiting waiting
 	// timeLimit is how long the call may take from its arrival.
 	timeLimit time.Duration
 
@@ -148,6 +151,8 @@
 		request.End()
 		x.handler.localQueue.Wake()
 	}()
+	x.observePlaced(now)
+	defer x.observeWorkEnded(returntimes.Short)
 	reserved, err := x.reserve(ctx, choice.Reservations)
 	if err != nil {
 		return x.handleNotReserved(ctx, choice, err)
@@ -158,13 +163,14 @@
 	r := &relay{x: x, endpoint: primary, reserved: reserved, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
 	r.onEvents = func() {
+		if x.firstEventAt.IsZero() {
+			x.firstEventAt = time.Now()
+		}
 		if request.PrefillDone() {
 			p.schedulerPlacement.PrefillDone()
+			x.observeWorkEnded(returntimes.Long)
 			x.watch.pause()
 		}
-		if x.firstEventAt.IsZero() {
-			x.firstEventAt = time.Now()
-		}
 	}
 	r.startWitness(ctx)
 	defer func() { r.witness.close() }()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -47,6 +47,10 @@
 	// MaxCatalogAge is the greatest time since the last confirmation of the catalog at which keys are still accepted. If
 	// zero, keys are accepted at any age of the catalog.
 	MaxCatalogAge time.Duration
+	// ReturnTimes states for which services the Retry-After of refusals is taken from a schedule.
+	ReturnTimes settings.Mode
+	// HasMajority reports whether this instance reaches more than half of the fleet; if nil, it does not.
+	HasMajority func(now time.Time) bool
 	// MaxBufferedBytes bounds the memory of all buffered responses; zero selects the default.
 	MaxBufferedBytes int64
 	Log              zerolog.Logger
@@ -77,7 +81,9 @@
 	// unframed is which services have sent responses without length and chunks.
 	unframed unframedServices
 	shutdown shutdown
-	panics   *panics.Recorder
+	// returns holds the return times of the refusals that this instance decides.
+	returns returnSchedules
+	panics  *panics.Recorder
 	// localQueue holds the requests that wait where no scheduler decides.
 	localQueue *scheduler.LocalQueue
 	// started is the time at which the instance began to discover its peers.
@@ -97,6 +103,7 @@
 		localQueue: scheduler.NewLocalQueue(options.Planner, options.Panics),
 	}
 	h.shutdown.init()
+	h.returns.mode, h.returns.metrics = options.ReturnTimes, options.Metrics
 	return h
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -148,6 +148,8 @@
 		CountsAge: func(now time.Time) time.Duration { return p.sharer.CountsAge(now) },
 		Queue:     s.Scheduling.Queue,
 		Client:    p.client, Domain: s.Domain, Log: options.Log, Metrics: p.metrics, Panics: p.panics,
+		ReturnTimes: s.Scheduling.ReturnTimes,
+		HasMajority: func(now time.Time) bool { return p.sharer.HasMajority(now) },
 		RetryBudget: limit.NewRetryBudget(limit.RetryBudgetOptions{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
@@ -157,6 +159,7 @@
 			return p.sharer.HasMajority(now)
 		}),
 		State: options.State, IsSuspect: healthTracker.IsSuspect, Planner: handlerOptions.Planner,
+		Returns: returnOptions(s.Scheduling.ReturnTimes, p.metrics),
 	})
 	if memory := memoryBytes(s); memory > 0 {
 		handlerOptions.MaxBufferedBytes = min(memory/responseMemoryDivisor, defaultBufferedBytes)
