Check a configuration document of the platform before it is published

The exit status is 1 with errors.

Tests: go test ./internal/configcheck ./platform ./cmd/acaciactl -ginkgo.focus check.

--- a/cmd/acaciactl/check.go
+++ b/cmd/acaciactl/check.go
@@ -40,7 +40,16 @@
 Examples:
   acaciactl check config.yaml
   acaciactl check examples/vanua/*.yaml examples/vanua/settings/*.yaml
-  acaciactl check --kind config draft.yaml`
+  acaciactl check --kind config draft.yaml
+
+With --configuration, it checks the operators' configuration document of the platform (JSON) instead, before it is published, and prints
+FILE: SEVERITY: PLACE: MESSAGE. Errors are rejected by instances or contradict each other; warnings are entries without effect and limits
+that contradict each other. With --in-force it also prints what differs from the version in force; keys are only counted. The exit code
+is 1 if there is an error.
+
+Examples:
+  acaciactl check --configuration next.json
+  acaciactl check --configuration next.json --in-force current.json`
 
 // errFindings makes the command fail after it has printed the findings.
 var errFindings = errors.New("some files are invalid or could not be read")
@@ -49,16 +58,21 @@
 	return &cli.Command{
 		Name:        "check",
 		Usage:       "validate configuration documents, instance lists and settings",
-		ArgsUsage:   "FILE...",
+		ArgsUsage:   "FILE... | --configuration FILE [--in-force FILE]",
 		Description: checkDescription,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "kind", Aliases: []string{"k"}, Value: kindAuto, Usage: "`KIND` of the files"},
+			&cli.StringFlag{Name: "configuration", Usage: "check the configuration document of the platform in `FILE`"},
+			&cli.StringFlag{Name: "in-force", Usage: "compare it with the document in force in `FILE`"},
 		},
 		Action: runCheck,
 	}
 }
 
 func runCheck(_ context.Context, c *cli.Command) error {
+	if c.IsSet("configuration") || c.IsSet("in-force") {
+		return runCheckConfiguration(c)
+	}
 	kind := c.String("kind")
 	if !slices.Contains(checkKinds, kind) {
 		return fmt.Errorf("unknown kind %q; valid kinds are %s", kind, strings.Join(checkKinds, ", "))
@@ -78,6 +92,20 @@
 	return nil
 }
 
+func runCheckConfiguration(c *cli.Command) error {
+	switch {
+	case c.String("configuration") == "":
+		return errors.New("--in-force needs --configuration; see acaciactl check --help")
+	case c.NArg() > 0 || c.IsSet("kind"):
+		return errors.New("--configuration takes no further files and no kind; see acaciactl check --help")
+	}
+	valid, err := checkConfiguration(c.Root().Writer, c.String("configuration"), c.String("in-force"))
+	if err == nil && !valid {
+		err = errFindings
+	}
+	return err
+}
+
 // checkFile validates one file, prints the result and reports whether the file is valid.
 func checkFile(out io.Writer, file, kind string) bool {
 	data, err := os.ReadFile(file)
--- a/cmd/acaciactl/check_test.go
+++ b/cmd/acaciactl/check_test.go
@@ -74,4 +74,51 @@
 		Expect(err).To(MatchError(errFindings))
 		Expect(out).To(ContainSubstring("no such file"))
 	})
+
+	// Guards against a document that is published although the check has found an error, and against one that is held back by a warning.
+	DescribeTable("checks the configuration document of the platform", func(next, inForce string, fails bool, want ...string) {
+		args := []string{"--configuration", file(next)}
+		if inForce != "" {
+			args = append(args, "--in-force", file(inForce))
+		}
+		out, err := check(args...)
+		if fails {
+			Expect(err).To(MatchError(errFindings))
+		} else {
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for _, text := range want {
+			Expect(out).To(ContainSubstring(text))
+		}
+	},
+		Entry("without findings", `{"version":1}`, "", false, ": 0 errors, 0 warnings, 0 differences\n"),
+		Entry("with a warning", `{"version":1,"services":[{"name":"s"}]}`, "", false, `: warning: services[0] "s": gets no requests`, ": 0 errors, 1 warnings"),
+		Entry("with an error", `{"version":0}`, "", true, ": error: version: must be above zero", ": 1 errors"),
+		Entry("that is no JSON", `{`, "", true, ": error: "),
+		Entry("with differences", `{"version":2,"limits":{"max-body-bytes":5}}`, `{"version":1}`, false,
+			": difference: limits.max-body-bytes: changed from 0 to 5", "0 warnings, 1 differences"),
+		Entry("with a version that does not rise", `{"version":1}`, `{"version":1}`, true, ": error: version: is 1 and does not rise"),
+	)
+
+	// Guards against arguments that are ignored, so that a file seems to be checked.
+	It("refuses arguments that do not go together", func() {
+		path := file(`{"version":1}`)
+		for _, args := range [][]string{
+			{"--in-force", path},
+			{"--configuration", path, path},
+			{"--configuration", path, "--kind", "config"},
+			{"--configuration", path + ".missing"},
+			{"--configuration", path, "--in-force", path + ".missing"},
+		} {
+			_, err := check(args...)
+			Expect(err).To(HaveOccurred(), "%v", args)
+		}
+	})
+
+	// Guards against a command whose use is not explained.
+	It("explains the check of the configuration document with examples", func() {
+		out, err := check("--help")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("acaciactl check --configuration next.json --in-force current.json"))
+	})
 })
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -93,5 +93,8 @@
 
 // RankCount returns the number of different ranks of a service's requests; one if all are equally urgent.
 func (c *Catalog) RankCount(service string) int {
-	return min(max(len(c.ranks[service].order), 1), MaxRank+1)
+	return min(max(c.UrgencyCount(service), 1), MaxRank+1)
 }
+
+// UrgencyCount returns the number of different urgencies of a service's requests. Those beyond the ranks count as MaxRank.
+func (c *Catalog) UrgencyCount(service string) int { return len(c.ranks[service].order) }
