Let killed endpoints of the tests lose all their connections

Two test endpoints modelled a kill incompletely. killedAndBack closed only the connection of the response, although the kernel closes all connections of a killed process; the witness of the request then stayed open, was answered, and one spec failed once under the race detector. It now closes all.

--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -211,9 +211,11 @@
 	return func(e *fakeEndpoint, conn net.Conn, r receivedRequest) {
 		respond(response)(conn, r)
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		next(e)
-		e.mu.Unlock()
-		_ = conn.Close()
+		for open := range e.open {
+			_ = open.Close()
+		}
 	}
 }
 
--- a/internal/entry/witness_test.go
+++ b/internal/entry/witness_test.go
@@ -90,7 +90,11 @@
 				}
 				var e *fakeEndpoint
 				e = newEndpoint(respondAndClose(unframedTextHead+"whole"), killAfter(&e, part, pause, inherited))
-				DeferCleanup(func() { _ = e.listener.Close() })
+				DeferCleanup(func() {
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					_ = e.listener.Close()
+				})
 				var log testkit.LogBuffer
 				r := newRig([]*fakeEndpoint{e}, withLog(&log))
 				Expect(r.call("/once/").body).To(Equal("whole"))
