--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -335,8 +335,9 @@
 	// Guards against a request that waits in vain for a place that another one has got.
 	It("is told at once that it is displaced", func() {
 		r.fill()
+		// The rank of the low one has more than its least share: it uses all slots.
 		low := waitingRequest(1)
-		low.Terms.Rank = 9
+		low.Terms.Useful = 2500 * time.Millisecond
 		results := make(chan scheduler.PlaceResult, 1)
 		var others sync.WaitGroup
 		ctx, cancel := context.WithCancel(context.Background())
