--- a/internal/waitqueue/admit.go
+++ b/internal/waitqueue/admit.go
@@ -112,8 +112,8 @@
 	return -1
 }
 
-// worst returns the request to give up first: of the lowest rank, not of a returning caller, of the team that is furthest
-// above its fair share, with the latest start.
+// worst returns the request to give up first: of the lowest rank, of the team that is furthest above its fair share, of a
+// newcomer, with the latest start.
 func (q *Queue) worst(order []*entry, now time.Time) int {
 	q.shares.Update(now)
 	worst, worstExcess := 0, order[0].team.Excess()
@@ -124,7 +124,7 @@
 		excess := e.team.Excess()
 		other := order[worst]
 		difference := cmp.Or(
-			cmp.Compare(e.Rank, other.Rank), compareReturning(e, other), cmp.Compare(excess, worstExcess),
+			cmp.Compare(e.Rank, other.Rank), cmp.Compare(excess, worstExcess), compareReturning(e, other),
 			byLatestStart(e, other),
 		)
 		if difference >= 0 {
