--- a/internal/entry/wait_test.go
+++ b/internal/entry/wait_test.go
@@ -328,6 +328,29 @@
 		Expect(s.received()[0].Terms.Used).To(And(BeNumerically(">=", 4*time.Second), BeNumerically("<", 5*time.Second)))
 	})
 
+	// Guards against a retry that starts anew behind all requests that wait, and against one that waits for the endpoint that has failed.
+	It("keeps its arrival in a retry", func() {
+		var r *rig
+		s := &scriptedSchedulers{reply: func(ctx context.Context, n int, request scheduler.PlaceRequest) (scheduler.PlaceResult, bool) {
+			if n == 0 {
+				return stillWaiting(ctx, n, request)
+			}
+			result := placedOn(r)
+			if n > 1 {
+				result.Choice.Primary = r.state.Endpoint("i-1")
+			}
+			return result, true
+		}}
+		r = newRig([]*fakeEndpoint{
+			newEndpoint(func(conn net.Conn, _ receivedRequest) { _ = conn.Close() }), newEndpoint(respond(sealedResponse("answer"))),
+		}, withQueue, withSchedulers(s))
+		Expect(r.call("/safe/x").status).To(Equal(http.StatusOK))
+		requests := s.received()
+		Expect(requests).To(HaveLen(3))
+		Expect(requests[2].Terms.Used).To(BeNumerically(">=", requests[0].Terms.Hold))
+		Expect(requests[2].Avoid).To(ContainElement(r.state.Endpoint("i-0").Key()))
+	})
+
 	// Guards against a request that holds its place while nobody waits for the answer.
 	It("cancels at the scheduler when its caller leaves", func() {
 		ended := make(chan struct{})
--- a/internal/loadshare/scheduler_test.go
+++ b/internal/loadshare/scheduler_test.go
@@ -48,6 +48,30 @@
 		Eventually(choices(remaining), eventTimeout).Should(And(HaveLen(1), Not(HaveKey(chosen))))
 	})
 
+	// Guards against instances that ask different ones in place of a failed scheduler, and against a second change of the scheduler when
+	// the failed one counts as gone.
+	It("falls on the instance that all have named as the next one", func() {
+		addresses := testkit.FreeAddresses(size)
+		var all []*instance
+		for _, address := range addresses {
+			all = append(all, start("i", address, key, addresses[0]))
+		}
+		Eventually(choices(all), eventTimeout).Should(HaveLen(1))
+		chosen, _ := all[0].sharer.Scheduler(shardKey, time.Now())
+		next := make(map[string]bool)
+		var remaining []*instance
+		for _, i := range all {
+			if i.address == chosen {
+				i.stop()
+				continue
+			}
+			remaining = append(remaining, i)
+			next[i.sharer.NextScheduler(shardKey, chosen, time.Now())] = true
+		}
+		Expect(next).To(And(HaveLen(1), Not(HaveKey(chosen))))
+		Eventually(choices(remaining), eventTimeout).Should(Equal(next))
+	})
+
 	// Guards against requests whose scheduler is shutting down and then exits: the other instances must choose another
 	// scheduler immediately, while the stopping instance still responds.
 	It("moves to another instance when the chosen one starts to shut down", func() {
--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -380,6 +380,21 @@
 		Eventually(ended, 100*time.Millisecond).Should(Receive(BeFalse()))
 	})
 
+	// Guards against a grant for an endpoint in cold start that reaches the endpoint in another second than the one in which it was
+	// counted: a grant that no reply can carry at once, and one whose age the instance overestimates or underestimates.
+	It("gets a grant for an endpoint in cold start only with a reply, which states the grant's time", func() {
+		r.fill()
+		result, _ := r.client.Place(context.Background(), waitingRequest(1))
+		Expect(result.Waiting).To(BeTrue())
+		r.state.PutEndpoint(&fleet.Endpoint{ID: "cold", Service: service, Slots: slots, ColdUntil: time.Now().Add(time.Hour)})
+		Consistently(r.waiting, 100*time.Millisecond).Should(Equal(1))
+		start := time.Now()
+		result, ok := r.client.Place(context.Background(), waitingRequest(1))
+		Expect(ok).To(BeTrue())
+		Expect(result.Choice.Primary.ID).To(Equal("cold"))
+		Expect(result.Held).To(BeNumerically("<=", time.Since(start)))
+	})
+
 	// Guards against a placement on an endpoint that has become unusable for the instance while the request waited.
 	It("gets no endpoint that its last renewal excludes", func() {
 		placed := r.fill()
