--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -128,51 +128,57 @@
 // gives no usable reply, or the request ends. Once it waits there, the scheduler of the other shard, if there is one, may place it
 // at once: one shard must not be idle while requests wait at another.
 func (x *exchange) waitAt(ctx context.Context, shard, other scheduler.Shard) (attemptPlacement, *placement.Refusal, queueResult) {
-	options := x.handler.options
-	number := options.Load.NextNumber()
-	waitsAt, waiting := "", (*scheduler.Placement)(nil)
+	number := x.handler.options.Load.NextNumber()
+	var last scheduler.PlaceResult
 	for {
 		sentAt, requestedAt := time.Now(), clock.Boot()
 		request := x.waitRequest(shard, number, sentAt)
-		triesOther := waitsAt == "" && other != shard
+		triesOther := !last.Waiting && other != shard
 		if triesOther {
 			request.Terms.Hold = 0
 		}
-		result, ok := options.Schedulers.Place(ctx, request)
-		if waiting != nil && result.Scheduler != waitsAt {
+		result, ok := x.handler.options.Schedulers.Place(ctx, request)
+		if last.Scheduler != result.Scheduler {
 			// Another instance has become the scheduler of the shard.
-			waiting.End()
+			last.Placement.End()
 		}
 		x.observeReply(ok, sentAt)
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			result.Placement.End()
 			return attemptPlacement{}, &placement.Refusal{Reason: reasonEnded}, decided
-		case !ok:
-			return attemptPlacement{}, nil, undecided
-		case result.Waiting:
-			waitsAt, waiting = result.Scheduler, result.Placement
-			if triesOther {
-				if p, ok := x.tryAt(ctx, other); ok {
-					waiting.End()
-					return p, nil, decided
-				}
+		}
+		if !ok || !result.Waiting {
+			return x.evaluate(&result, ok, number, requestedAt)
+		}
+		last = result
+		if triesOther {
+			if p, ok := x.tryAt(ctx, other); ok {
+				last.Placement.End()
+				return p, nil, decided
 			}
-			x.observeWait(result.Scheduler)
-		case result.Refusal != nil && result.Refusal.Reason == placement.NoEndpoint:
-			return attemptPlacement{}, nil, undecided
-		case result.Refusal != nil && !result.Queues:
-			return attemptPlacement{}, result.Refusal, withoutQueue
-		case result.Refusal != nil:
-			x.refusingScheduler = result.Scheduler
-			x.observeDisplacement(result.Refusal)
-			return attemptPlacement{}, result.Refusal, decided
-		default:
-			return placedBy(&result, number, requestedAt), nil, decided
 		}
+		x.observeWait(result.Scheduler)
 	}
 }
 
+// evaluate returns what the reply of a scheduler to a message that was sent at a time has decided. The request does not wait there.
+func (x *exchange) evaluate(
+	result *scheduler.PlaceResult, ok bool, number load.Number, requestedAt time.Duration,
+) (attemptPlacement, *placement.Refusal, queueResult) {
+	refusal := result.Refusal
+	switch {
+	case !ok, refusal != nil && refusal.Reason == placement.NoEndpoint:
+		return attemptPlacement{}, nil, undecided
+	case refusal == nil:
+		return placedBy(result, number, requestedAt), nil, decided
+	case !result.Queues:
+		return attemptPlacement{}, refusal, withoutQueue
+	}
+	x.refusingScheduler = result.Scheduler
+	x.observeDisplacement(refusal)
+	return attemptPlacement{}, refusal, decided
+}
+
 // placedBy returns the placement by a scheduler of a request that was sent to it at a time.
 func placedBy(result *scheduler.PlaceResult, number load.Number, requestedAt time.Duration) attemptPlacement {
 	return attemptPlacement{
