--- a/internal/fairshare/shares.go
+++ b/internal/fairshare/shares.go
@@ -11,6 +11,8 @@
 	levelTime = 50 * time.Millisecond
 	// leastUsage is the usage below which a team without waiting requests is forgotten.
 	leastUsage = time.Millisecond
+	// maxTeams is the number of teams above which those that can be forgotten are looked for also without shortage.
+	maxTeams = 1000
 )
 
 // Shares holds the engine time that teams have used in the last WindowTime, and the engine time of their waiting requests.
@@ -52,6 +54,9 @@
 func (t *Team) AddUsed(cost time.Duration, now time.Time) {
 	t.used.Add(cost, now)
 	t.shares.total.Add(cost, now)
+	if len(t.shares.teams) > maxTeams {
+		t.shares.Update(now)
+	}
 }
 
 // Excess returns by how much the used and waiting engine time of a team exceeds its fair share as of the last update; zero if it
--- a/internal/fairshare/shares_test.go
+++ b/internal/fairshare/shares_test.go
@@ -43,6 +43,15 @@
 		Expect(s.Teams()).To(Equal(1))
 	})
 
+	// Guards against memory for every team that was ever seen, while there is no shortage and nobody asks for shares.
+	It("are kept for a bounded number of teams that send little", func() {
+		s := fairshare.NewShares()
+		for i := range 20_000 {
+			s.Team(uint32(i)).AddUsed(2*time.Millisecond, start.Add(time.Duration(i)*10*time.Millisecond))
+		}
+		Expect(s.Teams()).To(BeNumerically("<", 1100))
+	})
+
 	// Guards against a window that is shorter or longer than stated.
 	It("weight usage exponentially by age", func() {
 		var w fairshare.Window
