--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -173,6 +173,7 @@
 	}
 	x.refusingScheduler = result.Scheduler
 	x.observeDisplacement(refusal)
+	x.observeTold(refusal, time.Now())
 	return attemptPlacement{}, refusal, decided
 }
 
@@ -291,6 +292,7 @@
 func (x *exchange) localRefusal(refusal *placement.Refusal) *placement.Refusal {
 	x.refusingScheduler = ""
 	x.observeDisplacement(refusal)
+	x.observeTold(refusal, time.Now())
 	if refusal.Reason == placement.NoEndpoint && x.minBackOff > 0 {
 		// The caller may retry when the first back-off has ended.
 		refusal.Reason, refusal.RetryAfter = placement.EndpointsBackOff, x.minBackOff
