--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	s := catalog.ServiceByKey(service)
-	return s != nil && s.Engine != nil && p.options.Settings.Scheduling.Queue.Enabled(catalog.IsRanked(s.Name))
+	return s != nil && s.Engine != nil && p.options.Settings.Scheduling.Queue.Enabled(catalog, s.Name)
 }
 
 // serviceName returns the name of a service, or its key if the catalog no longer has it.
--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -25,14 +25,14 @@
 // returnOptions configures the return times of the shards for which this instance is the scheduler.
 func returnOptions(mode settings.Mode, m *Metrics) scheduler.ReturnOptions {
 	return scheduler.ReturnOptions{
-		Enabled: func(catalog *fleet.Catalog, service string) bool { return mode.Enabled(catalog.IsRanked(service)) },
+		Enabled: func(catalog *fleet.Catalog, service string) bool { return mode.Enabled(catalog, service) },
 		Options: returntimes.Options{Random: rand.Float64, Observer: m},
 	}
 }
 
 // enabledFor reports whether return times are enabled for a service.
 func (r *returnSchedules) enabledFor(catalog *fleet.Catalog, service string) bool {
-	return r.mode.Enabled(catalog.IsRanked(service))
+	return r.mode.Enabled(catalog, service)
 }
 
 // enabledForAny reports whether return times are enabled for any service of a catalog, which may be nil.
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -59,7 +59,7 @@
 
 // mayWait reports whether the request may wait in queues.
 func (x *exchange) mayWait() bool {
-	return x.service.Engine != nil && x.handler.options.Queue.Enabled(x.catalog.IsRanked(x.service.Name))
+	return x.service.Engine != nil && x.handler.options.Queue.Enabled(x.catalog, x.service.Name)
 }
 
 // placeOrWait chooses endpoints, and waits in the queue of a shard while there is no capacity.
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -27,10 +27,10 @@
 }
 
 // serviceRanks holds the distinct urgencies of a service in their order. ranked is true if the profiles on the service have
-// different priorities.
+// different priorities, and tightGaps if its engines have no time to spare for prefills at full load.
 type serviceRanks struct {
-	order  []urgency
-	ranked bool
+	order             []urgency
+	ranked, tightGaps bool
 }
 
 // ranksOf returns the ranks of the services of a catalog, by name. Plain services have ranks but never count as ranked: the modes
@@ -47,6 +47,7 @@
 	for name, service := range c.Services {
 		ranks := ranksOn(c.profilesOn(name), teams)
 		ranks.ranked = ranks.ranked && service.Engine != nil
+		ranks.tightGaps = hasTightGaps(service.Engine, c.profilesOn(name))
 		all[name] = ranks
 	}
 	return all
@@ -85,6 +86,23 @@
 // IsRanked reports whether the profiles on a model service have different priorities.
 func (c *Catalog) IsRanked(service string) bool { return c.ranks[service].ranked }
 
+// HasTightGaps reports whether a pass of an engine with all slots and all memory in use takes more than tightGapFraction of the
+// shortest max gap on the service.
+func (c *Catalog) HasTightGaps(service string) bool { return c.ranks[service].tightGaps }
+
+// tightGapFraction is the fraction of a max gap above which a full pass leaves no room for a prefill of the same length beside it.
+const tightGapFraction = 0.5
+
+func hasTightGaps(e *Engine, profiles []*Profile) bool {
+	if e == nil {
+		return false
+	}
+	fullPass := e.PassTime(e.Slots, e.MemoryTokens)
+	return slices.ContainsFunc(profiles, func(p *Profile) bool {
+		return p.MaxGap > 0 && float64(fullPass) > tightGapFraction*float64(p.MaxGap)
+	})
+}
+
 // Rank returns the rank of a profile's requests from a team among all requests of a service: 0 is the highest, MaxRank the lowest.
 func (c *Catalog) Rank(service string, profile *Profile, team Team) int {
 	rank, _ := slices.BinarySearchFunc(c.ranks[service].order, urgencyOf(profile, team), compareUrgency)
--- a/internal/fleet/rank_test.go
+++ b/internal/fleet/rank_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -80,4 +82,20 @@
 		Expect(c.RankCount("plain")).To(Equal(1))
 		Expect(c.RankCount("unknown")).To(Equal(1))
 	})
+
+	// Guards against parts that take effect in a deployment whose engines have time to spare, and against missing ones in one
+	// whose full engines have none.
+	It("go with gaps that are tight only if a full pass takes more than half of the shortest one", func() {
+		c := catalog(fleet.Profile{
+			Name: "short", MaxGap: 200 * time.Millisecond, TrafficSplit: []fleet.WeightedService{{Service: "model", Weight: 1}},
+		})
+		engine := func(step time.Duration) *fleet.Engine {
+			return &fleet.Engine{Slots: 12, MemoryTokens: 450_000, Stride: 50, StepTime: step}
+		}
+		for step, tight := range map[time.Duration]bool{1900 * time.Microsecond: false, 2100 * time.Microsecond: true} {
+			c.Services["model"].Engine = engine(step)
+			Expect(fleet.NewCatalog(*c).HasTightGaps("model")).To(Equal(tight))
+		}
+		Expect(c.HasTightGaps("plain")).To(BeFalse())
+	})
 })
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -25,16 +25,33 @@
 // Mode states for which services a part of the scheduling is enabled.
 type Mode string
 
-// The modes. ModeByPriority enables a part for the model services whose profiles have different priorities.
+// The modes. ModeByPriority enables a part for the model services whose profiles have different priorities. ModeAuto does so too, and
+// also for those with tight gaps (fleet.Catalog.HasTightGaps).
 const (
 	ModeOff        Mode = "off"
 	ModeByPriority Mode = "by_priority"
+	ModeAuto       Mode = "auto"
 	ModeOn         Mode = "on"
 )
 
-// Enabled reports whether the mode enables a part for a service. ranked is true if the profiles on the service have
-// different priorities.
-func (m Mode) Enabled(ranked bool) bool { return m == ModeOn || m == ModeByPriority && ranked }
+// Published tells what operators have published about a service that may enable a part.
+type Published interface {
+	IsRanked(service string) bool
+	HasTightGaps(service string) bool
+}
+
+// Enabled reports whether the mode enables a part for a service.
+func (m Mode) Enabled(published Published, service string) bool {
+	switch m {
+	case ModeOn:
+		return true
+	case ModeAuto:
+		return published.IsRanked(service) || published.HasTightGaps(service)
+	case ModeByPriority:
+		return published.IsRanked(service)
+	}
+	return false
+}
 
 // EntryScheduling switches the parts of the scheduling under shortage. A part without a mode is off.
 type EntryScheduling struct {
@@ -155,9 +172,9 @@
 		switch *mode {
 		case "":
 			*mode = ModeOff
-		case ModeOff, ModeByPriority, ModeOn:
+		case ModeOff, ModeByPriority, ModeAuto, ModeOn:
 		default:
-			c.report.Add(path, "must be off, by_priority or on")
+			c.report.Add(path, "must be off, by_priority, auto or on")
 		}
 	}
 }
