--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -37,8 +37,8 @@
 
 // enabledForAny reports whether return times are enabled for any service of a catalog, which may be nil.
 func (r *returnSchedules) enabledForAny(catalog *fleet.Catalog) bool {
-	if r.mode.Enabled(false) || catalog == nil {
-		return r.mode.Enabled(false)
+	if r.mode == settings.ModeOn || catalog == nil {
+		return r.mode == settings.ModeOn
 	}
 	for name := range catalog.Services {
 		if r.enabledFor(catalog, name) {
@@ -176,7 +176,7 @@
 
 // notRunDelay returns the Retry-After if no endpoint has accepted the call.
 func (x *exchange) notRunDelay(now time.Time) time.Duration {
-	if !x.handler.returns.mode.Enabled(false) {
+	if x.handler.returns.mode != settings.ModeOn {
 		return notRunRetryAfter
 	}
 	return returntimes.Spread(notRunRetryAfter, x.remaining(now), rand.Float64())
