Add the pace tracker and predictions with the slowdown of endpoints

Cause: placement takes every endpoint for as fast as its published model. Package pace derives slowdown and slow start from answers; placement multiplies the times of slow endpoints and keeps to windows. Nothing sets either yet, so no choice changes.

--- /dev/null
+++ b/internal/pace/tracker.go
@@ -0,0 +1,231 @@
+package pace
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// settleTime is how long after the first endpoint a tracker takes further ones for endpoints that were there before it.
+	settleTime = 3 * time.Second
+	// maxRecords bounds the endpoints that are tracked. Further ones count as normal.
+	maxRecords = 8192
+)
+
+// Condition is what is published or known of an endpoint besides its answers.
+type Condition struct {
+	// Slots is the number of requests that the endpoint runs at once.
+	Slots int
+	// Cold is true during the cold start, Suspect while the endpoint fails requests.
+	Cold, Suspect bool
+}
+
+// Pace is what placement takes into account of an endpoint.
+type Pace struct {
+	// Slowdown is 1 for an endpoint that is as fast as predicted, 2 for one that is half as fast.
+	Slowdown float64
+	// Window bounds the in-flight requests; zero means that the slots alone bound them.
+	Window int
+}
+
+// record is what is known of an endpoint.
+type record struct {
+	samples    samples
+	lateGroups groupSamples
+	window     window
+	// factor is the slowdown of a slow endpoint; zero if the endpoint is not slow.
+	factor float64
+	// probing is true from the time at which a slow endpoint is probed until it counts as normal or slow again.
+	probing    bool
+	lateProbes int
+	probeDelay time.Duration
+	// lastAnswer is the time of the latest answer, or the time at which the endpoint became slow.
+	lastAnswer           time.Time
+	wasCold, wasTroubled bool
+}
+
+// Tracker tracks the pace of endpoints. It is safe for concurrent use.
+type Tracker struct {
+	mu      sync.Mutex
+	records map[uint32]*record
+	// settled is the time from which an unknown endpoint counts as one that has just started.
+	settled time.Time
+	changes []Change
+}
+
+// NewTracker returns a tracker without endpoints.
+func NewTracker() *Tracker { return &Tracker{records: make(map[uint32]*record)} }
+
+// Assess records the condition of an endpoint and returns its pace. A slow start begins if the endpoint was unknown, has left
+// its cold start or is no longer suspect.
+func (t *Tracker) Assess(endpoint uint32, c Condition, now time.Time) Pace {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[endpoint]
+	if r == nil {
+		if r = t.add(endpoint, now); r == nil {
+			return Pace{Slowdown: 1}
+		}
+		if !c.Cold && !c.Suspect && now.After(t.settled) {
+			t.beginStart(endpoint, r, startWindow(c.Slots), c.Slots, Started, now)
+		}
+	}
+	switch {
+	case r.wasTroubled && !c.Suspect && !c.Cold:
+		t.beginStart(endpoint, r, startWindow(c.Slots), c.Slots, Recovered, now)
+	case r.wasCold && !c.Cold && !c.Suspect:
+		t.beginStart(endpoint, r, startWindow(c.Slots), c.Slots, LeftColdStart, now)
+	}
+	if c.Cold || c.Suspect {
+		r.wasCold, r.wasTroubled = r.wasCold || c.Cold, r.wasTroubled || c.Suspect
+	} else {
+		r.wasCold, r.wasTroubled = false, false
+	}
+	r.window.slots = c.Slots
+	t.advance(endpoint, r, now)
+	return Pace{Slowdown: max(r.factor, 1), Window: r.window.limit()}
+}
+
+// add creates the record of an endpoint; nil if there are too many.
+func (t *Tracker) add(endpoint uint32, now time.Time) *record {
+	if len(t.records) >= maxRecords {
+		return nil
+	}
+	if t.settled.IsZero() {
+		t.settled = now.Add(settleTime)
+	}
+	r := &record{}
+	t.records[endpoint] = r
+	return r
+}
+
+// Slowdown returns how much slower an endpoint is than predicted: 1 as predicted, 2 half as fast.
+func (t *Tracker) Slowdown(endpoint uint32, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[endpoint]
+	if r == nil {
+		return 1
+	}
+	t.advance(endpoint, r, now)
+	return max(r.factor, 1)
+}
+
+// Window returns the bound on the in-flight requests of an endpoint. It returns false if its slots alone bound them.
+func (t *Tracker) Window(endpoint uint32, now time.Time) (limit int, bounded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[endpoint]
+	if r == nil {
+		return 0, false
+	}
+	t.advance(endpoint, r, now)
+	return r.window.limit(), r.window.active()
+}
+
+// Observe records the answer of an endpoint that processed a request alone. The prediction is that of the published model,
+// without the slowdown of the endpoint.
+func (t *Tracker) Observe(endpoint uint32, predicted, observed time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[endpoint]; r != nil {
+		t.observe(endpoint, r, ratioOf(predicted, observed), now)
+	}
+}
+
+func (t *Tracker) observe(endpoint uint32, r *record, ratio float64, now time.Time) {
+	t.advance(endpoint, r, now)
+	r.samples.add(ratio, now)
+	r.lastAnswer = now
+	late := ratio >= slowFrom
+	if late {
+		r.window.late(now)
+	} else {
+		r.window.onTime(now)
+		r.lateGroups.clear()
+	}
+	switch {
+	case r.probing && late:
+		t.failProbe(endpoint, r, ratio, now)
+	case r.factor > 0:
+		t.updateSlow(endpoint, r, now)
+	case !r.probing:
+		if slowdown, evidence := r.samples.slowdown(now); slowdown >= slowFrom {
+			t.becomeSlow(endpoint, r, slowdown, evidence, now)
+		}
+	}
+	t.advance(endpoint, r, now)
+}
+
+// Failed records a request that failed at an endpoint.
+func (t *Tracker) Failed(endpoint uint32, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[endpoint]; r != nil {
+		t.advance(endpoint, r, now)
+		r.window.late(now)
+	}
+}
+
+// updateSlow updates the slowdown of a slow endpoint, or ends it after recoveredSamples answers on time.
+func (t *Tracker) updateSlow(endpoint uint32, r *record, now time.Time) {
+	if r.samples.lastOnTime(recoveredSamples) {
+		r.factor, r.probing = 0, true
+		t.beginStart(endpoint, r, startWindow(r.window.slots), r.window.slots, NoLongerSlow, now)
+		return
+	}
+	if slowdown, _ := r.samples.slowdown(now); slowdown >= slowFrom {
+		r.factor = slowdown
+	}
+}
+
+func (t *Tracker) becomeSlow(endpoint uint32, r *record, factor float64, evidence int, now time.Time) {
+	if r.probeDelay == 0 {
+		r.probeDelay = minProbeDelay
+	}
+	r.factor, r.probing, r.lateProbes, r.lastAnswer = factor, false, 0, now
+	r.window.size = 0
+	t.change(Change{Endpoint: endpoint, Event: BecameSlow, Factor: factor, Evidence: evidence})
+}
+
+// failProbe counts a late answer to a probe.
+func (t *Tracker) failProbe(endpoint uint32, r *record, ratio float64, now time.Time) {
+	if r.lateProbes++; r.lateProbes < failedProbes {
+		return
+	}
+	r.probeDelay = min(2*r.probeDelay, maxProbeDelay)
+	t.becomeSlow(endpoint, r, ratio, r.lateProbes, now)
+}
+
+// advance applies the time that has passed: it begins the probe of a slow endpoint, and ends slow starts.
+func (t *Tracker) advance(endpoint uint32, r *record, now time.Time) {
+	if r.factor > 0 && now.Sub(r.lastAnswer) >= r.probeDelay {
+		r.factor, r.probing, r.lateProbes = 0, true, 0
+		t.beginStart(endpoint, r, probeWindow, r.window.slots, Probe, now)
+	}
+	if !r.window.advance(now) {
+		return
+	}
+	t.change(Change{Endpoint: endpoint, Event: StartEnded, Reason: r.window.reason})
+	if r.probing {
+		r.probing, r.probeDelay = false, 0
+		r.samples, r.lateGroups = samples{}, groupSamples{}
+		t.change(Change{Endpoint: endpoint, Event: BecameNormal})
+	}
+}
+
+func (t *Tracker) beginStart(endpoint uint32, r *record, size float64, slots int, reason Reason, now time.Time) {
+	r.window.begin(size, slots, reason, now)
+	t.change(Change{Endpoint: endpoint, Event: StartBegan, Reason: reason, Window: r.window.limit()})
+}
+
+// Forget deletes the endpoints for which isLive returns false.
+func (t *Tracker) Forget(isLive func(endpoint uint32) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for endpoint := range t.records {
+		if !isLive(endpoint) {
+			delete(t.records, endpoint)
+		}
+	}
+}
--- a/internal/placement/choicebuilder.go
+++ b/internal/placement/choicebuilder.go
@@ -43,17 +43,18 @@
 }
 
 // earliestHelper returns the unchosen candidate with the earliest predicted first event. It skips candidates that fitsSplit
-// excludes for the part and the fraction, and returns nil if none remains.
+// excludes for the part and the fraction, and returns nil if none remains. A slow candidate helps only if no other one can.
 func earliestHelper(
 	e *fleet.Engine, candidates []Candidate, chosen map[*fleet.Endpoint]bool, part time.Duration, fraction float64,
 ) *Candidate {
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if chosen[c.Endpoint] || !fitsSplit(e, c, part, fraction) {
+		if chosen[c.Endpoint] || !c.mayHelp() || !fitsSplit(e, c, part, fraction) {
 			continue
 		}
-		if best == nil || firstEvent(e, c, part) < firstEvent(e, best, part) {
+		if best == nil || best.isSlow() && !c.isSlow() ||
+			best.isSlow() == c.isSlow() && firstEvent(e, c, part) < firstEvent(e, best, part) {
 			best = c
 		}
 	}
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -51,6 +51,8 @@
 	exceedsEngine bool
 	// dueFraction is the fraction of the time left until earlier prefills are due that the parts may use.
 	dueFraction float64
+	// allowsSlow is true if slow endpoints may take part.
+	allowsSlow bool
 }
 
 // newLongPool groups the candidates. It leaves out cold and suspect endpoints, because one slow endpoint delays the first
@@ -78,18 +80,14 @@
 // endpoint and the cost of the primary. All endpoints prefill parts of equal length.
 func (p Planner) placeLong(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
 	pool := newLongPool(e, candidates, group, need)
-	prefill := e.PrefillTime(need.Tokens)
-	var best Choice
-	var bestCost time.Duration
-	for endpoints := 1; endpoints <= maxPrefillEndpoints; endpoints++ {
-		choice, ok := pool.choose(prefill/time.Duration(endpoints), endpoints)
-		cost := choice.Predicted + time.Duration(endpoints)*endpointOverhead + pool.primaryCost(choice.Primary)
-		if ok && (best.Primary == nil || cost < bestCost) {
-			best, bestCost = choice, cost
+	limit := maxPredicted(e, need)
+	best, inTime := pool.best(limit)
+	if !inTime && anySlow(candidates) {
+		pool.allowsSlow = true
+		if withSlow, ok := pool.best(limit); ok {
+			best, inTime = withSlow, true
 		}
 	}
-	limit := maxPredicted(e, need)
-	inTime := best.Primary != nil && best.Predicted+time.Duration(sizeMargin*float64(best.Part)) <= limit
 	switch {
 	case inTime:
 		return best, nil
@@ -101,6 +99,25 @@
 	return Choice{}, &Refusal{Reason: TooLate, RetryAfter: p.retryAfter(best.Predicted - limit), Predicted: best.Predicted}
 }
 
+// best returns the choice with the lowest cost, and reports whether its predicted first event is within the limit.
+func (l *longPool) best(limit time.Duration) (Choice, bool) {
+	prefill := l.engine.PrefillTime(l.need.Tokens)
+	var best Choice
+	var bestCost time.Duration
+	for endpoints := 1; endpoints <= maxPrefillEndpoints; endpoints++ {
+		choice, ok := l.choose(prefill/time.Duration(endpoints), endpoints)
+		cost := choice.Predicted + time.Duration(endpoints)*endpointOverhead + l.primaryCost(choice.Primary)
+		if ok && (best.Primary == nil || cost < bestCost) {
+			best, bestCost = choice, cost
+		}
+	}
+	inTime := best.Primary != nil && best.Predicted+time.Duration(sizeMargin*float64(best.Part)) <= limit
+	return best, inTime
+}
+
+// admits reports whether the endpoint may take part although it may be slow.
+func (l *longPool) admits(c *Candidate) bool { return l.allowsSlow || !c.isSlow() }
+
 // minBacklog returns the least prefill backlog of the long group's endpoints with capacity for the stream; zero if none
 // has capacity.
 func (l *longPool) minBacklog() time.Duration {
@@ -197,7 +214,7 @@
 	var best *Candidate
 	for i := range l.longGroup {
 		c := &l.longGroup[i]
-		if chosen[c.Endpoint] || !fitsSplit(l.engine, c, part, l.dueFraction) {
+		if chosen[c.Endpoint] || !l.admits(c) || !c.mayHelp() || !fitsSplit(l.engine, c, part, l.dueFraction) {
 			continue
 		}
 		if free := freeTokens(l.engine, c); free > minReservation && (best == nil || free > freeTokens(l.engine, best)) {
@@ -218,7 +235,7 @@
 	var best *Candidate
 	for i := range l.longGroup {
 		c := &l.longGroup[i]
-		if !l.hasCapacity(c) || !l.fits(c, part, endpoints) {
+		if !l.admits(c) || !l.hasCapacity(c) || !l.fits(c, part, endpoints) {
 			continue
 		}
 		if best == nil || l.isBetterPrimary(c, best) {
@@ -234,7 +251,7 @@
 	var best *Candidate
 	for i := range l.shortGroup {
 		c := &l.shortGroup[i]
-		if !hasCapacity(l.engine, c, l.need) || c.UsedTokens+l.need.Tokens+l.need.Output > limit || !l.fits(c, part, endpoints) {
+		if !l.admits(c) || !hasCapacity(l.engine, c, l.need) || c.UsedTokens+l.need.Tokens+l.need.Output > limit || !l.fits(c, part, endpoints) {
 			continue
 		}
 		if best == nil || c.PrefillBacklog < best.PrefillBacklog {
@@ -248,7 +265,7 @@
 // needs memory for a part of the prompt only.
 func (l *longPool) hasCapacity(c *Candidate) bool {
 	if l.exceedsEngine {
-		return !c.Full && c.Streams < l.engine.Slots && freeTokens(l.engine, c) > minReservation
+		return !c.Full && !c.isWindowUsed() && c.Streams < l.engine.Slots && freeTokens(l.engine, c) > minReservation
 	}
 	return hasCapacity(l.engine, c, l.need)
 }
@@ -280,8 +297,16 @@
 // helper returns the unchosen endpoint with the earliest predicted first event. Endpoints of the short group prefill small
 // parts if no other endpoint can.
 func (l *longPool) helper(chosen map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
-	if best := earliestHelper(l.engine, l.longGroup, chosen, part, l.dueFraction); best != nil || part > maxShortGroupPart {
+	if best := l.earliestHelper(l.longGroup, chosen, part); best != nil || part > maxShortGroupPart {
 		return best
 	}
-	return earliestHelper(l.engine, l.shortGroup, chosen, part, l.dueFraction)
+	return l.earliestHelper(l.shortGroup, chosen, part)
+}
+
+func (l *longPool) earliestHelper(candidates []Candidate, chosen map[*fleet.Endpoint]bool, part time.Duration) *Candidate {
+	best := earliestHelper(l.engine, candidates, chosen, part, l.dueFraction)
+	if best != nil && !l.admits(best) {
+		return nil
+	}
+	return best
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,11 @@
 	// Full is true if the endpoint accepts no further request from this instance now, because it limits its request rate. It
 	// may still be a helper, because the requests of parts come from the primary endpoint.
 	Full bool
+	// Slowdown is how much slower the endpoint is than the model of its engine predicts: 2 means half as fast, 0 means 1.
+	Slowdown float64
+	// Window bounds the streams of an endpoint in a slow start; zero if its slots alone bound them. An endpoint with a used
+	// window gets neither requests nor parts.
+	Window int
 }
 
 // Need describes a request.
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -6,7 +6,7 @@
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Full || c.Streams >= c.Endpoint.Slots*2 {
+		if c.Full || c.isWindowUsed() || c.Streams >= c.Endpoint.Slots*2 {
 			continue
 		}
 		if best == nil || plainCost(c, domain) < plainCost(best, domain) {
@@ -22,6 +22,12 @@
 	return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.randomDelay(minRetryAfter/2, minRetryAfter)}
 }
 
+const (
+	// plainSlowCost is the cost of an endpoint of a plain service for each unit of its slowdown, at most maxPlainSlowCost.
+	plainSlowCost    = 0.35
+	maxPlainSlowCost = 1.5
+)
+
 // plainCost ranks the endpoints of a plain service. An endpoint queues requests that exceed its slots.
 func plainCost(c *Candidate, domain string) float64 {
 	cost := float64(c.Streams) / float64(max(c.Endpoint.Slots, 1))
@@ -31,5 +37,9 @@
 	if c.Cold || c.Suspect {
 		cost += 2
 	}
+	if c.isSlow() {
+		// A slow endpoint gets requests before a suspect one, and after the endpoints of other domains.
+		cost += min(plainSlowCost*c.Slowdown, maxPlainSlowCost)
+	}
 	return cost
 }
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -151,20 +151,20 @@
 
 // hasCapacity reports whether the engine can run the request as its primary endpoint without queueing it.
 func hasCapacity(e *fleet.Engine, c *Candidate, need Need) bool {
-	return !c.Full && c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
+	return !c.Full && !c.isWindowUsed() && c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
 }
 
 // firstEvent predicts the time to the first event of a prompt with the given prefill time on the endpoint.
 func firstEvent(e *fleet.Engine, c *Candidate, prefill time.Duration) time.Duration {
 	pass := passTime(e, c)
-	return pass/2 + c.PrefillBacklog + prefill + pass
+	return pass/2 + c.slowed(c.PrefillBacklog+prefill) + pass
 }
 
 // splitFirstEvent predicts the time to the first event of a prompt that is split over several endpoints, as far as it
 // depends on this endpoint. Engines prefill parts of split prompts before all other prompts.
 func splitFirstEvent(e *fleet.Engine, c *Candidate, part time.Duration) time.Duration {
 	pass := passTime(e, c)
-	return pass/2 + part + pass
+	return pass/2 + c.slowed(part) + pass
 }
 
 // dueFraction is the fraction of the time left until earlier prefills are due that a part which precedes them may use.
@@ -177,15 +177,15 @@
 	if !fitsGap(e, c, part) {
 		return false
 	}
-	return c.PrefillDueIn == 0 || c.PrefillBacklog+part+passTime(e, c) <= time.Duration(fraction*float64(c.PrefillDueIn))
+	return c.PrefillDueIn == 0 || c.slowed(c.PrefillBacklog+part)+passTime(e, c) <= time.Duration(fraction*float64(c.PrefillDueIn))
 }
 
 // passTime returns the time of one pass without its prefill.
 func passTime(e *fleet.Engine, c *Candidate) time.Duration {
 	if c.Streams == 0 {
-		return idlePassTime
+		return c.slowed(idlePassTime)
 	}
-	return e.PassTime(c.Streams, c.UsedTokens)
+	return c.slowed(e.PassTime(c.Streams, c.UsedTokens))
 }
 
 // fitsGap reports whether the endpoint's streams stay within their max gaps during the prefill.
@@ -193,5 +193,5 @@
 	if c.MaxGap == 0 {
 		return true
 	}
-	return c.PrefillBacklog+part+passTime(e, c) <= time.Duration(gapFraction*float64(c.MaxGap))
+	return c.slowed(c.PrefillBacklog+part)+passTime(e, c) <= time.Duration(gapFraction*float64(c.MaxGap))
 }
