Track the pace of endpoints where scheduling.pace asks for it

Cause: predictions and windows of package pace had no observations. Instances observe first events, pauses and latencies; schedulers learn from the extension of the updates that instances send already. With the mode off, no update has an extension and no candidate has a slowdown or a window.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -74,6 +74,7 @@
 		if x.handler.options.Health.Unreachable(e.Key(), time.Now()) {
 			x.logSuspect(e, err.Error())
 		}
+		x.pace.fail()
 		x.unreachable++
 		if x.unreachable <= maxUnreachable {
 			return true
@@ -86,6 +87,7 @@
 
 // handleFailure handles a failed attempt in which the call may have run.
 func (x *exchange) handleFailure(e *fleet.Endpoint, reason string) bool {
+	x.pace.fail()
 	if x.handler.options.Health.Failure(e.Key(), time.Now()) {
 		x.logSuspect(e, reason)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -62,6 +62,8 @@
 	mayHaveRun bool
 	// failureResponse is the last complete response with a server error; it is forwarded if no other attempt succeeds.
 	failureResponse *relay
+	// pace observes the endpoints of the latest attempt.
+	pace *attemptPace
 	// relays are the responses of all attempts. Their memory is released at the end of the exchange.
 	relays []*relay
 	// events splits the streams of all attempts into events.
@@ -135,6 +137,7 @@
 	x.logPlaced(&p)
 	request := x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
 	defer request.End()
+	x.pace = x.observePace(&p, now)
 	reserved, err := x.reserve(ctx, choice.Reservations)
 	if err != nil {
 		return x.handleNotReserved(ctx, choice, err)
@@ -145,7 +148,9 @@
 	r := &relay{x: x, endpoint: primary, reserved: reserved, body: bufferedResponse{budget: x.handler.responseMemory}}
 	x.relays = append(x.relays, r)
 	r.onEvents = func() {
+		x.pace.event(r, time.Now())
 		if request.PrefillDone() {
+			x.pace.firstEvent(r, time.Now())
 			p.schedulerPlacement.PrefillDone()
 			x.watch.pause()
 		}
@@ -157,7 +162,10 @@
 		r.sentAt = time.Now()
 		return x.stillUsable(&p)
 	}, r)
-	return x.handleResult(ctx, primary, r, err)
+	ended := time.Now()
+	retry := x.handleResult(ctx, primary, r, err)
+	x.pace.end(r, err, ended)
+	return retry
 }
 
 // attemptEvents returns the number of complete events that the latest attempt has received.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,10 +15,12 @@
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/panics"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/quarantine"
 	"github.com/acacialift/acacialift/internal/scheduler"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 // HandlerOptions configures a Handler.
@@ -34,6 +36,9 @@
 	Client      *engine.Client
 	// Quarantine holds the evidence about parts of prompts under which endpoints crash.
 	Quarantine *quarantine.Tracker
+	// Pace tracks the pace of endpoints; nil if it is off. PaceMode states for which services it is used.
+	Pace     *pace.Tracker
+	PaceMode settings.Mode
 	// Schedulers places requests for model services in larger fleets; if nil, this instance places all its requests itself.
 	Schedulers Schedulers
 	// CountsAge returns the greatest age of the other instances' counts in the load tracker.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/acacialift/acacialift/internal/pace"
 )
 
 // reservoirSize is the number of samples of a latency histogram, and reservoirAlpha the rate at which older samples lose
@@ -63,6 +65,9 @@
 // PartQuarantined counts a part whose quarantine has begun because of a request to this instance.
 func (m *Metrics) PartQuarantined() { m.count("parts_quarantined") }
 
+// PaceChanged counts a change of the pace of an endpoint.
+func (m *Metrics) PaceChanged(event pace.Event) { m.count("endpoint_pace_" + string(event)) }
+
 // Panicked counts a panic that ended a request or the handling of a message.
 func (m *Metrics) Panicked() { m.count("panics") }
 
--- /dev/null
+++ b/internal/entry/pace.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/pace"
+	"github.com/acacialift/acacialift/internal/scheduler"
+)
+
+const (
+	// pauseCount is the number of latest pauses of a stream that are kept, and minPauses the least number that is reported.
+	pauseCount = 8
+	minPauses  = 4
+	// reportedPause is the index of the reported pause among the sorted ones. The shortest may be that after a lost packet,
+	// and longer ones may include the prefill of other prompts.
+	reportedPause = 1
+)
+
+// pacesService reports whether the pace of a service's endpoints is tracked.
+func (h *Handler) pacesService(catalog *fleet.Catalog, service string) bool {
+	return h.options.Pace != nil && catalog != nil && h.options.PaceMode.Enabled(catalog.IsRanked(service))
+}
+
+// attemptPace observes the endpoints of one attempt. A nil value observes nothing.
+type attemptPace struct {
+	x         *exchange
+	primary   *fleet.Endpoint
+	endpoints []uint32
+	scheduled *scheduler.Placement
+	// predicted is the time to the first event that the model predicts, without the slowdown of the endpoints.
+	predicted time.Duration
+	// pass is the predicted time between two events.
+	pass        time.Duration
+	lastEvent   time.Time
+	pauses      [pauseCount]time.Duration
+	pausesSoFar int
+	failed      bool
+}
+
+// observePace returns the observer of an attempt; nil if the pace of the service is not tracked.
+func (x *exchange) observePace(p *attemptPlacement, now time.Time) *attemptPace {
+	tracker := x.handler.options.Pace
+	if !x.handler.pacesService(x.catalog, x.service.Name) {
+		return nil
+	}
+	a := &attemptPace{x: x, primary: p.Primary, endpoints: []uint32{p.Primary.Key()}, scheduled: p.schedulerPlacement}
+	slowdown := tracker.Slowdown(p.Primary.Key(), now)
+	for _, helper := range p.Helpers {
+		a.endpoints = append(a.endpoints, helper.Key())
+		slowdown = max(slowdown, tracker.Slowdown(helper.Key(), now))
+	}
+	a.predicted = time.Duration(float64(p.Predicted) / slowdown)
+	if e := x.service.Engine; e != nil {
+		totals, _ := x.handler.options.Load.Totals(now)
+		counts := totals.Entries[p.Primary.Key()]
+		a.pass = e.PassTime(max(counts.Streams, 1), counts.UsedTokens)
+	}
+	return a
+}
+
+// event records that events of the stream have arrived.
+func (a *attemptPace) event(r *relay, now time.Time) {
+	if a == nil || !r.streaming {
+		return
+	}
+	if !a.lastEvent.IsZero() {
+		a.pauses[a.pausesSoFar%pauseCount] = now.Sub(a.lastEvent)
+		a.pausesSoFar++
+	}
+	a.lastEvent = now
+}
+
+// firstEvent records the time to the first event of a stream.
+func (a *attemptPace) firstEvent(r *relay, now time.Time) {
+	if a == nil || !r.streaming || a.x.service.Engine == nil {
+		return
+	}
+	observed := now.Sub(r.sentAt)
+	if a.scheduled != nil {
+		a.scheduled.Observe(scheduler.Observation{First: observed})
+		return
+	}
+	a.x.handler.options.Pace.ObserveGroup(a.endpoints, a.predicted, observed, now)
+}
+
+// fail records that the attempt has failed at its primary endpoint.
+func (a *attemptPace) fail() {
+	if a != nil {
+		a.failed = true
+	}
+}
+
+// end reports what is known at the end of the attempt, whose response ended at the given time.
+func (a *attemptPace) end(r *relay, err error, ended time.Time) {
+	if a == nil {
+		return
+	}
+	tracker, key := a.x.handler.options.Pace, a.primary.Key()
+	switch {
+	case a.scheduled != nil:
+		a.scheduled.Observe(scheduler.Observation{Pause: a.pause(), Failed: a.failed})
+	case a.failed:
+		tracker.Failed(key, ended)
+	case a.x.service.Engine != nil && a.pause() > 0:
+		tracker.ObservePauses(key, a.pass, a.pause(), ended)
+	case a.x.service.Engine == nil && err == nil && r.classification.Verdict == Accepted:
+		if r.streaming && !r.firstEventAt.IsZero() {
+			ended = r.firstEventAt
+		}
+		tracker.ObserveLatency(key, a.x.profile.Name, ended.Sub(r.sentAt), ended)
+	}
+}
+
+// pause returns a low quantile of the latest pauses; zero if there were too few.
+func (a *attemptPace) pause() time.Duration {
+	if a.pausesSoFar < minPauses {
+		return 0
+	}
+	latest := slices.Clone(a.pauses[:min(a.pausesSoFar, pauseCount)])
+	slices.Sort(latest)
+	return latest[reportedPause]
+}
+
+// maintainPace assesses the endpoints of the services whose pace is tracked, deletes those that are gone, and logs and counts the
+// changes.
+func (p *Process) maintainPace(now time.Time) {
+	tracker := p.handler.options.Pace
+	if tracker == nil {
+		return
+	}
+	snapshot := p.options.State.Snapshot()
+	if snapshot.Catalog == nil {
+		return
+	}
+	for name, service := range snapshot.Catalog.Services {
+		if !p.handler.pacesService(snapshot.Catalog, name) {
+			continue
+		}
+		for _, e := range snapshot.Endpoints[name] {
+			tracker.Assess(e.Key(), p.handler.condition(service, e, now), now)
+		}
+	}
+	tracker.Forget(func(endpoint uint32) bool { return snapshot.ByKey[endpoint] != nil })
+	for _, c := range tracker.TakeChanges() {
+		p.logPace(c)
+	}
+	slow, starting := tracker.Counts()
+	p.metrics.SetGauge("slow_endpoints", int64(slow))
+	p.metrics.SetGauge("starting_endpoints", int64(starting))
+}
+
+// condition returns the condition of an endpoint.
+func (h *Handler) condition(service *fleet.Service, e *fleet.Endpoint, now time.Time) pace.Condition {
+	return pace.Condition{
+		Slots: e.Slots, Cold: service.ColdRate > 0 && e.IsCold(now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
+	}
+}
+
+// logPace logs and counts a change of an endpoint's pace.
+func (p *Process) logPace(c pace.Change) {
+	p.metrics.PaceChanged(c.Event)
+	line := p.log.Info().Str("endpoint", p.options.State.EndpointID(c.Endpoint)).Str("state", string(c.Event))
+	switch c.Event {
+	case pace.BecameSlow:
+		line = line.Float64("factor", c.Factor).Int("evidence", c.Evidence)
+	case pace.StartBegan:
+		line = line.Str("reason", string(c.Reason)).Int("window", c.Window)
+	case pace.StartEnded:
+		line = line.Str("reason", string(c.Reason))
+	}
+	line.Msg("endpoint_pace")
+}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -196,6 +196,9 @@
 		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[e.Key()], Full: full[e.Key()]}
 		c.Suspect = c.Suspect || h.options.Health.IsSuspect(e.Key(), now)
 		c.Cold = x.service.ColdRate > 0 && e.IsCold(now)
+		if h.pacesService(snapshot.Catalog, x.service.Name) {
+			c.SetPace(h.options.Pace.Assess(e.Key(), h.condition(x.service, e, now), now))
+		}
 		if c.Cold && !h.options.ColdLimiter.Allows(e.Key(), x.service.ColdRate, now) {
 			continue
 		}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -20,6 +20,7 @@
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/loadshare"
 	"github.com/acacialift/acacialift/internal/outcome"
+	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/panics"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/quarantine"
@@ -146,11 +147,15 @@
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Fleet: p.fleetShare,
 		}),
 	}
+	if s.Scheduling.Pace != settings.ModeOff && s.Scheduling.Pace != "" {
+		handlerOptions.Pace, handlerOptions.PaceMode = pace.NewTracker(), s.Scheduling.Pace
+	}
 	p.localScheduler = scheduler.NewScheduler(scheduler.Options{
 		ColdLimiter: limit.NewFleetColdLimiter(b.ColdFactor, b.ColdSlack, func(now time.Time) bool {
 			return p.sharer.HasMajority(now)
 		}),
 		State: options.State, IsSuspect: healthTracker.IsSuspect, Planner: handlerOptions.Planner,
+		Pace: handlerOptions.Pace, PaceMode: handlerOptions.PaceMode,
 	})
 	if memory := memoryBytes(s); memory > 0 {
 		handlerOptions.MaxBufferedBytes = min(memory/responseMemoryDivisor, defaultBufferedBytes)
@@ -371,6 +376,7 @@
 			p.coldLimiter.Forget(now)
 			p.rateLimiter.Forget(now)
 			p.forgetQuarantine(now)
+			p.maintainPace(now)
 			p.metrics.SetGauge("limited_endpoints", int64(p.rateLimiter.Count()))
 			p.metrics.SetGauge("connections", int64(p.callerServer.Connections()))
 			p.metrics.SetGauge("buffered_bytes", p.callerServer.BufferedBytes())
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -16,6 +16,8 @@
 	sampleLifetime = 3 * time.Second
 	// minSamples is the least number of answers that show a slow endpoint. Two late ones are often two lost packets.
 	minSamples = 4
+	// The slowdown is the quantile 1/quantileDivisor of the answers.
+	quantileDivisor = 4
 	// minSampleSpan is the least time between the first and the last of these answers. Answers that are late together have
 	// often waited for one long prefill, or for an instance that did not run.
 	minSampleSpan = 250 * time.Millisecond
@@ -62,8 +64,8 @@
 
 // slowdown returns the slowdown that the answers of the last sampleLifetime show together, and their number. It is a low
 // quantile, because a slow endpoint delays all its answers, whereas a lost packet or a prefill that came first delays only
-// some. It returns 1 if the evidence does not suffice.
-func (s *samples) slowdown(now time.Time) (slowdown float64, evidence int) {
+// some. It returns 1 if there are less than the given least number.
+func (s *samples) slowdown(now time.Time, least, divisor int) (slowdown float64, evidence int) {
 	var ratios [sampleCount]float64
 	var oldest, newest time.Time
 	for _, v := range s.values[:min(s.count, sampleCount)] {
@@ -79,11 +81,11 @@
 			newest = v.at
 		}
 	}
-	if evidence < minSamples || newest.Sub(oldest) < minSampleSpan {
+	if evidence < least || newest.Sub(oldest) < minSampleSpan {
 		return 1, evidence
 	}
 	slices.Sort(ratios[:evidence])
-	return max(ratios[evidence/4], 1), evidence
+	return max(ratios[(evidence-1)/divisor], 1), evidence
 }
 
 // lastOnTime reports whether the latest answers, as many as given, were all on time.
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -40,7 +40,9 @@
 	lateProbes int
 	probeDelay time.Duration
 	// lastAnswer is the time of the latest answer, or the time at which the endpoint became slow.
-	lastAnswer           time.Time
+	lastAnswer time.Time
+	// plain is true for an endpoint of a plain service.
+	plain                bool
 	wasCold, wasTroubled bool
 }
 
@@ -51,10 +53,14 @@
 	// settled is the time from which an unknown endpoint counts as one that has just started.
 	settled time.Time
 	changes []Change
+	// baselines holds the median latency of each group of requests to plain services.
+	baselines map[string]time.Duration
 }
 
 // NewTracker returns a tracker without endpoints.
-func NewTracker() *Tracker { return &Tracker{records: make(map[uint32]*record)} }
+func NewTracker() *Tracker {
+	return &Tracker{records: make(map[uint32]*record), baselines: make(map[string]time.Duration)}
+}
 
 // Assess records the condition of an endpoint and returns its pace. A slow start begins if the endpoint was unknown, has left
 // its cold start or is no longer suspect.
@@ -150,7 +156,7 @@
 	case r.factor > 0:
 		t.updateSlow(endpoint, r, now)
 	case !r.probing:
-		if slowdown, evidence := r.samples.slowdown(now); slowdown >= slowFrom {
+		if slowdown, evidence := r.slowdown(now); slowdown >= slowFrom {
 			t.becomeSlow(endpoint, r, slowdown, evidence, now)
 		}
 	}
@@ -174,11 +180,18 @@
 		t.beginStart(endpoint, r, startWindow(r.window.slots), r.window.slots, NoLongerSlow, now)
 		return
 	}
-	if slowdown, _ := r.samples.slowdown(now); slowdown >= slowFrom {
+	if slowdown, _ := r.slowdown(now); slowdown >= slowFrom {
 		r.factor = slowdown
 	}
 }
 
+func (r *record) slowdown(now time.Time) (slowdown float64, evidence int) {
+	if r.plain {
+		return r.samples.slowdown(now, plainSamples, plainSamples)
+	}
+	return r.samples.slowdown(now, minSamples, quantileDivisor)
+}
+
 func (t *Tracker) becomeSlow(endpoint uint32, r *record, factor float64, evidence int, now time.Time) {
 	if r.probeDelay == 0 {
 		r.probeDelay = minProbeDelay
--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -157,6 +157,17 @@
 	return i
 }
 
+// RemoveInvalid removes an observation that is out of its range. The rest of the update holds.
+func (m *PlaceUpdate) RemoveInvalid() Invalid {
+	var i Invalid
+	i.inRange("observed time", m.Extension.FirstUS, 0, MaxTime.Microseconds())
+	i.inRange("observed pause", m.Extension.PauseUS, 0, MaxTime.Microseconds())
+	if i.Count > 0 {
+		m.Extension = PlaceUpdateExtension{}
+	}
+	return i
+}
+
 func (w *PlacedWork) invalid() Invalid {
 	var i Invalid
 	i.inRange("helpers", int64(len(w.Helpers)), 0, maxHelpers)
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -76,8 +76,23 @@
 	Number uint64
 	Shard  PlaceShard
 	Ended  bool
+	// Extension is sent only if the update is sent by its address.
+	Extension PlaceUpdateExtension `msgpack:"-"`
 }
 
+// PlaceUpdateExtension holds what the sender has observed of the endpoints of a placed request. Zero values are not observed.
+type PlaceUpdateExtension struct {
+	// FirstUS is the time from the sending of the request to its first event, in microseconds.
+	FirstUS int64
+	// PauseUS is a low quantile of the latest pauses between events, in microseconds.
+	PauseUS int64
+	// Failed is true if the request failed at its primary endpoint.
+	Failed bool
+}
+
+// Extended implements Extended.
+func (m *PlaceUpdate) Extended() any { return &m.Extension }
+
 // PlacedWork is a request that has not ended.
 type PlacedWork struct {
 	// Number identifies the request among those of the sender. It is the Number of its PlaceRequest, if one was sent.
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/acacialift/acacialift/internal/pace"
+)
 
 // slowed returns a predicted time of the endpoint with its slowdown.
 func (c *Candidate) slowed(predicted time.Duration) time.Duration {
@@ -17,7 +21,9 @@
 func (c *Candidate) isWindowUsed() bool { return c.Window > 0 && c.Streams >= c.Window }
 
 // mayHelp reports whether the endpoint may prefill a part of a prompt. In a slow start it prefills one part at a time.
-func (c *Candidate) mayHelp() bool { return c.Window == 0 || !c.isWindowUsed() && c.PrefillBacklog == 0 }
+func (c *Candidate) mayHelp() bool {
+	return c.Window == 0 || !c.isWindowUsed() && c.PrefillBacklog == 0
+}
 
 // anySlow reports whether one of the candidates is slow.
 func anySlow(candidates []Candidate) bool {
@@ -28,3 +34,6 @@
 	}
 	return false
 }
+
+// SetPace sets the slowdown and the window of the endpoint.
+func (c *Candidate) SetPace(p pace.Pace) { c.Slowdown, c.Window = p.Slowdown, p.Window }
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
 )
@@ -11,6 +13,7 @@
 	scheduler string
 	shard     Shard
 	number    load.Number
+	observed  Observation
 }
 
 // PrefillDone informs the scheduler that the prefill is done.
@@ -24,11 +27,12 @@
 		return
 	}
 	c := p.client
+	if p.scheduler == c.options.Self {
+		c.options.Local.Observe(p.shard, c.options.Self, p.number, p.takeObserved(), time.Now())
+	}
 	switch {
 	case p.scheduler != c.options.Self:
-		c.send(p.scheduler, peer.KindPlaceUpdate, peer.PlaceUpdate{
-			From: c.options.Self, Number: uint64(p.number), Shard: p.shard.message(), Ended: ended,
-		})
+		c.send(p.scheduler, peer.KindPlaceUpdate, p.update(ended))
 	case ended:
 		c.options.Local.End(p.shard, c.options.Self, p.number)
 	default:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,7 +8,9 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 const (
@@ -54,6 +56,7 @@
 	request   *load.Request
 	placedAt  time.Time
 	expiresAt time.Time
+	pace      placedPace
 }
 
 // shardState is the load of one shard, as its scheduler has counted it.
@@ -72,6 +75,9 @@
 	// ColdLimiter bounds the requests to endpoints in cold start.
 	ColdLimiter *limit.FleetColdLimiter
 	Planner     placement.Planner
+	// Pace tracks the pace of endpoints; nil if it is off. PaceMode states for which services it is used.
+	Pace     *pace.Tracker
+	PaceMode settings.Mode
 }
 
 // Scheduler tracks the load of the shards for which this instance is the scheduler, and places requests there. It does no
@@ -123,9 +129,10 @@
 	case refusal == nil && !s.takeCold(service, choice.Primary, now):
 		return choice, nil, false
 	case refusal == nil:
-		state.add(
+		p := state.add(
 			requestKey{from: request.From, number: request.Number}, choice.Work(request.Need, request.Limit), now, request.Limit,
 		)
+		s.trackPace(snapshot, service, state, p, &choice, now)
 	}
 	return choice, refusal, true
 }
@@ -149,6 +156,9 @@
 		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[key], Full: slices.Contains(request.Full, key)}
 		c.Suspect = now.Before(s.suspects[key]) || s.options.IsSuspect(key, now)
 		c.Cold = service.ColdRate > 0 && e.IsCold(now)
+		if s.paces(snapshot, service) {
+			c.SetPace(s.options.Pace.Assess(key, pace.Condition{Slots: service.Engine.Slots, Cold: c.Cold, Suspect: c.Suspect}, now))
+		}
 		if c.Cold && !s.options.ColdLimiter.Allows(key, service.ColdRate, now) {
 			continue
 		}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -48,7 +48,8 @@
 	case peer.KindPlaceUpdate:
 		var m peer.PlaceUpdate
 		if s.decode(from, envelope, &m) {
-			s.update(&m)
+			logInvalid(s.Log, &s.rejections, from.Name, m.RemoveInvalid())
+			s.update(&m, now)
 		}
 	case peer.KindPlaceSync:
 		var m peer.PlaceSync
@@ -94,8 +95,11 @@
 	return syncMessage(s.Self, shard, requestsOn(s.Load, shard, now))
 }
 
-func (s *Server) update(m *peer.PlaceUpdate) {
+func (s *Server) update(m *peer.PlaceUpdate, now time.Time) {
 	shard, ok := shardOf(m.Shard)
+	if ok {
+		s.Scheduler.Observe(shard, m.From, load.Number(m.Number), observationOf(&m.Extension), now)
+	}
 	switch {
 	case !ok:
 	case m.Ended:
