--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -46,6 +46,7 @@
 	Load   Load
 	Policy Policy
 	Seed   uint64
+	PaceOptions
 }
 
 // Result holds the outcomes of a run.
@@ -55,6 +56,7 @@
 	Value float64
 	// PrefillFraction is the fraction of the engines' time that they spent on prefill.
 	PrefillFraction float64
+	Pace            PaceResult
 }
 
 // KindResult sums the outcomes of a kind.
@@ -106,6 +108,7 @@
 	// schedulers holds the load tracker of each scheduler.
 	schedulers []*load.Tracker
 	result     Result
+	pace       paceState
 }
 
 // Run runs a load and returns the outcomes.
@@ -135,6 +138,7 @@
 		r.trackers = append(r.trackers, load.NewTracker())
 		r.after(time.Duration(i)*r.options.ShareInterval/time.Duration(options.Instances), func() { r.sendCounts(i) })
 	}
+	r.startPace()
 	r.scheduleArrivals(options.Load.arrivals(r.random))
 	for len(r.queue) > 0 {
 		next := heap.Pop(&r.queue).(event)
@@ -268,7 +272,7 @@
 }
 
 func (r *run) candidates(instance int) []placement.Candidate {
-	return r.candidatesOf(r.trackers[instance], r.endpoints)
+	return r.candidatesOf(instance, r.endpoints)
 }
 
 func (r *run) shardCandidates(shard int) []placement.Candidate {
@@ -276,14 +280,25 @@
 	for i := shard; i < len(r.endpoints); i += len(r.schedulers) {
 		part = append(part, r.endpoints[i])
 	}
-	return r.candidatesOf(r.schedulers[shard], part)
+	return r.candidatesOf(shard, part)
 }
 
-func (r *run) candidatesOf(tracker *load.Tracker, endpoints []*endpoint) []placement.Candidate {
-	totals, _ := tracker.Totals(r.virtualTime())
+// trackerOf returns the load tracker of a scheduler or, without schedulers, of an instance.
+func (r *run) trackerOf(holder int) *load.Tracker {
+	if len(r.schedulers) > 0 {
+		return r.schedulers[holder]
+	}
+	return r.trackers[holder]
+}
+
+func (r *run) candidatesOf(holder int, endpoints []*endpoint) []placement.Candidate {
+	totals, _ := r.trackerOf(holder).Totals(r.virtualTime())
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	for _, e := range endpoints {
-		candidates = append(candidates, placement.Candidate{Endpoint: e.Endpoint, Entry: totals.Entries[e.Key()]})
+		c := placement.Candidate{Endpoint: e.Endpoint, Entry: totals.Entries[e.Key()]}
+		if r.setPace(&c, e, holder) {
+			candidates = append(candidates, c)
+		}
 	}
 	return candidates
 }
@@ -296,11 +311,7 @@
 		call.reserved[h.Endpoint] = h.Tokens
 		r.byEndpoint[h.Endpoint].usedTokens += h.Tokens
 	}
-	tracker := r.trackers[call.instance]
-	if len(r.schedulers) > 0 {
-		tracker = r.schedulers[call.shard]
-	}
-	call.inFlight = tracker.Add(load.Work{
+	call.inFlight = r.trackerOf(r.holder(call)).Add(load.Work{
 		Primary: choice.Primary, Helpers: choice.Helpers,
 		Tokens: call.memoryTokens() - call.reservedTokens(), Reserved: call.reserved,
 		Part: choice.Part, Predicted: choice.Predicted, MaxGap: call.kind.MaxGap,
@@ -309,6 +320,7 @@
 	partCount := int64(len(choice.Helpers) + 1)
 	call.partsRemaining = int(partCount)
 	call.primary = r.byEndpoint[choice.Primary]
+	r.observeDispatch(call, r.holder(call))
 	tokens := max(call.tokens/partCount, 1)
 	perToken := r.options.Engine.PrefillTime(call.tokens) / time.Duration(max(call.tokens, 1))
 	shared := partCount > 1
@@ -344,6 +356,7 @@
 	for _, call := range prefilled {
 		call.inFlight.PrefillDone()
 		call.firstEventAt = r.now
+		r.observeFirstEvent(call)
 		call.primary.decoding = append(call.primary.decoding, call)
 		r.decodeEvent(call)
 		r.startIfIdle(call.primary)
@@ -356,11 +369,15 @@
 	if call.eventsDecoded > 0 && r.now-call.lastEventAt > call.kind.MaxGap {
 		call.gapExceeded = true
 	}
+	if call.eventsDecoded > 0 {
+		r.observePause(call, r.now-call.lastEventAt)
+	}
 	call.lastEventAt = r.now
 	call.eventsDecoded++
 	if call.eventsDecoded < call.events && r.now-call.at < call.kind.TimeLimit {
 		return
 	}
+	r.observeEnd(call, r.holder(call))
 	call.primary.release(call)
 	for h, tokens := range call.reserved {
 		r.byEndpoint[h].usedTokens -= tokens
@@ -380,6 +397,7 @@
 	if maxEarned > 0 {
 		r.result.Value = earned / maxEarned
 	}
+	r.summarizePace()
 	var prefill time.Duration
 	for _, e := range r.endpoints {
 		prefill += e.prefillTime
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -26,6 +26,11 @@
 	pass []prefillWork
 	// prefillTime sums the time spent on prefill.
 	prefillTime time.Duration
+	// slowdown multiplies the times of the engine; zero means 1. slowSince is the time since which it is slow, slowUntil the
+	// time until which it was. away is true while the endpoint is out of service.
+	slowdown             float64
+	slowSince, slowUntil time.Duration
+	away                 bool
 }
 
 // part is the part of a prompt that one endpoint prefills.
@@ -94,7 +99,7 @@
 		contextTokens += r.tokens - r.reservedTokens()
 	}
 	step := e.engine.PassTime(len(e.decoding), contextTokens) / time.Duration(e.engine.Stride)
-	return prefill + time.Duration(steps)*step
+	return time.Duration(max(e.slowdown, 1) * float64(prefill+time.Duration(steps)*step))
 }
 
 // endPass returns the requests whose last part was prefilled, and the requests that decoded an event.
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -22,6 +22,9 @@
 	// Stride is the number of steps of a pass; the default is that of StandardEngine.
 	Stride int
 	Load   Load
+	// Engine is the engine of all endpoints; the default is StandardEngine.
+	Engine *fleet.Engine
+	PaceOptions
 }
 
 // StandardEngine returns the engine of all patterns, some of which set other slots or another stride: 405,000 tokens of
@@ -175,6 +178,9 @@
 // Options returns the options for a run of the pattern.
 func (p Pattern) Options(policy Policy, seed uint64) Options {
 	engine := StandardEngine()
+	if p.Engine != nil {
+		engine = *p.Engine
+	}
 	if p.Slots > 0 {
 		engine.Slots = p.Slots
 	}
@@ -183,6 +189,6 @@
 	}
 	return Options{
 		Shards: p.Shards, Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
-		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed,
+		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed, PaceOptions: p.PaceOptions,
 	}
 }
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/placement"
 )
 
@@ -32,6 +33,12 @@
 	gapExceeded    bool
 	// choice is the result of the placement.
 	choice placement.Choice
+	// paced observes the endpoints of the request, which were chosen at pacedAt; nil without pace. onSlow is true if one of
+	// them was slow then, and pauses holds the latest pauses between events.
+	paced   *pace.Request
+	pacedAt time.Duration
+	onSlow  bool
+	pauses  []time.Duration
 }
 
 // output returns the number of tokens of the response. Each event has stride tokens, as many as a pass of the engine
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -27,6 +27,7 @@
 		result := Run(pattern.Options(policy, uint64(seed)+1))
 		sum.Value += result.Value / float64(seeds)
 		sum.PrefillFraction += result.PrefillFraction / float64(seeds)
+		sum.Pace.add(&result.Pace)
 		for name, k := range result.Kinds {
 			if sum.Kinds[name] == nil {
 				sum.Kinds[name] = &KindResult{}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -138,6 +138,7 @@
 	request := x.handler.options.Load.AddNumbered(p.number, x.work(choice, now), now)
 	defer request.End()
 	x.pace = x.observePace(&p, now)
+	defer x.pace.release()
 	reserved, err := x.reserve(ctx, choice.Reservations)
 	if err != nil {
 		return x.handleNotReserved(ctx, choice, err)
--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -27,10 +27,9 @@
 type attemptPace struct {
 	x         *exchange
 	primary   *fleet.Endpoint
-	endpoints []uint32
 	scheduled *scheduler.Placement
-	// predicted is the time to the first event that the model predicts, without the slowdown of the endpoints.
-	predicted time.Duration
+	// placed observes an attempt that no scheduler has placed.
+	placed *pace.Request
 	// pass is the predicted time between two events.
 	pass        time.Duration
 	lastEvent   time.Time
@@ -45,18 +44,18 @@
 	if !x.handler.pacesService(x.catalog, x.service.Name) {
 		return nil
 	}
-	a := &attemptPace{x: x, primary: p.Primary, endpoints: []uint32{p.Primary.Key()}, scheduled: p.schedulerPlacement}
-	slowdown := tracker.Slowdown(p.Primary.Key(), now)
-	for _, helper := range p.Helpers {
-		a.endpoints = append(a.endpoints, helper.Key())
-		slowdown = max(slowdown, tracker.Slowdown(helper.Key(), now))
+	a := &attemptPace{x: x, primary: p.Primary, scheduled: p.schedulerPlacement}
+	if x.service.Engine == nil || a.scheduled != nil {
+		return a
 	}
-	a.predicted = time.Duration(float64(p.Predicted) / slowdown)
-	if e := x.service.Engine; e != nil {
-		totals, _ := x.handler.options.Load.Totals(now)
-		counts := totals.Entries[p.Primary.Key()]
-		a.pass = e.PassTime(max(counts.Streams, 1), counts.UsedTokens)
+	endpoints := []uint32{p.Primary.Key()}
+	for _, helper := range p.Helpers {
+		endpoints = append(endpoints, helper.Key())
 	}
+	a.placed = tracker.Place(endpoints, p.Predicted, now)
+	totals, _ := x.handler.options.Load.Totals(now)
+	counts := totals.Entries[p.Primary.Key()]
+	a.pass = x.service.Engine.PassTime(max(counts.Streams, 1), counts.UsedTokens)
 	return a
 }
 
@@ -82,7 +81,7 @@
 		a.scheduled.Observe(scheduler.Observation{First: observed})
 		return
 	}
-	a.x.handler.options.Pace.ObserveGroup(a.endpoints, a.predicted, observed, now)
+	a.placed.FirstEvent(observed, now)
 }
 
 // fail records that the attempt has failed at its primary endpoint.
@@ -103,9 +102,9 @@
 		a.scheduled.Observe(scheduler.Observation{Pause: a.pause(), Failed: a.failed})
 	case a.failed:
 		tracker.Failed(key, ended)
-	case a.x.service.Engine != nil && a.pause() > 0:
-		tracker.ObservePauses(key, a.pass, a.pause(), ended)
-	case a.x.service.Engine == nil && err == nil && r.classification.Verdict == Accepted:
+	case a.x.service.Engine != nil:
+		a.placed.Pauses(a.pass, a.pause(), ended)
+	case err == nil && r.classification.Verdict == Accepted:
 		if r.streaming && !r.firstEventAt.IsZero() {
 			ended = r.firstEventAt
 		}
@@ -113,6 +112,13 @@
 	}
 }
 
+// release ends the observation, also if the attempt has not been sent.
+func (a *attemptPace) release() {
+	if a != nil {
+		a.placed.End()
+	}
+}
+
 // pause returns a low quantile of the latest pauses; zero if there were too few.
 func (a *attemptPace) pause() time.Duration {
 	if a.pausesSoFar < minPauses {
--- a/internal/pace/group.go
+++ b/internal/pace/group.go
@@ -38,14 +38,13 @@
 // are as fast as predicted. A late one shows only that one of them may be slow: an endpoint is held responsible if it had a part
 // in several late groups, in more than any other of its last group.
 func (t *Tracker) ObserveGroup(endpoints []uint32, predicted, observed time.Duration, now time.Time) {
-	if len(endpoints) == 1 {
-		t.Observe(endpoints[0], predicted, observed, now)
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ratio := ratioOf(predicted, observed)
-	if ratio < slowFrom {
+	t.observeGroup(endpoints, ratioOf(predicted, observed), now)
+}
+
+func (t *Tracker) observeGroup(endpoints []uint32, ratio float64, now time.Time) {
+	if len(endpoints) == 1 || ratio < slowFrom {
 		for _, endpoint := range endpoints {
 			if r := t.records[endpoint]; r != nil {
 				t.observe(endpoint, r, ratio, now)
--- a/internal/pace/latency.go
+++ b/internal/pace/latency.go
@@ -34,9 +34,3 @@
 	r.plain = true
 	t.observe(endpoint, r, ratioOf(baseline, latency), now)
 }
-
-// ObservePauses records a low quantile of the pauses between the events of a stream, and the pass that the model predicts for the
-// streams of the endpoint.
-func (t *Tracker) ObservePauses(endpoint uint32, pass, pause time.Duration, now time.Time) {
-	t.Observe(endpoint, pass, pause, now)
-}
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -32,7 +32,9 @@
 type record struct {
 	samples    samples
 	lateGroups groupSamples
-	window     window
+	// inFlight holds the requests without a first event.
+	inFlight []*Request
+	window   window
 	// factor is the slowdown of a slow endpoint; zero if the endpoint is not slow.
 	factor float64
 	// probing is true from the time at which a slow endpoint is probed until it counts as normal or slow again.
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -50,61 +50,20 @@
 	return &m
 }
 
-// placedPace is what an observation of a placed request is compared with. It is zero if the pace of its service is not tracked.
-type placedPace struct {
-	engine *fleet.Engine
-	// endpoints holds the primary endpoint and the helpers.
-	endpoints []uint32
-	// predicted is the time to the first event that the model predicted, without the slowdown of the endpoints.
-	predicted time.Duration
-	// overtaken is true if an engine prefills a part of a later prompt first, or had such a request before this one. The
-	// prediction does not hold then.
-	overtaken bool
-	done      bool
-}
-
 // paces reports whether the pace of the service's endpoints is tracked.
 func (s *Scheduler) paces(snapshot *fleet.Snapshot, service *fleet.Service) bool {
 	return s.options.Pace != nil && s.options.PaceMode.Enabled(snapshot.Catalog.IsRanked(service.Name))
 }
 
-// trackPace records what the first event of a placed request is compared with. Engines prefill parts of split prompts before all
-// other prompts.
+// trackPace records a placed request, so that its answers are compared with the prediction.
 func (s *Scheduler) trackPace(
-	snapshot *fleet.Snapshot, service *fleet.Service, state *shardState, p *placedRequest, choice *placement.Choice, now time.Time,
+	snapshot *fleet.Snapshot, service *fleet.Service, p *placedRequest, choice *placement.Choice, now time.Time,
 ) {
-	if !s.paces(snapshot, service) {
-		return
+	if s.paces(snapshot, service) {
+		endpoints := append([]uint32{choice.Primary.Key()}, keysOf(choice.Helpers)...)
+		p.engine, p.primary = service.Engine, endpoints[0]
+		p.pace = s.options.Pace.Place(endpoints, choice.Predicted, now)
 	}
-	tracked := placedPace{engine: service.Engine, endpoints: append([]uint32{choice.Primary.Key()}, keysOf(choice.Helpers)...)}
-	slowdown := 1.0
-	for _, endpoint := range tracked.endpoints {
-		slowdown = max(slowdown, s.options.Pace.Slowdown(endpoint, now))
-	}
-	tracked.predicted = time.Duration(float64(choice.Predicted) / slowdown)
-	isSplit := len(choice.Helpers) > 0
-	for _, other := range state.requests {
-		if other == p || other.pace.done || !overlaps(other.pace.endpoints, tracked.endpoints) {
-			continue
-		}
-		if isSplit {
-			other.pace.overtaken = true
-			continue
-		}
-		tracked.overtaken = tracked.overtaken || other.pace.overtaken
-	}
-	p.pace = tracked
-}
-
-func overlaps(a, b []uint32) bool {
-	for _, x := range a {
-		for _, y := range b {
-			if x == y {
-				return true
-			}
-		}
-	}
-	return false
 }
 
 // Observe applies what an instance has observed of a request that this scheduler placed.
@@ -115,22 +74,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.find(shard, from, number)
-	if p == nil || p.pace.engine == nil {
+	if p == nil || p.pace == nil {
 		return
 	}
-	primary := p.pace.endpoints[0]
-	if o.First > 0 && !p.pace.done {
-		p.pace.done = true
-		if !p.pace.overtaken || o.First <= p.pace.predicted {
-			s.options.Pace.ObserveGroup(p.pace.endpoints, p.pace.predicted, o.First, now)
-		}
+	if o.First > 0 {
+		p.pace.FirstEvent(o.First, now)
 	}
 	if o.Pause > 0 {
 		totals, _ := s.shards[shard].tracker.Totals(now)
-		e := totals.Entries[primary]
-		s.options.Pace.ObservePauses(primary, p.pace.engine.PassTime(max(e.Streams, 1), e.UsedTokens), o.Pause, now)
+		e := totals.Entries[p.primary]
+		p.pace.Pauses(p.engine.PassTime(max(e.Streams, 1), e.UsedTokens), o.Pause, now)
 	}
 	if o.Failed {
-		s.options.Pace.Failed(primary, now)
+		p.pace.Failed(now)
+	}
+}
+
+// deleteShard deletes the state of a shard.
+func (s *Scheduler) deleteShard(shard Shard) {
+	for _, p := range s.shards[shard].requests {
+		p.pace.End()
 	}
+	delete(s.shards, shard)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -56,7 +56,10 @@
 	request   *load.Request
 	placedAt  time.Time
 	expiresAt time.Time
-	pace      placedPace
+	// pace observes the endpoints of the request, and engine and primary are theirs; unset if their pace is not tracked.
+	pace    *pace.Request
+	engine  *fleet.Engine
+	primary uint32
 }
 
 // shardState is the load of one shard, as its scheduler has counted it.
@@ -132,7 +135,7 @@
 		p := state.add(
 			requestKey{from: request.From, number: request.Number}, choice.Work(request.Need, request.Limit), now, request.Limit,
 		)
-		s.trackPace(snapshot, service, state, p, &choice, now)
+		s.trackPace(snapshot, service, p, &choice, now)
 	}
 	return choice, refusal, true
 }
@@ -224,7 +227,7 @@
 		}
 		state.expire(now)
 		if now.Sub(state.lastMessage) > idleShardTime {
-			delete(s.shards, shard)
+			s.deleteShard(shard)
 		}
 	}
 	for endpoint, until := range s.suspects {
@@ -241,7 +244,7 @@
 	defer s.mu.Unlock()
 	for shard := range s.shards {
 		if !isScheduler(shard) {
-			delete(s.shards, shard)
+			s.deleteShard(shard)
 		}
 	}
 }
@@ -285,6 +288,7 @@
 func (st *shardState) remove(key requestKey) {
 	if p := st.requests[key]; p != nil {
 		p.request.End()
+		p.pace.End()
 		delete(st.requests, key)
 	}
 }
