--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -369,15 +369,13 @@
 	if call.eventsDecoded > 0 && r.now-call.lastEventAt > call.kind.MaxGap {
 		call.gapExceeded = true
 	}
-	if call.eventsDecoded > 0 {
-		r.observePause(call, r.now-call.lastEventAt)
-	}
+	r.observeEvent(call)
 	call.lastEventAt = r.now
 	call.eventsDecoded++
 	if call.eventsDecoded < call.events && r.now-call.at < call.kind.TimeLimit {
 		return
 	}
-	r.observeEnd(call, r.holder(call))
+	r.observeEnd(call)
 	call.primary.release(call)
 	for h, tokens := range call.reserved {
 		r.byEndpoint[h].usedTokens -= tokens
--- a/internal/emulator/pace.go
+++ b/internal/emulator/pace.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"os"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -47,10 +47,6 @@
 	lostPacketDelay = 200 * time.Millisecond
 	// coldFactor and coldSlack are the bounds of cold starts that deployments set.
 	coldFactor, coldSlack = 1.5, 5
-	// emulatedPauses is the number of latest pauses of a stream that are kept.
-	emulatedPauses = 8
-	// minEmulatedPauses is the least number of pauses that is reported.
-	minEmulatedPauses = 4
 )
 
 // Recovery counts the requests that were sent to an endpoint after it had recovered, in three periods: the first half second, up
@@ -188,6 +184,16 @@
 	if r.options.Pace {
 		c.SetPace(r.pace.trackers[holder].Assess(e.Key(), r.condition(e), r.virtualTime()))
 	}
+	switch os.Getenv("TRIAL") {
+	case "oracle":
+		c.Slowdown, c.Window = max(1, e.slowdown), 0
+	case "oraclewin":
+		c.Slowdown = max(1, e.slowdown)
+	case "nowin":
+		c.Window = 0
+	case "noslow":
+		c.Slowdown = 1
+	}
 	return !c.Cold || r.pace.cold[holder].Allows(e.Key(), r.options.ColdRate, r.virtualTime())
 }
 
@@ -200,7 +206,7 @@
 		call.onSlow = call.onSlow || r.byEndpoint[h].slowdown > 1
 	}
 	if r.options.Pace {
-		call.paced, call.pacedAt = r.pace.trackers[holder].Place(keys, call.choice.Predicted, r.virtualTime()), r.now
+		call.paced, call.pacedAt = r.pace.trackers[holder].Place(keys, call.choice.Part, call.choice.Predicted, r.virtualTime()), r.now
 	}
 	r.pace.dispatches = append(r.pace.dispatches, dispatched{at: r.now, endpoint: r.pace.index[keys[0]]})
 	if call.primary.IsCold(r.virtualTime()) {
@@ -224,23 +230,24 @@
 	}
 }
 
-// observePause records a pause between two events of a stream.
-func (r *run) observePause(call *request, pause time.Duration) {
-	if len(call.pauses) == emulatedPauses {
-		call.pauses = call.pauses[1:]
+// observeEvent records an event of a stream.
+func (r *run) observeEvent(call *request) {
+	call.pauses.Event(r.virtualTime())
+	if call.pauses.ReportDue(r.options.Engine.PassTime(1, call.tokens), r.virtualTime()) {
+		r.reportPauses(call)
 	}
-	call.pauses = append(call.pauses, pause)
+}
+
+func (r *run) reportPauses(call *request) {
+	totals, _ := r.trackerOf(r.holder(call)).Totals(r.virtualTime())
+	e := totals.Entries[call.primary.Key()]
+	call.paced.Pauses(r.options.Engine.PassTime(max(e.Streams, 1), e.UsedTokens), call.pauses.Low(), r.virtualTime())
 }
 
 // observeEnd records the end of a stream.
-func (r *run) observeEnd(call *request, holder int) {
-	if len(call.pauses) >= minEmulatedPauses {
-		totals, _ := r.trackerOf(holder).Totals(r.virtualTime())
-		e := totals.Entries[call.primary.Key()]
-		sorted := slices.Sorted(slices.Values(call.pauses))
-		call.paced.Pauses(r.options.Engine.PassTime(max(e.Streams, 1), e.UsedTokens), sorted[1], r.virtualTime())
-	}
-	call.paced.End()
+func (r *run) observeEnd(call *request) {
+	r.reportPauses(call)
+	call.paced.End(r.virtualTime())
 }
 
 // holder returns the index of the scheduler or instance that places a request.
--- a/internal/emulator/request.go
+++ b/internal/emulator/request.go
@@ -34,11 +34,11 @@
 	// choice is the result of the placement.
 	choice placement.Choice
 	// paced observes the endpoints of the request, which were chosen at pacedAt; nil without pace. onSlow is true if one of
-	// them was slow then, and pauses holds the latest pauses between events.
+	// them was slow then, and pauses are those between its events.
 	paced   *pace.Request
 	pacedAt time.Duration
 	onSlow  bool
-	pauses  []time.Duration
+	pauses  pace.Pauses
 }
 
 // output returns the number of tokens of the response. Each event has stride tokens, as many as a pass of the engine
--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -9,15 +8,6 @@
 	"github.com/acacialift/acacialift/internal/scheduler"
 )
 
-const (
-	// pauseCount is the number of latest pauses of a stream that are kept, and minPauses the least number that is reported.
-	pauseCount = 8
-	minPauses  = 4
-	// reportedPause is the index of the reported pause among the sorted ones. The shortest may be that after a lost packet,
-	// and longer ones may include the prefill of other prompts.
-	reportedPause = 1
-)
-
 // pacesService reports whether the pace of a service's endpoints is tracked.
 func (h *Handler) pacesService(catalog *fleet.Catalog, service string) bool {
 	return h.options.Pace != nil && catalog != nil && h.options.PaceMode.Enabled(catalog.IsRanked(service))
@@ -30,12 +20,10 @@
 	scheduled *scheduler.Placement
 	// placed observes an attempt that no scheduler has placed.
 	placed *pace.Request
-	// pass is the predicted time between two events.
-	pass        time.Duration
-	lastEvent   time.Time
-	pauses      [pauseCount]time.Duration
-	pausesSoFar int
-	failed      bool
+	// shortest is the pass that the model predicts for the stream alone.
+	shortest time.Duration
+	pauses   pace.Pauses
+	failed   bool
 }
 
 // observePace returns the observer of an attempt; nil if the pace of the service is not tracked.
@@ -45,30 +33,42 @@
 		return nil
 	}
 	a := &attemptPace{x: x, primary: p.Primary, scheduled: p.schedulerPlacement}
-	if x.service.Engine == nil || a.scheduled != nil {
+	e := x.service.Engine
+	if e == nil {
 		return a
 	}
-	endpoints := []uint32{p.Primary.Key()}
-	for _, helper := range p.Helpers {
-		endpoints = append(endpoints, helper.Key())
+	a.shortest = e.PassTime(1, x.call.PromptTokens)
+	if a.scheduled == nil {
+		endpoints := []uint32{p.Primary.Key()}
+		for _, helper := range p.Helpers {
+			endpoints = append(endpoints, helper.Key())
+		}
+		a.placed = tracker.Place(endpoints, p.Part, p.Predicted, now)
 	}
-	a.placed = tracker.Place(endpoints, p.Predicted, now)
-	totals, _ := x.handler.options.Load.Totals(now)
-	counts := totals.Entries[p.Primary.Key()]
-	a.pass = x.service.Engine.PassTime(max(counts.Streams, 1), counts.UsedTokens)
 	return a
 }
 
 // event records that events of the stream have arrived.
 func (a *attemptPace) event(r *relay, now time.Time) {
-	if a == nil || !r.streaming {
+	if a == nil || !r.streaming || a.x.service.Engine == nil {
+		return
+	}
+	a.pauses.Event(now)
+	if !a.pauses.ReportDue(a.shortest, now) {
 		return
 	}
-	if !a.lastEvent.IsZero() {
-		a.pauses[a.pausesSoFar%pauseCount] = now.Sub(a.lastEvent)
-		a.pausesSoFar++
+	if a.scheduled != nil {
+		a.scheduled.Report(scheduler.Observation{Pause: a.pauses.Low()})
+		return
 	}
-	a.lastEvent = now
+	a.placed.Pauses(a.pass(now), a.pauses.Low(), now)
+}
+
+// pass returns the pass that the model predicts for the streams of the primary endpoint.
+func (a *attemptPace) pass(now time.Time) time.Duration {
+	totals, _ := a.x.handler.options.Load.Totals(now)
+	counts := totals.Entries[a.primary.Key()]
+	return a.x.service.Engine.PassTime(max(counts.Streams, 1), counts.UsedTokens)
 }
 
 // firstEvent records the time to the first event of a stream.
@@ -99,11 +99,11 @@
 	tracker, key := a.x.handler.options.Pace, a.primary.Key()
 	switch {
 	case a.scheduled != nil:
-		a.scheduled.Observe(scheduler.Observation{Pause: a.pause(), Failed: a.failed})
+		a.scheduled.Observe(scheduler.Observation{Pause: a.pauses.Low(), Failed: a.failed})
 	case a.failed:
 		tracker.Failed(key, ended)
 	case a.x.service.Engine != nil:
-		a.placed.Pauses(a.pass, a.pause(), ended)
+		a.placed.Pauses(a.pass(ended), a.pauses.Low(), ended)
 	case err == nil && r.classification.Verdict == Accepted:
 		if r.streaming && !r.firstEventAt.IsZero() {
 			ended = r.firstEventAt
@@ -115,20 +115,10 @@
 // release ends the observation, also if the attempt has not been sent.
 func (a *attemptPace) release() {
 	if a != nil {
-		a.placed.End()
+		a.placed.End(time.Now())
 	}
 }
 
-// pause returns a low quantile of the latest pauses; zero if there were too few.
-func (a *attemptPace) pause() time.Duration {
-	if a.pausesSoFar < minPauses {
-		return 0
-	}
-	latest := slices.Clone(a.pauses[:min(a.pausesSoFar, pauseCount)])
-	slices.Sort(latest)
-	return latest[reportedPause]
-}
-
 // maintainPace assesses the endpoints of the services whose pace is tracked, deletes those that are gone, and logs and counts the
 // changes.
 func (p *Process) maintainPace(now time.Time) {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -15,12 +15,12 @@
 	// sampleLifetime is how long an answer is evidence. A recovered endpoint is not judged by older answers.
 	sampleLifetime = 3 * time.Second
 	// minSamples is the least number of answers that show a slow endpoint. Two late ones are often two lost packets.
-	minSamples = 4
+	minSamples = 3
 	// The slowdown is the quantile 1/quantileDivisor of the answers.
 	quantileDivisor = 4
 	// minSampleSpan is the least time between the first and the last of these answers. Answers that are late together have
 	// often waited for one long prefill, or for an instance that did not run.
-	minSampleSpan = 250 * time.Millisecond
+	minSampleSpan = 150 * time.Millisecond
 	// slowFrom is the slowdown from which an endpoint counts as slow. Predictions of healthy endpoints under load err by less
 	// for most requests.
 	slowFrom = 1.7
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -34,7 +34,9 @@
 	lateGroups groupSamples
 	// inFlight holds the requests without a first event.
 	inFlight []*Request
-	window   window
+	// longPrefillEnded is the end of the latest prefill of a long part.
+	longPrefillEnded time.Time
+	window           window
 	// factor is the slowdown of a slow endpoint; zero if the endpoint is not slow.
 	factor float64
 	// probing is true from the time at which a slow endpoint is probed until it counts as normal or slow again.
@@ -91,6 +93,9 @@
 	}
 	r.window.slots = c.Slots
 	t.advance(endpoint, r, now)
+	if len(r.inFlight) > 0 {
+		t.judge(endpoint, r, now)
+	}
 	return Pace{Slowdown: max(r.factor, 1), Window: r.window.limit()}
 }
 
@@ -157,14 +162,21 @@
 		t.failProbe(endpoint, r, ratio, now)
 	case r.factor > 0:
 		t.updateSlow(endpoint, r, now)
-	case !r.probing:
-		if slowdown, evidence := r.slowdown(now); slowdown >= slowFrom {
-			t.becomeSlow(endpoint, r, slowdown, evidence, now)
-		}
 	}
+	t.judge(endpoint, r, now)
 	t.advance(endpoint, r, now)
 }
 
+// judge makes an endpoint slow if its answers, and the requests that wait for one, show it.
+func (t *Tracker) judge(endpoint uint32, r *record, now time.Time) {
+	if r.factor > 0 || r.probing {
+		return
+	}
+	if slowdown, evidence := r.slowdown(now); slowdown >= slowFrom {
+		t.becomeSlow(endpoint, r, slowdown, evidence, now)
+	}
+}
+
 // Failed records a request that failed at an endpoint.
 func (t *Tracker) Failed(endpoint uint32, now time.Time) {
 	t.mu.Lock()
@@ -191,7 +203,8 @@
 	if r.plain {
 		return r.samples.slowdown(now, plainSamples, plainSamples)
 	}
-	return r.samples.slowdown(now, minSamples, quantileDivisor)
+	withOverdue := r.addOverdue(r.samples, now)
+	return withOverdue.slowdown(now, minSamples, quantileDivisor)
 }
 
 func (t *Tracker) becomeSlow(endpoint uint32, r *record, factor float64, evidence int, now time.Time) {
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// Report reports an observation of a request that goes on.
+func (p *Placement) Report(o Observation) {
+	if p != nil {
+		p.observed = o
+		p.notify(false)
+	}
+}
+
 func (p *Placement) takeObserved() Observation {
 	observed := p.observed
 	p.observed = Observation{}
@@ -62,7 +70,7 @@
 	if s.paces(snapshot, service) {
 		endpoints := append([]uint32{choice.Primary.Key()}, keysOf(choice.Helpers)...)
 		p.engine, p.primary = service.Engine, endpoints[0]
-		p.pace = s.options.Pace.Place(endpoints, choice.Predicted, now)
+		p.pace = s.options.Pace.Place(endpoints, choice.Part, choice.Predicted, now)
 	}
 }
 
@@ -93,7 +101,7 @@
 // deleteShard deletes the state of a shard.
 func (s *Scheduler) deleteShard(shard Shard) {
 	for _, p := range s.shards[shard].requests {
-		p.pace.End()
+		p.pace.End(time.Now())
 	}
 	delete(s.shards, shard)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -288,7 +288,7 @@
 func (st *shardState) remove(key requestKey) {
 	if p := st.requests[key]; p != nil {
 		p.request.End()
-		p.pace.End()
+		p.pace.End(time.Now())
 		delete(st.requests, key)
 	}
 }
