Probe slow endpoints with short prompts, judge groups that are overdue, test package pace

Cause: probes took long prompts to endpoints that were still slow, and groups were judged only at their late first event, seconds after.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -283,14 +283,6 @@
 	return r.candidatesOf(shard, part)
 }
 
-// trackerOf returns the load tracker of a scheduler or, without schedulers, of an instance.
-func (r *run) trackerOf(holder int) *load.Tracker {
-	if len(r.schedulers) > 0 {
-		return r.schedulers[holder]
-	}
-	return r.trackers[holder]
-}
-
 func (r *run) candidatesOf(holder int, endpoints []*endpoint) []placement.Candidate {
 	totals, _ := r.trackerOf(holder).Totals(r.virtualTime())
 	candidates := make([]placement.Candidate, 0, len(endpoints))
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -30,7 +30,7 @@
 	// time until which it was. away is true while the endpoint is out of service.
 	slowdown             float64
 	slowSince, slowUntil time.Duration
-	away                 bool
+	away, found          bool
 }
 
 // part is the part of a prompt that one endpoint prefills.
--- a/internal/emulator/pace.go
+++ b/internal/emulator/pace.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/limit"
+	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/placement"
 )
@@ -131,8 +131,12 @@
 		}
 		e := r.endpoints[r.pace.index[c.Endpoint]]
 		if e.slowSince > 0 {
+			if e.found {
+				continue
+			}
+			e.found = true
 			r.result.Pace.Found++
-			r.result.Pace.FoundAfter += r.now - e.slowSince
+			r.result.Pace.FoundAfter += c.At.Sub(time.Unix(0, 0)) - e.slowSince
 			continue
 		}
 		if r.now-e.slowUntil > falseAfter {
@@ -152,7 +156,7 @@
 	e := r.endpoints[t.Endpoint]
 	switch t.Kind {
 	case Slow:
-		e.slowdown, e.slowSince = t.Factor, r.now
+		e.slowdown, e.slowSince, e.found = t.Factor, r.now, false
 	case Away:
 		e.away = true
 	}
@@ -184,33 +188,22 @@
 	if r.options.Pace {
 		c.SetPace(r.pace.trackers[holder].Assess(e.Key(), r.condition(e), r.virtualTime()))
 	}
-	switch os.Getenv("TRIAL") {
-	case "oracle":
-		c.Slowdown, c.Window = max(1, e.slowdown), 0
-	case "oraclewin":
-		c.Slowdown = max(1, e.slowdown)
-	case "nowin":
-		c.Window = 0
-	case "noslow":
-		c.Slowdown = 1
-	}
 	return !c.Cold || r.pace.cold[holder].Allows(e.Key(), r.options.ColdRate, r.virtualTime())
 }
 
 // observeDispatch records that a request is sent to its endpoints.
 func (r *run) observeDispatch(call *request, holder int) {
-	keys := []uint32{call.primary.Key()}
+	primary := call.primary.Key()
 	call.onSlow = call.primary.slowdown > 1
 	for _, h := range call.choice.Helpers {
-		keys = append(keys, h.Key())
 		call.onSlow = call.onSlow || r.byEndpoint[h].slowdown > 1
 	}
 	if r.options.Pace {
-		call.paced, call.pacedAt = r.pace.trackers[holder].Place(keys, call.choice.Part, call.choice.Predicted, r.virtualTime()), r.now
+		call.paced, call.pacedAt = r.pace.trackers[holder].Place(call.choice.Shares(), call.choice.Part, len(r.schedulers) > 0, r.virtualTime()), r.now
 	}
-	r.pace.dispatches = append(r.pace.dispatches, dispatched{at: r.now, endpoint: r.pace.index[keys[0]]})
+	r.pace.dispatches = append(r.pace.dispatches, dispatched{at: r.now, endpoint: r.pace.index[primary]})
 	if call.primary.IsCold(r.virtualTime()) {
-		r.pace.cold[holder].Take(keys[0], r.options.ColdRate, r.virtualTime())
+		r.pace.cold[holder].Take(primary, r.options.ColdRate, r.virtualTime())
 		r.pace.coldTimes[call.primary] = append(r.pace.coldTimes[call.primary], r.virtualTime())
 	}
 	if call.onSlow {
@@ -258,6 +251,14 @@
 	return call.instance
 }
 
+// trackerOf returns the load tracker of a scheduler or, without schedulers, of an instance.
+func (r *run) trackerOf(holder int) *load.Tracker {
+	if len(r.schedulers) > 0 {
+		return r.schedulers[holder]
+	}
+	return r.trackers[holder]
+}
+
 // summarizePace computes the recoveries from the dispatched requests.
 func (r *run) summarizePace() {
 	periods := [4]time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 4 * time.Second}
--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -39,11 +39,7 @@
 	}
 	a.shortest = e.PassTime(1, x.call.PromptTokens)
 	if a.scheduled == nil {
-		endpoints := []uint32{p.Primary.Key()}
-		for _, helper := range p.Helpers {
-			endpoints = append(endpoints, helper.Key())
-		}
-		a.placed = tracker.Place(endpoints, p.Part, p.Predicted, now)
+		a.placed = tracker.Place(p.Shares(), p.Part, false, now)
 	}
 	return a
 }
--- a/internal/pace/change.go
+++ b/internal/pace/change.go
@@ -1,5 +1,7 @@
 package pace
 
+import "time"
+
 // Reason states why a slow start began.
 type Reason string
 
@@ -33,6 +35,7 @@
 // Change is a change of an endpoint's pace.
 type Change struct {
 	Endpoint uint32
+	At       time.Time
 	Event    Event
 	// Factor is the slowdown, and Evidence the number of answers that show it, for BecameSlow.
 	Factor   float64
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -16,9 +16,14 @@
 	sampleLifetime = 3 * time.Second
 	// minSamples is the least number of answers that show a slow endpoint. Two late ones are often two lost packets.
 	minSamples = 3
+	// partialSamples is the number of answers, all late, that show a slow endpoint to an instance that does not know the requests
+	// of the others.
+	partialSamples = 6
+	// partialSlowFrom is slowFrom for such an instance.
+	partialSlowFrom = 2.2
 	// The slowdown is the quantile 1/quantileDivisor of the answers.
 	quantileDivisor = 4
-	// minSampleSpan is the least time between the first and the last of these answers. Answers that are late together have
+	// minSampleSpan is the least time for which the answers must show a slow endpoint. Answers that are late together have
 	// often waited for one long prefill, or for an instance that did not run.
 	minSampleSpan = 150 * time.Millisecond
 	// slowFrom is the slowdown from which an endpoint counts as slow. Predictions of healthy endpoints under load err by less
@@ -39,9 +44,9 @@
 	minProbeDelay = 1 * time.Second
 	maxProbeDelay = 2 * time.Second
 	// probeWindow is the window of an endpoint that is probed.
-	probeWindow = 2
+	probeWindow = 1
 	// failedProbes is the number of late answers after which a probe has failed.
-	failedProbes = 2
+	failedProbes = 1
 )
 
 // sample is one answer of an endpoint: the observed time divided by the predicted one.
@@ -62,30 +67,34 @@
 	s.count++
 }
 
-// slowdown returns the slowdown that the answers of the last sampleLifetime show together, and their number. It is a low
+// evidence is what several answers show together: the slowdown, their number and the time of the first of them.
+type evidence struct {
+	slowdown float64
+	count    int
+	since    time.Time
+}
+
+// slowdown returns the slowdown that the answers of the last sampleLifetime show together. It is a low
 // quantile, because a slow endpoint delays all its answers, whereas a lost packet or a prefill that came first delays only
-// some. It returns 1 if there are less than the given least number.
-func (s *samples) slowdown(now time.Time, least, divisor int) (slowdown float64, evidence int) {
+// some. It is 1 if there are less than the given least number.
+func (s *samples) slowdown(now time.Time, least, divisor int) evidence {
 	var ratios [sampleCount]float64
-	var oldest, newest time.Time
+	e := evidence{slowdown: 1, since: now}
 	for _, v := range s.values[:min(s.count, sampleCount)] {
 		if now.Sub(v.at) > sampleLifetime {
 			continue
 		}
-		ratios[evidence] = v.ratio
-		evidence++
-		if oldest.IsZero() || v.at.Before(oldest) {
-			oldest = v.at
-		}
-		if v.at.After(newest) {
-			newest = v.at
+		ratios[e.count] = v.ratio
+		e.count++
+		if v.at.Before(e.since) {
+			e.since = v.at
 		}
 	}
-	if evidence < least || newest.Sub(oldest) < minSampleSpan {
-		return 1, evidence
+	if e.count >= least {
+		slices.Sort(ratios[:e.count])
+		e.slowdown = max(ratios[(e.count-1)/divisor], 1)
 	}
-	slices.Sort(ratios[:evidence])
-	return max(ratios[(evidence-1)/divisor], 1), evidence
+	return e
 }
 
 // lastOnTime reports whether the latest answers, as many as given, were all on time.
--- a/internal/pace/pauses.go
+++ b/internal/pace/pauses.go
@@ -6,16 +6,16 @@
 )
 
 const (
-	// pauseCount is the number of latest pauses of a stream that are evidence. A stream shows in four passes whether its engine
-	// has become slow.
-	pauseCount = 4
+	// pauseCount is the number of latest pauses of a stream that are evidence. A stream shows in three passes whether its
+	// engine has become slow or has recovered.
+	pauseCount = 3
 	// lowPause is the index of the pause that counts among the sorted ones. The shortest may be that after a lost packet, and
 	// longer ones may include the prefill of other prompts.
 	lowPause = 1
 	// reportFrom is the multiple of the shortest possible pass from which a stream reports its pauses before its end.
 	reportFrom = 1.6
 	// reportInterval is the least time between two reports of a stream.
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 300 * time.Millisecond
 )
 
 // Pauses holds the latest pauses between the events of one stream. The zero value is ready for use.
@@ -24,6 +24,8 @@
 	count     int
 	lastEvent time.Time
 	reported  time.Time
+	// late is true if the latest report suggested a slow endpoint.
+	late bool
 }
 
 // Event records that events have arrived. Events that arrive together have no pause.
@@ -45,12 +47,14 @@
 	return sorted[lowPause]
 }
 
-// ReportDue reports whether the pauses suggest a slow endpoint and are to be reported before the end of the stream. shortest is
-// the pass that the model predicts for the stream alone. The receiver judges the pauses by all streams of the endpoint.
+// ReportDue reports whether the pauses are to be reported before the end of the stream: they suggest a slow endpoint, or no longer
+// do. shortest is the pass that the model predicts for the stream alone. The receiver judges the pauses by all streams of the
+// endpoint.
 func (p *Pauses) ReportDue(shortest time.Duration, now time.Time) bool {
-	if now.Sub(p.reported) < reportInterval || float64(p.Low()) < reportFrom*float64(max(shortest, minPredicted)) {
+	late := float64(p.Low()) >= reportFrom*float64(max(shortest, minPredicted))
+	if !late && !p.late || late && now.Sub(p.reported) < reportInterval {
 		return false
 	}
-	p.reported = now
+	p.reported, p.late = now, late
 	return true
 }
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -26,6 +26,9 @@
 	Slowdown float64
 	// Window bounds the in-flight requests; zero means that the slots alone bound them.
 	Window int
+	// Probe is true for an endpoint that was slow and has not answered on time since. Slowdown is that of before. A request of
+	// little cost may be sent to it as if it were as fast as predicted.
+	Probe bool
 }
 
 // record is what is known of an endpoint.
@@ -34,17 +37,28 @@
 	lateGroups groupSamples
 	// inFlight holds the requests without a first event.
 	inFlight []*Request
-	// longPrefillEnded is the end of the latest prefill of a long part.
-	longPrefillEnded time.Time
-	window           window
+	// latestPart is the longest of the latest prefills, and latestPartAt its end.
+	latestPart   time.Duration
+	latestPartAt time.Time
+	// lateSince is the time since which the evidence has shown a slow endpoint; zero if it does not.
+	lateSince time.Time
+	// overdueAt is the time from which a request may be overdue.
+	overdueAt time.Time
+	// lastOnTime is the time of the latest answer on time.
+	lastOnTime time.Time
+	window     window
 	// factor is the slowdown of a slow endpoint; zero if the endpoint is not slow.
 	factor float64
 	// probing is true from the time at which a slow endpoint is probed until it counts as normal or slow again.
 	probing    bool
 	lateProbes int
-	probeDelay time.Duration
+	// probedFactor is the slowdown before the probe, until an answer is on time.
+	probedFactor float64
+	probeDelay   time.Duration
 	// lastAnswer is the time of the latest answer, or the time at which the endpoint became slow.
 	lastAnswer time.Time
+	// partial is true if other trackers learn of requests to the endpoint that this one does not.
+	partial bool
 	// plain is true for an endpoint of a plain service.
 	plain                bool
 	wasCold, wasTroubled bool
@@ -93,10 +107,11 @@
 	}
 	r.window.slots = c.Slots
 	t.advance(endpoint, r, now)
-	if len(r.inFlight) > 0 {
+	if len(r.inFlight) > 0 && !now.Before(r.overdueAt) {
+		r.overdueAt = now.Add(overdueInterval)
 		t.judge(endpoint, r, now)
 	}
-	return Pace{Slowdown: max(r.factor, 1), Window: r.window.limit()}
+	return Pace{Slowdown: r.pace(), Window: r.window.limit(), Probe: r.probedFactor > 0}
 }
 
 // add creates the record of an endpoint; nil if there are too many.
@@ -121,9 +136,12 @@
 		return 1
 	}
 	t.advance(endpoint, r, now)
-	return max(r.factor, 1)
+	return r.pace()
 }
 
+// pace returns the slowdown that placement uses.
+func (r *record) pace() float64 { return max(r.factor, r.probedFactor, 1) }
+
 // Window returns the bound on the in-flight requests of an endpoint. It returns false if its slots alone bound them.
 func (t *Tracker) Window(endpoint uint32, now time.Time) (limit int, bounded bool) {
 	t.mu.Lock()
@@ -155,6 +173,9 @@
 		r.window.late(now)
 	} else {
 		r.window.onTime(now)
+	}
+	if ratio < normalBelow {
+		r.lastOnTime, r.probedFactor = now, 0
 		r.lateGroups.clear()
 	}
 	switch {
@@ -172,8 +193,24 @@
 	if r.factor > 0 || r.probing {
 		return
 	}
-	if slowdown, evidence := r.slowdown(now); slowdown >= slowFrom {
-		t.becomeSlow(endpoint, r, slowdown, evidence, now)
+	least := slowFrom
+	if r.partial {
+		least = partialSlowFrom
+	}
+	switch e := r.evidence(now); {
+	case e.slowdown < least:
+		r.lateSince = time.Time{}
+	case r.lateSince.IsZero():
+		r.lateSince = e.since
+		fallthrough
+	default:
+		if now.Sub(r.lateSince) >= minSampleSpan {
+			t.becomeSlow(endpoint, r, e.slowdown, e.count, now)
+			return
+		}
+	}
+	if !r.partial {
+		t.judgeGroups(endpoint, r, now)
 	}
 }
 
@@ -194,15 +231,19 @@
 		t.beginStart(endpoint, r, startWindow(r.window.slots), r.window.slots, NoLongerSlow, now)
 		return
 	}
-	if slowdown, _ := r.slowdown(now); slowdown >= slowFrom {
-		r.factor = slowdown
+	if e := r.evidence(now); e.slowdown >= slowFrom {
+		r.factor = e.slowdown
 	}
 }
 
-func (r *record) slowdown(now time.Time) (slowdown float64, evidence int) {
+// evidence returns what the latest answers, and the requests that wait for one, show together.
+func (r *record) evidence(now time.Time) evidence {
 	if r.plain {
 		return r.samples.slowdown(now, plainSamples, plainSamples)
 	}
+	if r.partial {
+		return r.samples.slowdown(now, partialSamples, partialSamples)
+	}
 	withOverdue := r.addOverdue(r.samples, now)
 	return withOverdue.slowdown(now, minSamples, quantileDivisor)
 }
@@ -211,9 +252,10 @@
 	if r.probeDelay == 0 {
 		r.probeDelay = minProbeDelay
 	}
-	r.factor, r.probing, r.lateProbes, r.lastAnswer = factor, false, 0, now
+	r.factor, r.probedFactor, r.probing, r.lateProbes, r.lastAnswer = factor, 0, false, 0, now
+	r.lateSince = time.Time{}
 	r.window.size = 0
-	t.change(Change{Endpoint: endpoint, Event: BecameSlow, Factor: factor, Evidence: evidence})
+	t.change(Change{Endpoint: endpoint, At: now, Event: BecameSlow, Factor: factor, Evidence: evidence})
 }
 
 // failProbe counts a late answer to a probe.
@@ -228,23 +270,23 @@
 // advance applies the time that has passed: it begins the probe of a slow endpoint, and ends slow starts.
 func (t *Tracker) advance(endpoint uint32, r *record, now time.Time) {
 	if r.factor > 0 && now.Sub(r.lastAnswer) >= r.probeDelay {
-		r.factor, r.probing, r.lateProbes = 0, true, 0
+		r.factor, r.probedFactor, r.probing, r.lateProbes = 0, r.factor, true, 0
 		t.beginStart(endpoint, r, probeWindow, r.window.slots, Probe, now)
 	}
 	if !r.window.advance(now) {
 		return
 	}
-	t.change(Change{Endpoint: endpoint, Event: StartEnded, Reason: r.window.reason})
+	t.change(Change{Endpoint: endpoint, At: now, Event: StartEnded, Reason: r.window.reason})
 	if r.probing {
-		r.probing, r.probeDelay = false, 0
+		r.probing, r.probeDelay, r.probedFactor = false, 0, 0
 		r.samples, r.lateGroups = samples{}, groupSamples{}
-		t.change(Change{Endpoint: endpoint, Event: BecameNormal})
+		t.change(Change{Endpoint: endpoint, At: now, Event: BecameNormal})
 	}
 }
 
 func (t *Tracker) beginStart(endpoint uint32, r *record, size float64, slots int, reason Reason, now time.Time) {
 	r.window.begin(size, slots, reason, now)
-	t.change(Change{Endpoint: endpoint, Event: StartBegan, Reason: reason, Window: r.window.limit()})
+	t.change(Change{Endpoint: endpoint, At: now, Event: StartBegan, Reason: reason, Window: r.window.limit()})
 }
 
 // Forget deletes the endpoints for which isLive returns false.
--- a/internal/placement/choicebuilder.go
+++ b/internal/placement/choicebuilder.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/pace"
 )
 
 // choiceBuilder collects the endpoints of one choice.
@@ -17,7 +18,7 @@
 func newChoiceBuilder(e *fleet.Engine, primary *Candidate, part, predicted time.Duration) *choiceBuilder {
 	return &choiceBuilder{
 		engine: e,
-		choice: Choice{Primary: primary.Endpoint, Part: part, Predicted: predicted},
+		choice: Choice{Primary: primary.Endpoint, Part: part, Predicted: predicted, shares: []pace.Share{primary.share(predicted)}},
 		chosen: map[*fleet.Endpoint]bool{primary.Endpoint: true},
 	}
 }
@@ -26,7 +27,9 @@
 func (b *choiceBuilder) addHelper(helper *Candidate) {
 	b.chosen[helper.Endpoint] = true
 	b.choice.Helpers = append(b.choice.Helpers, helper.Endpoint)
-	b.choice.Predicted = max(b.choice.Predicted, splitFirstEvent(b.engine, helper, b.choice.Part))
+	predicted := splitFirstEvent(b.engine, helper, b.choice.Part)
+	b.choice.shares = append(b.choice.shares, helper.share(predicted))
+	b.choice.Predicted = max(b.choice.Predicted, predicted)
 }
 
 // addHelpers adds helpers until the given number of endpoints, including the primary, prefill the prompt. It returns false
@@ -43,7 +46,7 @@
 }
 
 // earliestHelper returns the unchosen candidate with the earliest predicted first event. It skips candidates that fitsSplit
-// excludes for the part and the fraction, and returns nil if none remains. A slow candidate helps only if no other one can.
+// excludes for the part and the fraction, and returns nil if none remains. A doubtful candidate helps only if no other one can.
 func earliestHelper(
 	e *fleet.Engine, candidates []Candidate, chosen map[*fleet.Endpoint]bool, part time.Duration, fraction float64,
 ) *Candidate {
@@ -53,8 +56,8 @@
 		if chosen[c.Endpoint] || !c.mayHelp() || !fitsSplit(e, c, part, fraction) {
 			continue
 		}
-		if best == nil || best.isSlow() && !c.isSlow() ||
-			best.isSlow() == c.isSlow() && firstEvent(e, c, part) < firstEvent(e, best, part) {
+		if best == nil || best.isDoubtful() && !c.isDoubtful() ||
+			best.isDoubtful() == c.isDoubtful() && firstEvent(e, c, part) < firstEvent(e, best, part) {
 			best = c
 		}
 	}
--- a/internal/placement/long.go
+++ b/internal/placement/long.go
@@ -51,8 +51,8 @@
 	exceedsEngine bool
 	// dueFraction is the fraction of the time left until earlier prefills are due that the parts may use.
 	dueFraction float64
-	// allowsSlow is true if slow endpoints may take part.
-	allowsSlow bool
+	// allowsDoubtful is true if doubtful endpoints may take part.
+	allowsDoubtful bool
 }
 
 // newLongPool groups the candidates. It leaves out cold and suspect endpoints, because one slow endpoint delays the first
@@ -82,10 +82,10 @@
 	pool := newLongPool(e, candidates, group, need)
 	limit := maxPredicted(e, need)
 	best, inTime := pool.best(limit)
-	if !inTime && anySlow(candidates) {
-		pool.allowsSlow = true
-		if withSlow, ok := pool.best(limit); ok {
-			best, inTime = withSlow, true
+	if !inTime && anyDoubtful(candidates) {
+		pool.allowsDoubtful = true
+		if withDoubtful, ok := pool.best(limit); ok {
+			best, inTime = withDoubtful, true
 		}
 	}
 	switch {
@@ -115,8 +115,8 @@
 	return best, inTime
 }
 
-// admits reports whether the endpoint may take part although it may be slow.
-func (l *longPool) admits(c *Candidate) bool { return l.allowsSlow || !c.isSlow() }
+// admits reports whether the endpoint may take part as far as its pace is concerned.
+func (l *longPool) admits(c *Candidate) bool { return l.allowsDoubtful || !c.isDoubtful() }
 
 // minBacklog returns the least prefill backlog of the long group's endpoints with capacity for the stream; zero if none
 // has capacity.
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialift/acacialift/internal/pace"
@@ -17,6 +18,9 @@
 // isSlow reports whether the endpoint is slower than predicted.
 func (c *Candidate) isSlow() bool { return c.Slowdown > 1 }
 
+// isDoubtful reports whether the endpoint is slow, or in a slow start and may turn out to be.
+func (c *Candidate) isDoubtful() bool { return c.isSlow() || c.Window > 0 }
+
 // isWindowUsed reports whether the window of an endpoint in a slow start is used up.
 func (c *Candidate) isWindowUsed() bool { return c.Window > 0 && c.Streams >= c.Window }
 
@@ -25,15 +29,39 @@
 	return c.Window == 0 || !c.isWindowUsed() && c.PrefillBacklog == 0
 }
 
-// anySlow reports whether one of the candidates is slow.
-func anySlow(candidates []Candidate) bool {
+// anyDoubtful reports whether one of the candidates is doubtful.
+func anyDoubtful(candidates []Candidate) bool {
 	for i := range candidates {
-		if candidates[i].isSlow() {
+		if candidates[i].isDoubtful() {
 			return true
 		}
 	}
 	return false
 }
 
-// SetPace sets the slowdown and the window of the endpoint.
-func (c *Candidate) SetPace(p pace.Pace) { c.Slowdown, c.Window = p.Slowdown, p.Window }
+// SetPace sets what is known of the pace of the endpoint.
+func (c *Candidate) SetPace(p pace.Pace) {
+	c.Slowdown, c.Window, c.Probe = p.Slowdown, p.Window, p.Probe
+}
+
+// share returns the share of the endpoint in a request.
+func (c *Candidate) share(predicted time.Duration) pace.Share {
+	return pace.Share{Endpoint: c.Endpoint.Key(), Predicted: predicted, Slowdown: c.Slowdown}
+}
+
+// withProbes returns the candidates for a short prompt, for which an endpoint that is probed counts as fast as predicted.
+func withProbes(candidates []Candidate) []Candidate {
+	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Probe }) {
+		return candidates
+	}
+	probed := slices.Clone(candidates)
+	for i := range probed {
+		if probed[i].Probe {
+			probed[i].Slowdown = 1
+		}
+	}
+	return probed
+}
+
+// Shares returns the share of each endpoint, the primary first.
+func (c Choice) Shares() []pace.Share { return c.shares }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,6 +7,7 @@
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/pace"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// Window bounds the streams of an endpoint in a slow start; zero if its slots alone bound them. An endpoint with a used
 	// window gets neither requests nor parts.
 	Window int
+	// Probe is true if the endpoint may get one short prompt although Slowdown is above 1, to find out whether it has recovered.
+	Probe bool
 }
 
 // Need describes a request.
@@ -78,6 +81,8 @@
 	Reservations []Reservation
 	// Part is the prefill time of each endpoint, Predicted the time to the first event.
 	Part, Predicted time.Duration
+	// shares holds the predicted time to the first event as far as it depends on each endpoint, the primary first.
+	shares []pace.Share
 }
 
 // Reservation is memory of a helper for a part of a prompt.
@@ -152,7 +157,7 @@
 			// All instances start at the same time after a power loss, and would fill the same few endpoints.
 			group = len(candidates)
 		}
-		return p.placeShort(e, candidates, group, need)
+		return p.placeShort(e, withProbes(candidates), group, need)
 	}
 	return p.placeLong(e, candidates, group, need)
 }
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -68,9 +68,8 @@
 	snapshot *fleet.Snapshot, service *fleet.Service, p *placedRequest, choice *placement.Choice, now time.Time,
 ) {
 	if s.paces(snapshot, service) {
-		endpoints := append([]uint32{choice.Primary.Key()}, keysOf(choice.Helpers)...)
-		p.engine, p.primary = service.Engine, endpoints[0]
-		p.pace = s.options.Pace.Place(endpoints, choice.Part, choice.Predicted, now)
+		p.engine, p.primary = service.Engine, choice.Primary.Key()
+		p.pace = s.options.Pace.Place(choice.Shares(), choice.Part, true, now)
 	}
 }
 
