--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -29,6 +29,14 @@
 	return c.Window == 0 || !c.isWindowUsed() && c.PrefillBacklog == 0
 }
 
+// preferredOrSlow returns the candidates that are neither cold nor suspect; nil if none of them is slow.
+func preferredOrSlow(candidates []Candidate) []Candidate {
+	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.isSlow() }) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect })
+}
+
 // anyDoubtful reports whether one of the candidates is doubtful.
 func anyDoubtful(candidates []Candidate) bool {
 	for i := range candidates {
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -31,7 +31,7 @@
 const maxShortPart = 70 * time.Millisecond
 
 // placeShort chooses the endpoint with the earliest first event in the short group. If no endpoint of the group would be
-// on time, it considers the other endpoints, and cold and suspect ones last.
+// on time, it considers the other endpoints, then slow ones, and cold and suspect ones last.
 func (p Planner) placeShort(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
 	prefill := e.PrefillTime(need.Tokens)
 	endpoints := 1 + int(prefill/maxShortPart)
@@ -39,11 +39,15 @@
 	// The capacity of a range includes the capacity of the ranges before it. A request whose rank exceeds the capacity
 	// leaves it to requests of peer instances with lower ranks, and tries the next range.
 	inGroup, all := preferred(candidates[:group]), slices.Clone(candidates)
-	for _, r := range []candidateRange{
+	ranges := []candidateRange{
 		{candidates: inGroup, capacity: freeCapacity(e, inGroup, need, limit)},
 		{candidates: preferred(candidates[group:]), capacity: freeCapacity(e, preferred(candidates), need, limit)},
 		{candidates: all, capacity: freeCapacity(e, all, need, limit)},
-	} {
+	}
+	if withSlow := preferredOrSlow(candidates); withSlow != nil {
+		ranges = slices.Insert(ranges, 2, candidateRange{candidates: withSlow, capacity: freeCapacity(e, withSlow, need, limit)})
+	}
+	for _, r := range ranges {
 		if need.RandomRank*need.Unseen >= r.capacity {
 			continue
 		}
@@ -95,9 +99,9 @@
 	return capacity
 }
 
-// preferred returns the candidates that are neither cold nor suspect.
+// preferred returns the candidates that are neither cold nor suspect nor slow.
 func preferred(candidates []Candidate) []Candidate {
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect })
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect || c.isSlow() })
 }
 
 // earliest samples count random candidates with capacity, and returns the one with the earliest first event. If every
