--- /dev/null
+++ b/internal/entry/pace_test.go
@@ -0,0 +1,90 @@
+package entry_test
+
+import (
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/entry"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/pace"
+	"github.com/acacialift/acacialift/internal/settings"
+)
+
+// withPace tracks the pace of endpoints in a mode.
+func withPace(tracker *pace.Tracker, mode settings.Mode) rigOption {
+	return func(_ *fleet.Catalog, o *entry.HandlerOptions) { o.Pace, o.PaceMode = tracker, mode }
+}
+
+// streamAfter returns a script that sends a stream of one event after a delay.
+func streamAfter(delay time.Duration) func(net.Conn, receivedRequest) {
+	return func(conn net.Conn, r receivedRequest) {
+		time.Sleep(delay)
+		respond(streamHead+chunk(streamEvent(1))+"0\r\n\r\n")(conn, r)
+	}
+}
+
+// slowdownOf returns the slowdown of an endpoint of the rig.
+func slowdownOf(r *rig, tracker *pace.Tracker, id string) float64 {
+	return tracker.Slowdown(r.state.Endpoint(id).Key(), time.Now())
+}
+
+var _ = Describe("an instance that tracks the pace of endpoints", func() {
+	const late = 180 * time.Millisecond
+
+	// Guards against an instance without schedulers that keeps sending requests to an engine with late first events.
+	It("finds a slow engine by first events, and prefers the other one", func() {
+		tracker := pace.NewTracker()
+		slow, fast := newEndpoint(streamAfter(late)), newEndpoint(streamAfter(0))
+		r := newRig([]*fakeEndpoint{slow, fast}, withEngine, withPace(tracker, settings.ModeOn))
+		for range 30 {
+			r.call("/stream/x")
+		}
+		Expect(slowdownOf(r, tracker, "i-0")).To(BeNumerically(">", 1.5))
+		Expect(slowdownOf(r, tracker, "i-1")).To(Equal(1.0))
+		Expect(len(fast.requests())).To(BeNumerically(">", len(slow.requests())))
+	})
+
+	// Guards against a plain endpoint that is slower than the others and gets as many requests.
+	It("finds a slow plain endpoint by latencies", func() {
+		tracker := pace.NewTracker()
+		after := func(delay time.Duration) func(net.Conn, receivedRequest) {
+			return func(conn net.Conn, request receivedRequest) {
+				time.Sleep(delay)
+				respond(sealedResponse("answer"))(conn, request)
+			}
+		}
+		slow, fast, other := newEndpoint(after(late)), newEndpoint(after(time.Millisecond)), newEndpoint(after(time.Millisecond))
+		r := newRig([]*fakeEndpoint{fast, slow, other}, withPace(tracker, settings.ModeOn))
+		for range 12 {
+			done := make(chan struct{}, 6)
+			for range 6 {
+				go func() {
+					defer GinkgoRecover()
+					defer func() { done <- struct{}{} }()
+					r.call("/safe/x")
+				}()
+			}
+			for range 6 {
+				<-done
+			}
+		}
+		Expect(slowdownOf(r, tracker, "i-1")).To(BeNumerically(">", 1.5))
+		Expect(slowdownOf(r, tracker, "i-0")).To(Equal(1.0))
+	})
+
+	// Guards against any change where the mode is off, or by_priority for a service whose profiles have one priority.
+	DescribeTable("observes nothing where it is off", func(mode settings.Mode) {
+		tracker := pace.NewTracker()
+		r := newRig([]*fakeEndpoint{newEndpoint(streamAfter(late))}, withEngine, withPace(tracker, mode))
+		for range 5 {
+			r.call("/stream/x")
+		}
+		Expect(slowdownOf(r, tracker, "i-0")).To(Equal(1.0))
+		Expect(tracker.TakeChanges()).To(BeEmpty())
+	},
+		Entry("off", settings.ModeOff), Entry("by priority", settings.ModeByPriority),
+	)
+})
