Treat endpoints that have refused connections as cold until their entry is new

A server that starts anew under its id while the store is down keeps the entry of the earlier incarnation, which is warm, and got its whole share. The bound is the share of the instance (internal/limit); scheduler placements keep to it too. Endpoints that never refuse connections are served as before, in all modes.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -71,6 +71,7 @@
 	case errors.Is(err, errWithdrawn):
 		return true
 	case errors.As(err, &failure) && !failure.BytesSent:
+		x.handler.observeRefused(e, err)
 		if x.handler.options.Health.Unreachable(e.Key(), time.Now()) {
 			x.logSuspect(e, err.Error())
 		}
--- /dev/null
+++ b/internal/entry/cold.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/limit"
+)
+
+// isCold reports whether an endpoint is in cold start: by its entry, or because it has refused connections, so that what listens at
+// its address has just started. The entry is that of the earlier incarnation as long as the store is unavailable.
+func (h *Handler) isCold(service *fleet.Service, e *fleet.Endpoint, now time.Time) bool {
+	return service.ColdRate > 0 && (e.IsCold(now) || h.options.Health.MayBeCold(e.Key(), now))
+}
+
+// observeRefused records that an endpoint has refused a connection.
+func (h *Handler) observeRefused(e *fleet.Endpoint, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		h.options.Health.Refused(e.Key(), time.Now())
+	}
+}
+
+// takeColdStart counts a request to an endpoint in cold start against the endpoint's limit and reports whether it may be
+// sent. Requests that a scheduler has placed are already counted by the scheduler, unless it takes the endpoint for warm.
+func (x *exchange) takeColdStart(p *attemptPlacement, now time.Time) bool {
+	if !x.handler.isCold(x.service, p.Primary, now) || p.schedulerPlacement != nil && p.Primary.IsCold(now) {
+		return true
+	}
+	return x.handler.options.ColdLimiter.Take(p.Primary.Key(), x.service.ColdRate, now)
+}
+
+// isColdGrantExpired reports whether a scheduler placed the request on an endpoint in cold start more than MaxGrantAge ago.
+// The request could then reach the endpoint in another second than the one in which the scheduler counted it.
+func (x *exchange) isColdGrantExpired(p *attemptPlacement) bool {
+	isCold := x.service.ColdRate > 0 && p.Primary.IsCold(time.Now())
+	return isCold && p.schedulerPlacement != nil && clock.Boot()-p.requestedAt > limit.MaxGrantAge
+}
+
+// avoidsCold reports whether a scheduler must not choose an endpoint that it may take for warm, because this instance knows that
+// it may be cold and has no share of its limit left.
+func (x *exchange) avoidsCold(e *fleet.Endpoint, now time.Time) bool {
+	h := x.handler
+	return h.isCold(x.service, e, now) && !e.IsCold(now) && !h.options.ColdLimiter.Allows(e.Key(), x.service.ColdRate, now)
+}
--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -146,7 +146,7 @@
 // condition returns the condition of an endpoint.
 func (h *Handler) condition(service *fleet.Service, e *fleet.Endpoint, now time.Time) pace.Condition {
 	return pace.Condition{
-		Slots: e.Slots, Cold: service.ColdRate > 0 && e.IsCold(now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
+		Slots: e.Slots, Cold: h.isCold(service, e, now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
 	}
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/acacialift/acacialift/internal/clock"
-	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/scheduler"
@@ -127,12 +126,12 @@
 }
 
 // excluded returns the keys of the endpoints that a scheduler must not choose for this call: they are leaving, in back-off,
-// or already tried.
+// already tried, or perhaps in a cold start that the scheduler does not know of.
 func (x *exchange) excluded(now time.Time) []uint32 {
 	options := x.handler.options
 	var keys []uint32
 	for _, e := range options.State.Snapshot().Endpoints[x.service.Name] {
-		if e.Leaving || x.tried[e.ID] || options.Health.BackOffLeft(e.Key(), now) > 0 {
+		if e.Leaving || x.tried[e.ID] || options.Health.BackOffLeft(e.Key(), now) > 0 || x.avoidsCold(e, now) {
 			keys = append(keys, e.Key())
 		}
 	}
@@ -195,7 +194,7 @@
 		}
 		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[e.Key()], Full: full[e.Key()]}
 		c.Suspect = c.Suspect || h.options.Health.IsSuspect(e.Key(), now)
-		c.Cold = x.service.ColdRate > 0 && e.IsCold(now)
+		c.Cold = h.isCold(x.service, e, now)
 		if h.pacesService(snapshot.Catalog, x.service.Name) {
 			c.SetPace(h.options.Pace.Assess(e.Key(), h.condition(x.service, e, now), now))
 		}
@@ -214,19 +213,3 @@
 	}
 	return min(a, b)
 }
-
-// takeColdStart counts a request to an endpoint in cold start against the endpoint's limit and reports whether it may be
-// sent. Requests that a scheduler has placed are already counted by the scheduler.
-func (x *exchange) takeColdStart(p *attemptPlacement, now time.Time) bool {
-	if x.service.ColdRate <= 0 || !p.Primary.IsCold(now) || p.schedulerPlacement != nil {
-		return true
-	}
-	return x.handler.options.ColdLimiter.Take(p.Primary.Key(), x.service.ColdRate, now)
-}
-
-// isColdGrantExpired reports whether a scheduler placed the request on an endpoint in cold start more than MaxGrantAge ago.
-// The request could then reach the endpoint in another second than the one in which the scheduler counted it.
-func (x *exchange) isColdGrantExpired(p *attemptPlacement) bool {
-	isCold := x.service.ColdRate > 0 && p.Primary.IsCold(time.Now())
-	return isCold && p.schedulerPlacement != nil && clock.Boot()-p.requestedAt > limit.MaxGrantAge
-}
--- /dev/null
+++ b/internal/entry/refused_test.go
@@ -0,0 +1,79 @@
+package entry_test
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/acacialift/acacialift/internal/entry"
+	"github.com/acacialift/acacialift/internal/fleet"
+)
+
+// restartAt starts an endpoint at the address of one that has crashed.
+func restartAt(crashed *fakeEndpoint, script func(net.Conn, receivedRequest)) *fakeEndpoint {
+	listener, err := net.Listen("tcp", crashed.listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	e := &fakeEndpoint{
+		listener: listener, scripts: []func(net.Conn, receivedRequest){script}, started: endpointStarted, id: crashed.id,
+		open: make(map[net.Conn]bool),
+	}
+	go e.accept()
+	DeferCleanup(func() { _ = listener.Close() })
+	return e
+}
+
+var _ = Describe("an endpoint that has refused connections", func() {
+	coldRate := func(c *fleet.Catalog, _ *entry.HandlerOptions) { c.Services["pool"].ColdRate = 4 }
+	// The limit of all instances is 4 per second x 1.5 + 5 = 11.
+	const bound = 11
+
+	// callFor sends requests for a time, several at once, and returns how many reached the endpoint.
+	callFor := func(r *rig, e *fakeEndpoint, length time.Duration) int {
+		before := totalRequests(e)
+		until := time.Now().Add(length)
+		var all sync.WaitGroup
+		for range 4 {
+			all.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer all.Done()
+				for time.Now().Before(until) {
+					r.call("/safe/x")
+				}
+			}()
+		}
+		all.Wait()
+		return totalRequests(e) - before
+	}
+
+	// Guards against a server that starts anew under its id while the store is down: its entry still names the earlier incarnation
+	// as warm, and it crashes of its whole share.
+	It("gets at most the requests of a cold start when it listens again with an unchanged entry", func() {
+		e := newEndpoint(respond(sealedResponse("answer")))
+		r := newRig([]*fakeEndpoint{e}, coldRate)
+		Expect(r.call("/safe/x").status).To(Equal(200))
+		e.crash()
+		r.call("/safe/x")
+		again := restartAt(e, respond(sealedResponse("answer")))
+		// A window of a second may begin at any time in the two seconds.
+		sent := callFor(r, again, 2*time.Second)
+		Expect(sent).To(BeNumerically("<=", 2*bound))
+		Expect(sent).To(BeNumerically(">", 0))
+	})
+
+	// Guards against an endpoint that is still treated as cold once the store states its new incarnation, and when it was.
+	It("is as its entry says once there is a new one", func() {
+		e := newEndpoint(respond(sealedResponse("answer")))
+		r := newRig([]*fakeEndpoint{e}, coldRate)
+		e.crash()
+		r.call("/safe/x")
+		again := restartAt(e, respond(sealedResponse("answer")))
+		renewed := *r.state.Endpoint("i-0")
+		renewed.Started++
+		r.state.PutEndpoint(&renewed)
+		Expect(callFor(r, again, time.Second)).To(BeNumerically(">", 3*bound))
+	})
+})
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -123,6 +123,7 @@
 	defer cancel()
 	if target == "" || x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) > 0 {
 		if x.handler.options.Client.Refuses(ctx, e.Address) {
+			x.handler.options.Health.Refused(e.Key(), time.Now())
 			return foundRefused
 		}
 		return foundAccepts
@@ -133,6 +134,7 @@
 	var timedOut net.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
+		x.handler.observeRefused(e, err)
 		return foundRefused
 	case ctx.Err() != nil, errors.As(err, &timedOut) && timedOut.Timeout():
 		return foundSilent
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -26,6 +26,8 @@
 	suspectTime  time.Duration
 	suspectUntil time.Time
 	lastOutcome  time.Time
+	// refusedAt is the time at which the endpoint last refused a connection.
+	refusedAt time.Time
 }
 
 // Tracker keeps a record of each endpoint. It is safe for concurrent use.
