--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -145,8 +145,12 @@
 
 // condition returns the condition of an endpoint.
 func (h *Handler) condition(service *fleet.Service, e *fleet.Endpoint, now time.Time) pace.Condition {
+	slots := e.Slots
+	if service.Engine != nil {
+		slots = service.Engine.Slots
+	}
 	return pace.Condition{
-		Slots: e.Slots, Cold: h.isCold(service, e, now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
+		Slots: slots, Cold: h.isCold(service, e, now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
 	}
 }
 
--- a/internal/entry/pace_test.go
+++ b/internal/entry/pace_test.go
@@ -1,11 +1,14 @@
 package entry_test
 
 import (
+	"bytes"
 	"net"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
@@ -75,6 +78,30 @@
 		Expect(slowdownOf(r, tracker, "i-0")).To(Equal(1.0))
 	})
 
+	// Guards against operators who do not see why an endpoint gets few requests.
+	It("logs and counts slow endpoints and slow starts", func() {
+		tracker := pace.NewTracker()
+		metrics := entry.NewMetrics()
+		r := newRig(
+			[]*fakeEndpoint{newEndpoint(streamAfter(late)), newEndpoint(streamAfter(0))}, withEngine, withPace(tracker, settings.ModeOn),
+			func(_ *fleet.Catalog, o *entry.HandlerOptions) { o.Metrics = metrics },
+		)
+		for range 30 {
+			r.call("/stream/x")
+		}
+		cold := *r.state.Endpoint("i-1")
+		cold.Started++
+		r.state.PutEndpoint(&cold)
+		var log bytes.Buffer
+		entry.MaintainPace(r.handler, zerolog.New(&log), time.Now().Add(time.Minute))
+		Expect(log.String()).To(ContainSubstring(`"endpoint":"i-0","state":"slow","factor":`))
+		Expect(log.String()).To(ContainSubstring(`"endpoint":"i-1","state":"slow_start_began","reason":"started","window":2,"message":"endpoint_pace"`))
+		page := httptest.NewRecorder()
+		metrics.ServeHTTP(page, nil)
+		Expect(page.Body.String()).To(ContainSubstring("acacialift_endpoint_pace_slow 1"))
+		Expect(page.Body.String()).To(ContainSubstring("acacialift_starting_endpoints"))
+	})
+
 	// Guards against any change where the mode is off, or by_priority for a service whose profiles have one priority.
 	DescribeTable("observes nothing where it is off", func(mode settings.Mode) {
 		tracker := pace.NewTracker()
--- a/internal/peer/placement.go
+++ b/internal/peer/placement.go
@@ -83,11 +83,11 @@
 // PlaceUpdateExtension holds what the sender has observed of the endpoints of a placed request. Zero values are not observed.
 type PlaceUpdateExtension struct {
 	// FirstUS is the time from the sending of the request to its first event, in microseconds.
-	FirstUS int64
+	FirstUS int64 `msgpack:",omitempty"`
 	// PauseUS is a low quantile of the latest pauses between events, in microseconds.
-	PauseUS int64
+	PauseUS int64 `msgpack:",omitempty"`
 	// Failed is true if the request failed at its primary endpoint.
-	Failed bool
+	Failed bool `msgpack:",omitempty"`
 }
 
 // Extended implements Extended.
