Continue a slow start that goes on for the same reason

Cause: a scheduler and its instance share a tracker and may differ about whether an endpoint is suspect, so that each assessment began the slow start anew, with a log line.

--- a/internal/emulator/pace_test.go
+++ b/internal/emulator/pace_test.go
@@ -20,8 +20,7 @@
 	var off, on emulator.Result
 	BeforeAll(func() {
 		pattern := emulator.Scheduled(emulator.UnevenServers(), 1)
-		off = emulator.RunSeeds(pattern, emulator.PlannerPolicy, paceSeeds)
-		on = emulator.RunSeeds(emulator.WithPace(pattern), emulator.PlannerPolicy, paceSeeds)
+		off, on = compare(pattern, paceSeeds)
 		GinkgoWriter.Printf("off: value %.4f, %s\non: value %.4f, %s\n", off.Value, &off.Pace, on.Value, &on.Pace)
 	})
 
@@ -65,8 +64,7 @@
 var _ = Describe("placement with pace in a healthy fleet", func() {
 	// Guards against healthy endpoints that get less work because predictions err under load, or because packets are lost.
 	DescribeTable("is worth as much as without it", func(pattern emulator.Pattern) {
-		off := emulator.RunSeeds(pattern, emulator.PlannerPolicy, healthySeeds)
-		on := emulator.RunSeeds(emulator.WithPace(pattern), emulator.PlannerPolicy, healthySeeds)
+		off, on := compare(pattern, healthySeeds)
 		GinkgoWriter.Printf("off: value %.4f\non: value %.4f, falsely %d\n", off.Value, on.Value, on.Pace.FalselySlow)
 		Expect(on.Value).To(BeNumerically(">=", off.Value-chance))
 	},
@@ -75,6 +73,18 @@
 	)
 })
 
+// compare runs a pattern without and with pace, both at the same time.
+func compare(pattern emulator.Pattern, seeds int) (off, on emulator.Result) {
+	done := make(chan struct{})
+	go func() {
+		off = emulator.RunSeeds(pattern, emulator.PlannerPolicy, seeds)
+		close(done)
+	}()
+	on = emulator.RunSeeds(emulator.WithPace(pattern), emulator.PlannerPolicy, seeds)
+	<-done
+	return off, on
+}
+
 func healthy(packetLoss float64) emulator.Pattern {
 	p := emulator.UnevenServers()
 	p.Troubles, p.PacketLoss = nil, packetLoss
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -284,7 +284,13 @@
 	}
 }
 
+// beginStart begins a slow start. One that goes on for the same reason is not begun anew: a scheduler and its instance, which share a
+// tracker, may differ about whether an endpoint is suspect.
 func (t *Tracker) beginStart(endpoint uint32, r *record, size float64, slots int, reason Reason, now time.Time) {
+	if r.window.active() && r.window.reason == reason {
+		r.window.size = min(r.window.size, size)
+		return
+	}
 	r.window.begin(size, slots, reason, now)
 	t.change(Change{Endpoint: endpoint, At: now, Event: StartBegan, Reason: reason, Window: r.window.limit()})
 }
--- a/internal/pace/window_test.go
+++ b/internal/pace/window_test.go
@@ -60,6 +60,19 @@
 		Expect(limit).To(Equal(3))
 	})
 
+	// Guards against a slow start that never ends, and a line for each of its beginnings, because the scheduler and the instance of a
+	// process differ about an endpoint.
+	It("goes on if an endpoint is suspect for one of two observers", func() {
+		t := newTracker(endpoint)
+		for i := range 200 {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			t.Assess(endpoint, pace.Condition{Slots: slots, Suspect: i%2 == 0 && i < 50}, now)
+		}
+		Expect(t.TakeChanges()).To(HaveLen(2))
+		_, bounded := t.Window(endpoint, start.Add(20*time.Second))
+		Expect(bounded).To(BeFalse())
+	})
+
 	// Guards against all endpoints in a slow start after a restart of the instance or a power loss.
 	It("does not begin for endpoints that were there before the tracker", func() {
 		t := pace.NewTracker()
