--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -52,6 +52,7 @@
 	Load        Load
 	Policy      Policy
 	Seed        uint64
+	PaceOptions
 }
 
 // Result holds the outcomes of a run.
@@ -66,6 +67,7 @@
 	// Refusals counts the refusals of all attempts by kind and reason.
 	Refusals map[string]map[string]int
 	Returns  ReturnResult
+	Pace     PaceResult
 }
 
 // TeamResult sums the outcomes of a team.
@@ -129,6 +131,7 @@
 	queues  []*shardQueue
 	returns returnTimes
 	result  Result
+	pace    paceState
 }
 
 // teamStream selects the random numbers of teams, so that arrivals do not depend on them.
@@ -167,6 +170,7 @@
 		r.trackers = append(r.trackers, load.NewTracker())
 		r.after(time.Duration(i)*r.options.ShareInterval/time.Duration(options.Instances), func() { r.sendCounts(i) })
 	}
+	r.startPace()
 	arrivals := options.Load.arrivals(r.random)
 	if options.Load.Teams > 0 {
 		options.Load.assignTeams(arrivals, rand.New(rand.NewPCG(options.Seed, teamStream)))
@@ -361,7 +365,7 @@
 }
 
 func (r *run) candidates(instance int) []placement.Candidate {
-	return r.candidatesOf(r.trackers[instance], r.endpoints)
+	return r.candidatesOf(instance, r.endpoints)
 }
 
 func (r *run) shardCandidates(shard int) []placement.Candidate {
@@ -369,14 +373,17 @@
 	for i := shard; i < len(r.endpoints); i += len(r.schedulers) {
 		part = append(part, r.endpoints[i])
 	}
-	return r.candidatesOf(r.schedulers[shard], part)
+	return r.candidatesOf(shard, part)
 }
 
-func (r *run) candidatesOf(tracker *load.Tracker, endpoints []*endpoint) []placement.Candidate {
-	totals, _ := tracker.Totals(r.virtualTime())
+func (r *run) candidatesOf(holder int, endpoints []*endpoint) []placement.Candidate {
+	totals, _ := r.trackerOf(holder).Totals(r.virtualTime())
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	for _, e := range endpoints {
-		candidates = append(candidates, placement.Candidate{Endpoint: e.Endpoint, Entry: totals.Entries[e.Key()]})
+		c := placement.Candidate{Endpoint: e.Endpoint, Entry: totals.Entries[e.Key()]}
+		if r.setPace(&c, e, holder) {
+			candidates = append(candidates, c)
+		}
 	}
 	return candidates
 }
@@ -390,11 +397,7 @@
 		call.reserved[h.Endpoint] = h.Tokens
 		r.byEndpoint[h.Endpoint].usedTokens += h.Tokens
 	}
-	tracker := r.trackers[call.instance]
-	if len(r.schedulers) > 0 {
-		tracker = r.schedulers[call.shard]
-	}
-	call.inFlight = tracker.Add(load.Work{
+	call.inFlight = r.trackerOf(r.holder(call)).Add(load.Work{
 		Primary: choice.Primary, Helpers: choice.Helpers,
 		Tokens: call.memoryTokens() - call.reservedTokens(), Reserved: call.reserved,
 		Part: choice.Part, Predicted: choice.Predicted, MaxGap: call.kind.MaxGap,
@@ -403,6 +406,7 @@
 	partCount := int64(len(choice.Helpers) + 1)
 	call.partsRemaining = int(partCount)
 	call.primary = r.byEndpoint[choice.Primary]
+	r.observeDispatch(call, r.holder(call))
 	tokens := max(call.tokens/partCount, 1)
 	perToken := r.options.Engine.PrefillTime(call.tokens) / time.Duration(max(call.tokens, 1))
 	shared := partCount > 1
@@ -440,6 +444,7 @@
 		r.observeWorkEnded(call, returntimes.Long)
 		r.workEnded(call.shard)
 		call.firstEventAt = r.now
+		r.observeFirstEvent(call)
 		call.primary.decoding = append(call.primary.decoding, call)
 		r.decodeEvent(call)
 		r.startIfIdle(call.primary)
@@ -452,11 +457,13 @@
 	if call.eventsDecoded > 0 && r.now-call.lastEventAt > call.kind.MaxGap {
 		call.gapExceeded = true
 	}
+	r.observeEvent(call)
 	call.lastEventAt = r.now
 	call.eventsDecoded++
 	if call.eventsDecoded < call.events && r.now-call.at < call.kind.TimeLimit {
 		return
 	}
+	r.observeEnd(call)
 	call.primary.release(call)
 	for h, tokens := range call.reserved {
 		r.byEndpoint[h].usedTokens -= tokens
@@ -478,6 +485,7 @@
 	if maxEarned > 0 {
 		r.result.Value = earned / maxEarned
 	}
+	r.summarizePace()
 	var prefill time.Duration
 	for _, e := range r.endpoints {
 		prefill += e.prefillTime
--- a/internal/emulator/hardload.go
+++ b/internal/emulator/hardload.go
@@ -57,14 +57,9 @@
 // UnevenFleet is deployment B of docs/design/hard-load.md: 69 engines behind 85 instances, one shard, and demand of three
 // domains that swings in waves with close phases.
 func UnevenFleet() Pattern {
-	engine := fleet.Engine{
-		Slots: 12, MemoryTokens: 450_000, Stride: 52,
-		StepTime: 925 * time.Microsecond, StepTimePerStream: 4830 * time.Nanosecond, StepTimePerContext: 2540 * time.Nanosecond,
-		PrefillRate: 256_000, AttentionTime: 91700 * time.Nanosecond,
-	}
 	const amplitude, period = 0.55, 13 * time.Second
 	return Pattern{
-		Name: "uneven-fleet", Endpoints: 69, Instances: 85, Shards: 1, Engine: &engine, ShareInterval: 120 * time.Millisecond,
+		Name: "uneven-fleet", Endpoints: 69, Instances: 85, Shards: 1, Engine: unevenEngine(), ShareInterval: 120 * time.Millisecond,
 		Load: Load{
 			Kinds: unevenKinds(), Length: dayLength, Teams: 24, TeamExponent: 1.2,
 			Waves: []Wave{
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -26,6 +26,7 @@
 	// Queue lets the schedulers have wait queues.
 	Queue bool
 	Load  Load
+	PaceOptions
 }
 
 // StandardEngine returns the engine of all patterns, some of which set other slots or another stride: 405,000 tokens of
@@ -191,5 +192,6 @@
 	return Options{
 		Shards: p.Shards, Engine: engine, Chunk: StandardChunk, Endpoints: p.Endpoints, Instances: p.Instances,
 		ShareInterval: p.ShareInterval, Load: p.Load, Policy: policy, Seed: seed, Queue: p.Queue,
+		PaceOptions: p.PaceOptions,
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/pace"
 )
 
 const (
@@ -46,6 +47,13 @@
 	Full bool
 	// Held is true for an endpoint that is held for another request. It gets no long prompts and no parts of them.
 	Held bool
+	// Slowdown is how much slower the endpoint is than the model of its engine predicts: 2 means half as fast, 0 means 1.
+	Slowdown float64
+	// Window bounds the streams of an endpoint in a slow start; zero if its slots alone bound them. An endpoint with a used
+	// window gets neither requests nor parts.
+	Window int
+	// Probe is true if the endpoint may get one short prompt although Slowdown is above 1, to find out whether it has recovered.
+	Probe bool
 }
 
 // Need describes a request.
@@ -80,6 +88,8 @@
 	Reservations []Reservation
 	// Part is the prefill time of each endpoint, Predicted the time to the first event.
 	Part, Predicted time.Duration
+	// shares holds the predicted time to the first event as far as it depends on each endpoint, the primary first.
+	shares []pace.Share
 }
 
 // Reservation is memory of a helper for a part of a prompt.
@@ -156,7 +166,7 @@
 			// All instances start at the same time after a power loss, and would fill the same few endpoints.
 			group = len(candidates)
 		}
-		return p.placeShort(e, candidates, group, need)
+		return p.placeShort(e, withProbes(candidates), group, need)
 	}
 	if need.Queued && need.ExactCounts {
 		candidates = withPrefillLeft(candidates)
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -18,7 +18,7 @@
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Full || c.Streams >= rank.places(c.Endpoint.Slots) {
+		if c.Full || c.isWindowUsed() || c.Streams >= rank.places(c.Endpoint.Slots) {
 			continue
 		}
 		if best == nil || plainCost(c, domain) < plainCost(best, domain) {
@@ -34,6 +34,12 @@
 	return Choice{}, &Refusal{Reason: SlotsFull, RetryAfter: p.randomDelay(minRetryAfter/2, minRetryAfter)}
 }
 
+const (
+	// plainSlowCost is the cost of an endpoint of a plain service for each unit of its slowdown, at most maxPlainSlowCost.
+	plainSlowCost    = 0.35
+	maxPlainSlowCost = 1.5
+)
+
 // places returns the number of requests at an endpoint below which it may get one of this rank. An endpoint has as many queue places
 // as slots. Each rank leaves more of the queue places to higher ranks than the rank above it, and the lowest keptQueueFraction of them.
 func (r PlainRank) places(slots int) int {
@@ -55,5 +61,9 @@
 	if c.Cold || c.Suspect {
 		cost += 2
 	}
+	if c.isSlow() {
+		// A slow endpoint gets requests before a suspect one, and after the endpoints of other domains.
+		cost += min(plainSlowCost*c.Slowdown, maxPlainSlowCost)
+	}
 	return cost
 }
--- a/internal/placement/short.go
+++ b/internal/placement/short.go
@@ -31,7 +31,7 @@
 const maxShortPart = 70 * time.Millisecond
 
 // placeShort chooses the endpoint with the earliest first event in the short group. If no endpoint of the group would be
-// on time, it considers the other endpoints, and cold and suspect ones last.
+// on time, it considers the other endpoints, then slow ones, and cold and suspect ones last.
 func (p Planner) placeShort(e *fleet.Engine, candidates []Candidate, group int, need Need) (Choice, *Refusal) {
 	prefill := e.PrefillTime(need.Tokens)
 	endpoints := 1 + int(prefill/maxShortPart)
@@ -40,11 +40,15 @@
 	// leaves it to requests of peer instances with lower ranks, and tries the next range.
 	// Held endpoints come last, because the gap of a short stream prevents the prefill for which they are held.
 	inGroup, all := preferred(candidates[:group]), slices.Clone(candidates)
-	for _, r := range []candidateRange{
+	ranges := []candidateRange{
 		{candidates: inGroup, capacity: freeCapacity(e, inGroup, need, limit)},
 		{candidates: preferred(candidates[group:]), capacity: freeCapacity(e, preferred(candidates), need, limit)},
 		{candidates: all, capacity: freeCapacity(e, all, need, limit)},
-	} {
+	}
+	if withSlow := preferredOrSlow(candidates); withSlow != nil {
+		ranges = slices.Insert(ranges, 2, candidateRange{candidates: withSlow, capacity: freeCapacity(e, withSlow, need, limit)})
+	}
+	for _, r := range ranges {
 		if need.RandomRank*need.Unseen >= r.capacity {
 			continue
 		}
@@ -96,9 +100,9 @@
 	return capacity
 }
 
-// preferred returns the candidates that are neither cold nor suspect nor held.
+// preferred returns the candidates that are neither cold nor suspect nor held nor slow.
 func preferred(candidates []Candidate) []Candidate {
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect || c.Held })
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Cold || c.Suspect || c.Held || c.isSlow() })
 }
 
 // earliest samples count random candidates with capacity, and returns the one with the earliest first event. If every
@@ -152,20 +156,20 @@
 
 // hasCapacity reports whether the engine can run the request as its primary endpoint without queueing it.
 func hasCapacity(e *fleet.Engine, c *Candidate, need Need) bool {
-	return !c.Full && c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
+	return !c.Full && !c.isWindowUsed() && c.Streams < e.Slots && c.UsedTokens+need.Tokens+need.Output <= e.MemoryTokens
 }
 
 // firstEvent predicts the time to the first event of a prompt with the given prefill time on the endpoint.
 func firstEvent(e *fleet.Engine, c *Candidate, prefill time.Duration) time.Duration {
 	pass := passTime(e, c)
-	return pass/2 + c.PrefillBacklog + prefill + pass
+	return pass/2 + c.slowed(c.PrefillBacklog+prefill) + pass
 }
 
 // splitFirstEvent predicts the time to the first event of a prompt that is split over several endpoints, as far as it
 // depends on this endpoint. Engines prefill parts of split prompts before all other prompts.
 func splitFirstEvent(e *fleet.Engine, c *Candidate, part time.Duration) time.Duration {
 	pass := passTime(e, c)
-	return pass/2 + part + pass
+	return pass/2 + c.slowed(part) + pass
 }
 
 // dueFraction is the fraction of the time left until earlier prefills are due that a part which precedes them may use.
@@ -178,15 +182,15 @@
 	if !fitsGap(e, c, part) {
 		return false
 	}
-	return c.PrefillDueIn == 0 || c.PrefillBacklog+part+passTime(e, c) <= time.Duration(fraction*float64(c.PrefillDueIn))
+	return c.PrefillDueIn == 0 || c.slowed(c.PrefillBacklog+part)+passTime(e, c) <= time.Duration(fraction*float64(c.PrefillDueIn))
 }
 
 // passTime returns the time of one pass without its prefill.
 func passTime(e *fleet.Engine, c *Candidate) time.Duration {
 	if c.Streams == 0 {
-		return idlePassTime
+		return c.slowed(idlePassTime)
 	}
-	return e.PassTime(c.Streams, c.UsedTokens)
+	return c.slowed(e.PassTime(c.Streams, c.UsedTokens))
 }
 
 // fitsGap reports whether the endpoint's streams stay within their max gaps during the prefill.
@@ -194,5 +198,5 @@
 	if c.MaxGap == 0 {
 		return true
 	}
-	return c.PrefillBacklog+part+passTime(e, c) <= time.Duration(gapFraction*float64(c.MaxGap))
+	return c.slowed(c.PrefillBacklog+part)+passTime(e, c) <= time.Duration(gapFraction*float64(c.MaxGap))
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,8 +8,10 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/limit"
 	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/returntimes"
+	"github.com/acacialift/acacialift/internal/settings"
 )
 
 const (
@@ -61,6 +63,10 @@
 	expiresAt time.Time
 	// work is what the schedule of return times counts.
 	work returntimes.Work
+	// pace observes the endpoints of the request, and engine and primary are theirs; unset if their pace is not tracked.
+	pace    *pace.Request
+	engine  *fleet.Engine
+	primary uint32
 }
 
 // shardState is the load of one shard, as its scheduler has counted it.
@@ -89,6 +95,9 @@
 	ColdLimiter *limit.FleetColdLimiter
 	Planner     placement.Planner
 	Returns     ReturnOptions
+	// Pace tracks the pace of endpoints; nil if it is off. PaceMode states for which services it is used.
+	Pace     *pace.Tracker
+	PaceMode settings.Mode
 }
 
 // Scheduler tracks the load of the shards for which this instance is the scheduler, and places requests there. It does no
@@ -137,9 +146,10 @@
 	case refusal == nil && !s.takeCold(v.service, choice.Primary, now):
 		return choice, nil, false
 	case refusal == nil:
-		state.add(
+		p := state.add(
 			requestKey{from: request.From, number: request.Number}, choice.Work(request.Need, request.Limit), now, request.Limit,
 		)
+		s.trackPace(v, p, &choice, now)
 		returns.observePlaced(now)
 	default:
 		returns.tell(refusal, request.Limit, now)
@@ -213,6 +223,9 @@
 		c := placement.Candidate{Endpoint: e, Entry: totals.Entries[key]}
 		c.Suspect = now.Before(s.suspects[key]) || s.options.IsSuspect(key, now)
 		c.Cold = v.service.ColdRate > 0 && e.IsCold(now)
+		if s.paces(v) {
+			c.SetPace(s.options.Pace.Assess(key, pace.Condition{Slots: v.service.Engine.Slots, Cold: c.Cold, Suspect: c.Suspect}, now))
+		}
 		if !c.Cold || s.options.ColdLimiter.Allows(key, v.service.ColdRate, now) {
 			v.usable = append(v.usable, c)
 		}
@@ -307,6 +320,9 @@
 // deleteShard deletes the state of a shard. The requests that wait for it are told to go elsewhere.
 func (s *Scheduler) deleteShard(shard Shard) {
 	s.shards[shard].list.endAll(func(requestKey) bool { return true })
+	for _, p := range s.shards[shard].requests {
+		p.pace.End(time.Now())
+	}
 	delete(s.shards, shard)
 }
 
@@ -359,6 +375,7 @@
 	if p := st.requests[key]; p != nil {
 		p.request.End()
 		st.observeEnd(p, returntimes.Short)
+		p.pace.End(time.Now())
 		delete(st.requests, key)
 	}
 }
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -116,7 +116,8 @@
 		return choice, refusal, false
 	}
 	limit := w.request.Limit - now.Sub(w.received)
-	state.add(w.key(), choice.Work(need, limit), now, limit)
+	p := state.add(w.key(), choice.Work(need, limit), now, limit)
+	s.trackPace(v, p, &choice, now)
 	w.returns.observePlaced(now)
 	return choice, nil, true
 }
