--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -32,88 +32,6 @@
 // Policy places requests.
 type Policy func(p placement.Planner, e *fleet.Engine, candidates []placement.Candidate, need placement.Need) (placement.Choice, *placement.Refusal)
 
-// Options describes a run.
-type Options struct {
-	Engine fleet.Engine
-	// Chunk is the number of prompt tokens that an engine prefills in a step.
-	Chunk     int64
-	Endpoints int
-	Instances int
-	// ShareInterval is the time between two load messages of an instance; the default is 60 ms.
-	ShareInterval time.Duration
-	// Shards is the number of shards of the endpoints; one scheduler per shard places its requests. With zero shards,
-	// each instance places its requests by the load counts that it has.
-	Shards int
-	// Queue lets the schedulers have wait queues.
-	Queue bool
-	// ReturnTimes lets refusals take their return times from schedules.
-	ReturnTimes bool
-	Outage      Outage
-	Load        Load
-	Policy      Policy
-	Seed        uint64
-	PaceOptions
-}
-
-// Result holds the outcomes of a run.
-type Result struct {
-	Kinds map[string]*KindResult
-	// Value is the value of the served requests, as a fraction of the value if all requests were on time.
-	Value float64
-	// PrefillFraction is the fraction of the engines' time that they spent on prefill.
-	PrefillFraction float64
-	// Teams holds the outcomes of each team.
-	Teams map[uint32]*TeamResult
-	// Refusals counts the refusals of all attempts by kind and reason.
-	Refusals map[string]map[string]int
-	Returns  ReturnResult
-	Pace     PaceResult
-}
-
-// TeamResult sums the outcomes of a team.
-type TeamResult struct {
-	Requests, Served int
-	// RequestedTime is the engine time of all requests, UsedTime that of the served ones.
-	RequestedTime, UsedTime time.Duration
-}
-
-// KindResult sums the outcomes of a kind.
-type KindResult struct {
-	// Late counts the requests with a late first event or an exceeded gap. NotServed counts the refused requests and those
-	// that ended after their time limit.
-	Requests, OnTime, Late, NotServed int
-	// Refused counts the requests whose first attempt was refused.
-	Refused int
-	// RefusedAfterRetry counts the refused requests that had been retried after an earlier refusal.
-	RefusedAfterRetry int
-	// MaxEarned is the sum of the values of all requests if they were on time, Earned that of the served requests.
-	Earned, MaxEarned float64
-	// LargeRequests counts the requests whose prompts are in about the largest tenth of the kind, LargeServed those of them
-	// that were served.
-	LargeRequests, LargeServed int
-}
-
-// event is an action at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // run is the state of one run of a load.
 type run struct {
 	options    Options
@@ -322,48 +240,6 @@
 	}
 }
 
-// refuseOrRetry retries a refused request once, if the advised delay is at most a third of its remaining time. Otherwise it
-// counts the request as refused.
-func (r *run) refuseOrRetry(call *request, refusal *placement.Refusal) {
-	remaining := call.kind.TimeLimit - (r.now - call.at)
-	// The scheduler of the first shard tells the return time.
-	call.shard = call.home
-	r.returnAfter(call, string(refusal.Reason), r.tellReturn(call, refusal.RetryAfter, remaining), remaining)
-}
-
-// returnAfter lets a refused request return after a delay if its caller follows that delay.
-func (r *run) returnAfter(call *request, reason string, delay, remaining time.Duration) {
-	r.countRefusal(call, reason)
-	r.countReturn(call, delay <= remaining/3, delay)
-	if call.retried {
-		r.kindResult(call.kind).RefusedAfterRetry++
-	} else {
-		r.kindResult(call.kind).Refused++
-	}
-	if call.retriesAtOnce < r.options.Load.RetriesAtOnce[call.team] && remaining > 0 {
-		call.retriesAtOnce++
-		call.retried = true
-		r.after(networkRoundTrip, func() { r.arrive(call) })
-		return
-	}
-	if call.retried || delay > remaining/3 {
-		r.kindResult(call.kind).NotServed++
-		return
-	}
-	call.retried = true
-	call.instance = r.random.IntN(r.options.Instances)
-	r.after(delay+networkRoundTrip, func() { r.arrive(call) })
-}
-
-func (r *run) countRefusal(call *request, reason string) {
-	reasons := r.result.Refusals[call.kind.Name]
-	if reasons == nil {
-		reasons = make(map[string]int)
-		r.result.Refusals[call.kind.Name] = reasons
-	}
-	reasons[reason]++
-}
-
 func (r *run) candidates(instance int) []placement.Candidate {
 	return r.candidatesOf(instance, r.endpoints)
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -10,6 +10,44 @@
 	"github.com/acacialift/acacialift/internal/placement"
 )
 
+// Result holds the outcomes of a run.
+type Result struct {
+	Kinds map[string]*KindResult
+	// Value is the value of the served requests, as a fraction of the value if all requests were on time.
+	Value float64
+	// PrefillFraction is the fraction of the engines' time that they spent on prefill.
+	PrefillFraction float64
+	// Teams holds the outcomes of each team.
+	Teams map[uint32]*TeamResult
+	// Refusals counts the refusals of all attempts by kind and reason.
+	Refusals map[string]map[string]int
+	Returns  ReturnResult
+	Pace     PaceResult
+}
+
+// TeamResult sums the outcomes of a team.
+type TeamResult struct {
+	Requests, Served int
+	// RequestedTime is the engine time of all requests, UsedTime that of the served ones.
+	RequestedTime, UsedTime time.Duration
+}
+
+// KindResult sums the outcomes of a kind.
+type KindResult struct {
+	// Late counts the requests with a late first event or an exceeded gap. NotServed counts the refused requests and those
+	// that ended after their time limit.
+	Requests, OnTime, Late, NotServed int
+	// Refused counts the requests whose first attempt was refused.
+	Refused int
+	// RefusedAfterRetry counts the refused requests that had been retried after an earlier refusal.
+	RefusedAfterRetry int
+	// MaxEarned is the sum of the values of all requests if they were on time, Earned that of the served requests.
+	Earned, MaxEarned float64
+	// LargeRequests counts the requests whose prompts are in about the largest tenth of the kind, LargeServed those of them
+	// that were served.
+	LargeRequests, LargeServed int
+}
+
 // recordOutcome counts a request that has ended. A request that ended after its time limit is counted as not served.
 func (r *run) recordOutcome(call *request) {
 	result := r.kindResult(call.kind)
--- a/internal/emulator/returns.go
+++ b/internal/emulator/returns.go
@@ -203,3 +203,45 @@
 }
 
 const surgeLength = 16 * time.Second
+
+// refuseOrRetry retries a refused request once, if the advised delay is at most a third of its remaining time. Otherwise it
+// counts the request as refused.
+func (r *run) refuseOrRetry(call *request, refusal *placement.Refusal) {
+	remaining := call.kind.TimeLimit - (r.now - call.at)
+	// The scheduler of the first shard tells the return time.
+	call.shard = call.home
+	r.returnAfter(call, string(refusal.Reason), r.tellReturn(call, refusal.RetryAfter, remaining), remaining)
+}
+
+// returnAfter lets a refused request return after a delay if its caller follows that delay.
+func (r *run) returnAfter(call *request, reason string, delay, remaining time.Duration) {
+	r.countRefusal(call, reason)
+	r.countReturn(call, delay <= remaining/3, delay)
+	if call.retried {
+		r.kindResult(call.kind).RefusedAfterRetry++
+	} else {
+		r.kindResult(call.kind).Refused++
+	}
+	if call.retriesAtOnce < r.options.Load.RetriesAtOnce[call.team] && remaining > 0 {
+		call.retriesAtOnce++
+		call.retried = true
+		r.after(networkRoundTrip, func() { r.arrive(call) })
+		return
+	}
+	if call.retried || delay > remaining/3 {
+		r.kindResult(call.kind).NotServed++
+		return
+	}
+	call.retried = true
+	call.instance = r.random.IntN(r.options.Instances)
+	r.after(delay+networkRoundTrip, func() { r.arrive(call) })
+}
+
+func (r *run) countRefusal(call *request, reason string) {
+	reasons := r.result.Refusals[call.kind.Name]
+	if reasons == nil {
+		reasons = make(map[string]int)
+		r.result.Refusals[call.kind.Name] = reasons
+	}
+	reasons[reason]++
+}
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -61,6 +61,12 @@
 	})
 }
 
+// published is what operators have published about every service.
+type published struct{ isRanked, hasTightGaps bool }
+
+func (p published) IsRanked(string) bool     { return p.isRanked }
+func (p published) HasTightGaps(string) bool { return p.hasTightGaps }
+
 var _ = Describe("the settings of acacia-entry", func() {
 	// Guards against a settings template in deploy/ that the process rejects.
 	It("are read from the deployment's template", func() {
@@ -79,17 +85,41 @@
 		for from, to := range map[string]string{
 			"retry_ratio: 0.2": "retry_ratio: 2", "revocation_time: 5000ms": "revocation_time: soon",
 			`callers: "10.1.0.40:8227"`: `callers: "here"`, "least_instances: 12": "least_instances: 0",
+			"queue: auto": "queue: sometimes", "pace: auto": "pace: fast",
 		} {
 			Expect(text).To(ContainSubstring(from))
 			text = strings.Replace(text, from, to, 1)
 		}
 		_, err := settings.ParseEntry("local", []byte(text))
 		Expect(err).To(HaveOccurred())
-		for _, path := range []string{"bounds.retry_ratio", "bounds.revocation_time", "addresses.callers", "bounds.least_instances"} {
+		for _, path := range []string{"bounds.retry_ratio", "bounds.revocation_time", "addresses.callers", "bounds.least_instances", "scheduling.queue", "scheduling.pace"} {
 			Expect(err.Error()).To(ContainSubstring(path))
 		}
 	})
 
+	// Guards against scheduling that takes effect where neither the settings nor what operators publish ask for it.
+	DescribeTable("enable a part of the scheduling", func(mode settings.Mode, unranked, tight, ranked bool) {
+		Expect(mode.Enabled(published{}, "model")).To(Equal(unranked))
+		Expect(mode.Enabled(published{hasTightGaps: true}, "model")).To(Equal(tight))
+		Expect(mode.Enabled(published{isRanked: true}, "model")).To(Equal(ranked))
+	},
+		Entry("missing", settings.Mode(""), false, false, false),
+		Entry("off", settings.ModeOff, false, false, false),
+		Entry("by priority", settings.ModeByPriority, false, false, true),
+		Entry("auto", settings.ModeAuto, false, true, true),
+		Entry("on", settings.ModeOn, true, true, true),
+	)
+
+	// Guards against a part that is on by default.
+	It("leave the scheduling off if they state no mode", func() {
+		text := regexp.MustCompile(`(?m)^scheduling:.*$`).ReplaceAllString(usualFields().render(), "")
+		s, err := settings.ParseEntry("local", []byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Scheduling).To(Equal(settings.EntryScheduling{
+			Queue: settings.ModeOff, ReturnTimes: settings.ModeOff, Pace: settings.ModeOff,
+		}))
+	})
+
 	// Guards against a template that renders to invalid settings if a deployment sets no bounds and limits.
 	It("are read from a template without bounds and limits", func() {
 		f := usualFields()
