Bound the engine time of a stated output

A caller may state an output of up to 2^47 tokens. EngineTime multiplied its events by the time of a pass as durations, which exceeds the range of the type for the largest outputs. The result entered the shares of the teams and the admission of the wait queue. For 2^36 tokens the test got 19,089 hours before; it gets at most two hours for any length now.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -34,11 +34,11 @@
 }
 
 // EngineTime returns the time of an engine that a request uses: the prefill of its prompt, and its part of the time in
-// which the engine's slots decode its output.
+// which the engine's slots decode its output. Both are bounded, because callers state the lengths.
 func EngineTime(e *fleet.Engine, need Need) time.Duration {
 	events := (need.Output + int64(e.Stride) - 1) / int64(max(e.Stride, 1))
-	decode := time.Duration(events) * e.PassTime(e.Slots, need.Tokens) / time.Duration(max(e.Slots, 1))
-	return e.PrefillTime(need.Tokens) + decode
+	decode := float64(events) * float64(e.PassTime(e.Slots, need.Tokens)) / float64(max(e.Slots, 1))
+	return e.PrefillTime(need.Tokens) + time.Duration(min(decode, float64(fleet.MaxEngineTime)))
 }
 
 // ShortestPrefill returns the shortest time to the first event of a prompt on idle endpoints of a shard, with as many helpers
