Remove a waiting request that is decided without a deferral

A renewal whose reply cannot be deferred is placed or refused at once, like a request that may not wait. Its entry stayed in the queue. If it was refused, it could take a slot that nobody asks for until 500 ms later. If it was placed, the queue could place it a second time under the same number; that placement lapsed and removed the count of the running request, so that its slot was given to another one. The tests found the entry in the queue and a request more than the engine has slots; both pass now.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,9 +128,14 @@
 // still in its warm-up or its endpoints are unknown.
 func (s *Scheduler) Place(request PlaceRequest, now time.Time) (placement.Choice, *placement.Refusal, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	state := s.shardState(request.Shard, now)
 	s.markSuspects(&request, now)
+	if request.Terms != nil {
+		// Its reply could not be deferred. It must not be placed a second time from the queue, nor wait unknown to its instance.
+		state.endWaiting(request.From, request.Number)
+		state.remove(requestKey{from: request.From, number: request.Number})
+	}
 	v, ok := s.view(request.Shard, state, now)
 	if !ok {
 		return placement.Choice{}, nil, false
--- /dev/null
+++ b/internal/scheduler/waitfault_test.go
@@ -0,0 +1,89 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/load"
+	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/scheduler"
+)
+
+// fillScheduler uses all slots of one engine.
+func fillScheduler(sched *scheduler.Scheduler, now time.Time) {
+	for n := range slots {
+		_, refusal, ok := sched.Place(shortRequest(1000+n), now)
+		Expect(ok).To(BeTrue())
+		Expect(refusal).To(BeNil())
+		sched.PrefillDone(onlyShard, requester, load.Number(1000+n))
+	}
+}
+
+// noDeferral is a deferral of a connection with too many deferred replies.
+type noDeferral struct{}
+
+func (noDeferral) Defer() (reply func(peer.Kind, any), ok bool) { return nil, false }
+
+var _ = Describe("a request that waits", func() {
+	var (
+		state    *fleet.State
+		sched    *scheduler.Scheduler
+		now      time.Time
+		outcomes chan scheduler.Outcome
+	)
+	reply := func(o scheduler.Outcome) { outcomes <- o }
+	BeforeEach(func() {
+		now = time.Now()
+		state = newState(1)
+		sched = newScheduler(state)
+		sched.Sync(onlyShard, requester, nil, now.Add(-warmUpTime))
+		fillScheduler(sched, now)
+		outcomes = make(chan scheduler.Outcome, 10)
+	})
+
+	// Guards against a request that is refused without a deferral and stays in the queue, where it takes a slot for which nobody asks.
+	It("leaves the queue if the reply to its renewal cannot be deferred", func() {
+		request := waitingRequest(1)
+		request.Terms.Hold = 0
+		sched.PlaceOrWait(request, now, reply)
+		Expect((<-outcomes).Waiting).To(BeTrue())
+		server := &scheduler.Server{Self: remote, Load: load.NewTracker(), Scheduler: sched, State: state, Log: zerolog.Nop()}
+		message := peer.PlaceRequest{
+			From: requester, Number: 1, Shard: peer.PlaceShard{Service: onlyShard.Service, Count: 1}, Tokens: 100, Output: 100,
+			ObjectiveMS: 1000, MaxGapMS: 300, LimitMS: 5000,
+			Extension: peer.PlaceRequestExtension{Waits: true, FullObjectiveMS: 2000, UsefulMS: 4000, HoldMS: 250},
+		}
+		frame, err := peer.EncodeFrame(peer.KindPlaceRequest, 1, false, &message)
+		Expect(err).NotTo(HaveOccurred())
+		envelopes, err := new(peer.Decoder).Feed(frame)
+		Expect(err).NotTo(HaveOccurred())
+		envelopes[0].Deferral = noDeferral{}
+		_, body := server.Handle(peer.Hello{Name: "peer"}, &envelopes[0])
+		Expect(body.(peer.PlaceReply).Placed).To(BeFalse())
+		Expect(sched.Waiting()[onlyShard]).To(BeZero())
+	})
+
+	// Guards against a running request that is no longer counted: it was placed without a deferral, placed again from the queue, and
+	// that placement lapsed.
+	It("is counted until it ends if it is placed without a deferral", func() {
+		request := waitingRequest(1)
+		request.Terms.Hold = 0
+		sched.PlaceOrWait(request, now, reply)
+		Expect((<-outcomes).Waiting).To(BeTrue())
+		sched.End(onlyShard, requester, 1000)
+		_, refusal, ok := sched.Place(request, now)
+		Expect(ok).To(BeTrue())
+		Expect(refusal).To(BeNil())
+		sched.End(onlyShard, requester, 1001)
+		sched.Dispatch(now.Add(10 * time.Millisecond))
+		sched.Dispatch(now.Add(700 * time.Millisecond))
+		_, refusal, _ = sched.Place(shortRequest(50), now.Add(700*time.Millisecond))
+		Expect(refusal).To(BeNil())
+		_, refusal, _ = sched.Place(shortRequest(51), now.Add(700*time.Millisecond))
+		Expect(refusal).NotTo(BeNil())
+	})
+})
