Let the factor of a slow endpoint follow answers that are a little late

A slow endpoint kept its last factor while the low quantile of its answers was between 1.4 (on time) and 1.7 (late), as long as one arrived each second: it was neither recovered nor probed, and its factor was updated from 1.7 only. The factor is now updated from 1.4.

--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -62,6 +62,22 @@
 		Expect(t.Slowdown(endpoint, start.Add(time.Second))).To(BeNumerically("~", 3, 0.5))
 	})
 
+	// Guards against a factor of the past that stays for as long as answers are neither late nor on time, each within a second of the last.
+	It("follows answers that are a little late", func() {
+		t := newTracker(endpoint)
+		now := start
+		for range 8 {
+			t.Observe(endpoint, predicted, 5*predicted, now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(t.Slowdown(endpoint, now)).To(BeNumerically("~", 5, 0.5))
+		for range 300 {
+			t.Observe(endpoint, predicted, predicted*17/10, now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(t.Slowdown(endpoint, now)).To(BeNumerically("<", 1.7))
+	})
+
 	// Guards against a slow endpoint that answers nothing and is therefore not found.
 	It("is found by requests that wait for their first event", func() {
 		t := newTracker(endpoint)
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -231,7 +231,7 @@
 		t.beginStart(endpoint, r, startWindow(r.window.slots), r.window.slots, NoLongerSlow, now)
 		return
 	}
-	if e := r.evidence(now); e.slowdown >= slowFrom {
+	if e := r.evidence(now); e.slowdown >= normalBelow {
 		r.factor = e.slowdown
 	}
 }
