--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -69,8 +69,8 @@
 	MemoryMB int
 	// MaxConnections bounds the callers' connections; the default is 100.
 	MaxConnections int
-	// Queue is the mode of the wait queues; the default is off.
-	Queue string
+	// Queue, ReturnTimes and Pace are the modes of the scheduling; the defaults are off.
+	Queue, ReturnTimes, Pace string
 }
 
 // Write replaces the settings file atomically, because the process may read it at the same time.
@@ -89,9 +89,9 @@
 bounds: {stop_grace: 8s, strict_revocation: true, revocation_time: 5s, retry_ratio: 0.2, retry_slack: 100,
   retry_window: 10s, cold_factor: 1.5, cold_slack: 5, least_instances: 1, max_connections: %d}
 limits: {memory_mb: %d}
-scheduling: {queue: %s}
+scheduling: {queue: %s, return_times: %s, pace: %s}
 `, s.Instance, s.Domain, s.Callers, s.Readiness, s.Peers, s.Metrics, s.Store, strings.Join(seeds, ", "),
-		cmp.Or(s.MaxConnections, 100), s.MemoryMB, cmp.Or(s.Queue, "off"))
+		cmp.Or(s.MaxConnections, 100), s.MemoryMB, cmp.Or(s.Queue, "off"), cmp.Or(s.ReturnTimes, "off"), cmp.Or(s.Pace, "off"))
 	temporary := filepath.Join(filepath.Dir(path), "."+filepath.Base(path))
 	if err := os.WriteFile(temporary, []byte(text), 0o600); err != nil {
 		return err
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -38,7 +38,9 @@
 
 // deployment is what a round tests: entry processes, stand-ins of the platform, and the links between them.
 type deployment struct {
-	name        string
+	name string
+	// mode is the mode of the scheduling at all instances.
+	mode        string
 	record      *record
 	store       *platformtest.Store
 	storeServer *http.Server
@@ -66,9 +68,10 @@
 	span
 }
 
-func newDeployment(name, dir string) (*deployment, error) {
+// newDeployment starts a deployment whose instances have the given mode of all parts of the scheduling.
+func newDeployment(name, dir, mode string) (*deployment, error) {
 	d := &deployment{
-		name: name, record: newRecord(), store: platformtest.NewStore(), restartLocks: make([]sync.Mutex, entryCount),
+		name: name, mode: mode, record: newRecord(), store: platformtest.NewStore(), restartLocks: make([]sync.Mutex, entryCount),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -106,6 +109,7 @@
 		e.settings = testkit.EntrySettings{
 			Instance: entryName(i), Domain: domains[i%len(domains)], Store: e.storeLink.address(), Seeds: seeds,
 			Callers: own[0], Readiness: own[1], Peers: own[2], Metrics: own[3],
+			Queue: d.mode, ReturnTimes: d.mode, Pace: d.mode,
 		}
 		if err := e.writeSettings(); err != nil {
 			return err
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -38,6 +38,14 @@
 	cause string
 }
 
+// schedulingMode returns the mode of the scheduling: on in the rounds with even seeds.
+func (r round) schedulingMode() string {
+	if r.seed%2 == 0 {
+		return "on"
+	}
+	return "off"
+}
+
 // fixedRounds are run each time the tests run. A round that has failed is added here with its cause.
 var fixedRounds = []round{
 	{seed: 1, length: 8 * time.Second},
@@ -71,7 +79,7 @@
 func runRound(r round) []string {
 	GinkgoHelper()
 	dir := GinkgoT().TempDir()
-	d, err := newDeployment(fmt.Sprintf("s%d", r.seed), dir)
+	d, err := newDeployment(fmt.Sprintf("s%d", r.seed), dir, r.schedulingMode())
 	Expect(err).NotTo(HaveOccurred())
 	defer d.stop()
 	for _, e := range d.entries {
