Refuse waiting requests that their shard cannot serve

A request that arrived behind others was not checked against the memory of the shard, and one that waited was not checked again when the last endpoint of its shard had left. Both were held until their useful time had ended. An arriving request that must wait and each renewal are now refused if the shard has no endpoint, or too little memory even if idle. Endpoints that a limit or the caller's instance excludes for a time still count. The tests got "still waiting" before, and the refusal now.

--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -58,6 +58,13 @@
 		return
 	}
 	state.expire(now)
+	if state.list.waits(&request) {
+		if refusal := neverPlaceable(v, &request); refusal != nil {
+			state.endWaiting(request.From, request.Number)
+			s.outbox.add(reply, Outcome{Refusal: refusal})
+			return
+		}
+	}
 	if state.list.renew(request, now, reply) {
 		s.wakeUp(true)
 		return
@@ -74,7 +81,12 @@
 	w.returns = s.beginReturn(v, state, &w.request, now)
 	queued.Returning = w.returns.precedes
 	mustWait := queue.Precedes(&queued, now)
-	if !mustWait {
+	if mustWait {
+		if refusal := neverPlaceable(v, &w.request); refusal != nil {
+			s.outbox.add(w.reply, Outcome{Refusal: refusal})
+			return
+		}
+	} else {
 		held := markHeld(candidates, queue.Held())
 		choice, refusal, ok := s.tryPlace(v, state, held, w, queued.NeedAt(now), now)
 		switch {
@@ -97,6 +109,27 @@
 	s.wakeUp(mustWait)
 }
 
+// neverPlaceable returns the refusal of a request that the endpoints of its shard cannot serve, whatever their load; nil if they can.
+// Endpoints count also if a limit or the instance of the caller excludes them now, because that ends.
+func neverPlaceable(v *shardView, request *PlaceRequest) *placement.Refusal {
+	var endpoints int64
+	for _, e := range v.snapshot.Endpoints[v.service.Name] {
+		if !e.Leaving && request.Shard.Contains(e) && !v.snapshot.OutOfService[e.Domain] {
+			endpoints++
+		}
+	}
+	refusal := &placement.Refusal{Candidates: int(endpoints)}
+	switch {
+	case endpoints == 0:
+		refusal.Reason = placement.NoEndpoint
+	case request.Need.Tokens+request.Need.Output > endpoints*v.service.Engine.MemoryTokens:
+		refusal.Reason = placement.TooLarge
+	default:
+		return nil
+	}
+	return refusal
+}
+
 // markHeld marks the candidates that are held for other requests.
 func markHeld(candidates []placement.Candidate, held waitqueue.Held) []placement.Candidate {
 	for i := range candidates {
--- a/internal/scheduler/waitfault_test.go
+++ b/internal/scheduler/waitfault_test.go
@@ -10,6 +10,7 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/peer"
+	"github.com/acacialift/acacialift/internal/placement"
 	"github.com/acacialift/acacialift/internal/scheduler"
 )
 
@@ -86,4 +87,36 @@
 		_, refusal, _ = sched.Place(shortRequest(51), now.Add(700*time.Millisecond))
 		Expect(refusal).NotTo(BeNil())
 	})
+
+	// Guards against a prompt that no set of endpoints can hold and that waits behind others until its useful time has ended.
+	It("is refused at once if it exceeds the memory of the shard, also behind others", func() {
+		long := waitingRequest(1)
+		long.Need.Tokens = 90_000
+		sched.PlaceOrWait(long, now, reply)
+		Expect(sched.Waiting()[onlyShard]).To(Equal(1))
+		tooLarge := waitingRequest(2)
+		tooLarge.Need.Tokens = 150_000
+		tooLarge.Terms.Rank = 2
+		tooLarge.Terms.Hold = 0
+		sched.PlaceOrWait(tooLarge, now, reply)
+		outcome := <-outcomes
+		Expect(outcome.Refusal).NotTo(BeNil())
+		Expect(outcome.Refusal.Reason).To(Equal(placement.TooLarge))
+	})
+
+	// Guards against a request that is held at a shard which has no endpoint left.
+	It("is told with its renewal that the shard has no endpoint left", func() {
+		request := waitingRequest(1)
+		request.Terms.Hold = 0
+		sched.PlaceOrWait(request, now, reply)
+		Expect((<-outcomes).Waiting).To(BeTrue())
+		state.RemoveEndpoint("i-0")
+		now = now.Add(50 * time.Millisecond)
+		sched.PlaceOrWait(request, now, reply)
+		sched.Dispatch(now.Add(time.Millisecond))
+		outcome := <-outcomes
+		Expect(outcome.Refusal).NotTo(BeNil())
+		Expect(outcome.Refusal.Reason).To(Equal(placement.NoEndpoint))
+		Expect(sched.Waiting()[onlyShard]).To(BeZero())
+	})
 })
--- a/internal/scheduler/waitlist.go
+++ b/internal/scheduler/waitlist.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// waits reports whether a request is in the queue.
+func (l *waitList) waits(request *PlaceRequest) bool { return l.queue.Contains(request.id()) }
+
 // renew stores a renewal. It returns false if the request does not wait here.
 func (l *waitList) renew(request PlaceRequest, now time.Time, reply func(Outcome)) bool {
 	w := l.waiting[requestKey{from: request.From, number: request.Number}]
