Refuse a prompt that the engines cannot hold behind others in a local queue

LocalQueue checked the memory of the engines only for a request that need not wait. Behind others, a prompt larger than all engines together was held until its useful time had ended. The test got a waiting request before, and a refusal at once now.

--- a/internal/scheduler/localqueue.go
+++ b/internal/scheduler/localqueue.go
@@ -89,7 +89,12 @@
 	candidates := request.Candidates(now)
 	queued := queuedRequest(&request.PlaceRequest, request.Engine, len(candidates), now)
 	mustWait := list.queue.Precedes(&queued, now)
-	if !mustWait {
+	if mustWait {
+		if need := &queued.Need; need.Tokens+need.Output > int64(len(candidates))*request.Engine.MemoryTokens && len(candidates) > 0 {
+			q.outbox.add(reply, Outcome{Refusal: &placement.Refusal{Reason: placement.TooLarge, Candidates: len(candidates)}})
+			return false
+		}
+	} else {
 		held := markHeld(candidates, list.queue.Held())
 		choice, refusal := request.Place(held, queued.NeedAt(now), now)
 		switch {
