Give up a kept placement on an endpoint that has begun a cold start

A placement that is decided between a reply and the renewal is kept for up to 500 ms. If its endpoint was replaced in that time and is in cold start at the renewal, the instance takes the request for one that its scheduler has counted, but nobody has. The renewal now counts it, or gives the placement up if the limit allows none. The test got the endpoint in addition to the 13 requests granted before, and gets no placement now.

--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -58,6 +58,7 @@
 		return
 	}
 	state.expire(now)
+	s.reconsider(v, state, &request, now)
 	if state.list.waits(&request) {
 		if refusal := neverPlaceable(v, &request); refusal != nil {
 			state.endWaiting(request.From, request.Number)
@@ -72,6 +73,24 @@
 	s.admit(v, state, &waitingRequest{request: request, received: now, reply: reply}, now)
 }
 
+// reconsider gives up a placement that a renewal is about to get, if the endpoint has begun a cold start since then and takes no
+// request now. No limit has counted the request for the cold start.
+func (s *Scheduler) reconsider(v *shardView, state *shardState, request *PlaceRequest, now time.Time) {
+	key := requestKey{from: request.From, number: request.Number}
+	w := state.list.waiting[key]
+	if w == nil || w.decided == nil || !w.decided.isPlaced() {
+		return
+	}
+	e := v.snapshot.ByKey[w.decided.Choice.Primary.Key()]
+	if e == nil || v.service.ColdRate <= 0 || !e.IsCold(now) {
+		return
+	}
+	if request.Terms.Failed != "" || !s.takeCold(v.service, e, now) {
+		delete(state.list.waiting, key)
+		state.remove(key)
+	}
+}
+
 // admit places a new request if none that waits precedes it and there is capacity. Otherwise it lets the request wait, or
 // refuses it.
 func (s *Scheduler) admit(v *shardView, state *shardState, w *waitingRequest, now time.Time) {
--- a/internal/scheduler/waitfault_test.go
+++ b/internal/scheduler/waitfault_test.go
@@ -119,4 +119,30 @@
 		Expect(outcome.Refusal.Reason).To(Equal(placement.NoEndpoint))
 		Expect(sched.Waiting()[onlyShard]).To(BeZero())
 	})
+
+	// Guards against a request to an endpoint in cold start that no limit has counted: the endpoint was warm when the request was placed,
+	// and had been replaced before the renewal that carries the placement.
+	It("gets no placement on an endpoint that is in cold start at its renewal and takes no request", func() {
+		request := waitingRequest(1)
+		request.Terms.Hold = 0
+		sched.PlaceOrWait(request, now, reply)
+		Expect((<-outcomes).Waiting).To(BeTrue())
+		sched.End(onlyShard, requester, 1000)
+		sched.Dispatch(now.Add(10 * time.Millisecond))
+		Expect(sched.Stats().PlacedAfterWaiting.Load()).To(BeEquivalentTo(1))
+		state.PutEndpoint(&fleet.Endpoint{ID: "i-0", Service: service, Domain: "yard-1", Slots: slots, ColdUntil: now.Add(time.Hour)})
+		sched.End(onlyShard, requester, 1001)
+		now = now.Add(20 * time.Millisecond)
+		granted := 0
+		for n := range 100 {
+			if _, refusal, ok := sched.Place(shortRequest(2000+n), now); ok && refusal == nil {
+				granted++
+				sched.End(onlyShard, requester, load.Number(2000+n))
+			}
+		}
+		Expect(granted).To(Equal(13))
+		sched.PlaceOrWait(request, now, reply)
+		outcome := <-outcomes
+		Expect(outcome.Choice.Primary).To(BeNil())
+	})
 })
