Track only published cold starts in the pace of endpoints

An instance takes an endpoint for cold for 10 s after a refused connection, the scheduler in the same process does not. Both assess it in one tracker, so that each assessment by the scheduler ended a cold start and began a slow start with a quarter of the slots, every second, for all instances that this scheduler serves. The tracker now gets the cold start of the entry from both. The limit per second after a refused connection is unchanged.

--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -143,14 +143,16 @@
 	p.metrics.SetGauge("starting_endpoints", int64(starting))
 }
 
-// condition returns the condition of an endpoint.
+// condition returns the condition of an endpoint. An endpoint is in cold start here only by its entry, as it is at a scheduler in this
+// process, which shares the tracker: if both differed, each assessment would begin a slow start again. One that has refused a connection
+// is suspect, so that its slow start begins when it no longer is.
 func (h *Handler) condition(service *fleet.Service, e *fleet.Endpoint, now time.Time) pace.Condition {
 	slots := e.Slots
 	if service.Engine != nil {
 		slots = service.Engine.Slots
 	}
 	return pace.Condition{
-		Slots: slots, Cold: h.isCold(service, e, now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
+		Slots: slots, Cold: service.ColdRate > 0 && e.IsCold(now), Suspect: h.options.Health.IsSuspect(e.Key(), now),
 	}
 }
 
--- a/internal/entry/pace_test.go
+++ b/internal/entry/pace_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,7 @@
 
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/health"
 	"github.com/acacialift/acacialift/internal/pace"
 	"github.com/acacialift/acacialift/internal/settings"
 )
@@ -102,6 +104,33 @@
 		Expect(page.Body.String()).To(ContainSubstring("acacialift_starting_endpoints"))
 	})
 
+	// Guards against an endpoint that begins a slow start again every second: its instance takes it for cold after a refused connection, and
+	// the scheduler in the same process, which shares the tracker, does not.
+	It("begins no slow start again and again after one refused connection", func() {
+		tracker, healthTracker := pace.NewTracker(), health.NewTracker()
+		r := newRig([]*fakeEndpoint{newEndpoint(streamAfter(0))}, withEngine, withPace(tracker, settings.ModeOn),
+			func(c *fleet.Catalog, o *entry.HandlerOptions) {
+				c.Services["pool"].ColdRate, o.Health = 14, healthTracker
+			})
+		key, start := r.state.Endpoint("i-0").Key(), time.Now()
+		entry.MaintainPace(r.handler, zerolog.Nop(), start.Add(-time.Minute))
+		healthTracker.Refused(key, start)
+		began := 0
+		for second := range 9 {
+			now := start.Add(time.Duration(second) * time.Second)
+			var log bytes.Buffer
+			entry.MaintainPace(r.handler, zerolog.New(&log), now)
+			began += strings.Count(log.String(), `"slow_start_began"`)
+			for range 8 {
+				// The scheduler assesses the endpoint when it places a request.
+				now = now.Add(100 * time.Millisecond)
+				tracker.Assess(key, pace.Condition{Slots: 4}, now)
+				tracker.Observe(key, 50*time.Millisecond, 50*time.Millisecond, now)
+			}
+		}
+		Expect(began).To(BeNumerically("<=", 1))
+	})
+
 	// Guards against any change where the mode is off, or by_priority for a service whose profiles have one priority.
 	DescribeTable("observes nothing where it is off", func(mode settings.Mode) {
 		tracker := pace.NewTracker()
