Bound the return time that is told while keys cannot be checked

The time was a sixth to a third of the budget that the caller stated, which may be up to 24 days. It is now at most Horizon (11.1 s), like all other return times; budgets of up to 33.3 s are treated as before.

--- a/internal/entry/returns_test.go
+++ b/internal/entry/returns_test.go
@@ -16,6 +16,7 @@
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/load"
 	"github.com/acacialift/acacialift/internal/placement"
+	"github.com/acacialift/acacialift/internal/returntimes"
 	"github.com/acacialift/acacialift/internal/scheduler"
 	"github.com/acacialift/acacialift/internal/settings"
 	"github.com/acacialift/acacialift/internal/testkit"
@@ -79,6 +80,15 @@
 		Expect(slices.Max(delays) - slices.Min(delays)).To(BeNumerically(">=", (mostOutageDelay-leastOutageDelay)/3))
 	})
 
+	// Guards against a caller with a limit of days that is told to return after hours, although outages take seconds.
+	It("is at most the longest delay that a schedule plans", func() {
+		r := newRig(nil, withReturnTimes(settings.ModeOn, true), withUnconfirmedCatalog)
+		for range 20 {
+			got := r.call("/safe/", "Acacialift-Deadline-Ms", "2147483647")
+			Expect(retryAfter(got)).To(And(BeNumerically(">=", returntimes.Horizon/2-time.Millisecond), BeNumerically("<=", returntimes.Horizon)))
+		}
+	})
+
 	DescribeTable("is as short as before", func(mode settings.Mode, hasMajority bool, options ...rigOption) {
 		r := newRig(nil, append(options, withReturnTimes(mode, hasMajority), withUnconfirmedCatalog)...)
 		Expect(retryAfter(r.call("/safe/"))).To(Equal(todaysOutageDelay))
--- a/internal/returntimes/spread.go
+++ b/internal/returntimes/spread.go
@@ -15,11 +15,13 @@
 func Latest(remaining time.Duration) time.Duration { return max(remaining, 0) / followDivisor }
 
 // DuringOutage returns the delay for a caller that no instance can serve now. random is a number in [0, 1). The delays are spread
-// evenly over the range, so that callers who arrive at a constant rate also return at one.
+// evenly over the range, so that callers who arrive at a constant rate also return at one. No delay exceeds Horizon: callers may state
+// limits of days, and an outage is shorter.
 func DuringOutage(remaining time.Duration, random float64) time.Duration {
 	if remaining <= 0 {
 		remaining = unstatedRemaining
 	}
+	remaining = min(remaining, followDivisor*Horizon)
 	least, most := remaining/outageDivisor, remaining/followDivisor
 	return least + time.Duration(random*float64(most-least))
 }
