--- a/review/kit2/rig.go
+++ b/review/kit2/rig.go
@@ -171,7 +171,15 @@
 }
 
 func main() {
-	cases := map[string]func() int{"drill": playDrill}
+	if len(os.Args) == 4 && os.Args[1] == "server" {
+		serveChild(os.Args[2], os.Args[3])
+		return
+	}
+	if len(os.Args) == 5 && os.Args[1] == "engine" {
+		serveEngine(os.Args[2], os.Args[3], os.Args[4])
+		return
+	}
+	cases := map[string]func() int{"drill": playDrill, "half": playHalf, "shed": playShed}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(exitNoRun)
