--- a/review/kit2/http.go
+++ b/review/kit2/http.go
@@ -94,7 +94,7 @@
 
 func newServer(id, service string) *server {
 	s := &server{id: id, service: service, born: time.Now().UnixMilli()}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		fail("server: %v", err)
 	}
