--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-var cases = map[string]func(){"backlog": backlogCase, "rest": restCase, "plain": plainCase, "memory": memoryCase}
+var cases = map[string]func(){"backlog": backlogCase, "rest": restCase, "plain": plainCase, "memory": memoryCase, "cold": coldCase}
 
 var plainRoute = map[string]any{
 	"name": "r-desk", "host": "ficu95.example", "path-prefix": "/desk/", "kind": "non_idempotent", "timeout-ms": 5000, "target-latency-ms": 150,
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -14,6 +14,10 @@
 		runServer(os.Args[2:])
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "plain-servers" {
+		runPlain(os.Args[2:])
+		return
+	}
 	if len(os.Args) > 1 && os.Args[1] == "engines" {
 		runEngines(os.Args[2:])
 		return
--- a/review/kit3/process.go
+++ b/review/kit3/process.go
@@ -69,7 +69,7 @@
 func cannotRun(format string, args ...any) { exit(2, "the case could not run: "+format, args...) }
 
 func startProcess(name string, showsLines bool, path string, args ...string) *process {
-	p := &process{name: name, command: exec.Command(path, args...), lines: make(chan string, 4096), ended: make(chan struct{})}
+	p := &process{name: name, command: exec.Command(path, args...), lines: make(chan string, 1<<16), ended: make(chan struct{})}
 	p.command.Stderr = os.Stderr
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.command.StdoutPipe()
@@ -130,6 +130,9 @@
 	return p
 }
 
+// seed is the peers' address of the first machine that was started.
+var seed string
+
 var givenPorts = map[int]bool{}
 
 // freeAddress returns a loopback address with a port below those that the kernel gives to outgoing connections, so that a server can listen
@@ -192,8 +195,11 @@
 func startEntry(name, storeAddress string, showsLog bool) *entry {
 	e := &entry{callers: freeAddress(), readiness: freeAddress()}
 	peers := freeAddress()
+	if seed == "" {
+		seed = peers
+	}
 	path := filepath.Join(folder, name+".yaml")
-	text := fmt.Sprintf(settings, name, e.callers, e.readiness, peers, freeAddress(), storeAddress, peers)
+	text := fmt.Sprintf(settings, name, e.callers, e.readiness, peers, freeAddress(), storeAddress, seed)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		cannotRun("no settings file: %v", err)
 	}
@@ -231,11 +237,15 @@
 func (e *entry) sendTokens(method, path, id string, deadline time.Duration, tokens string) answer {
 	record("client: sends %s %s %s", id, method, path)
 	began := time.Now()
+	a := e.request(method, path, id, deadline, tokens)
+	record("client: %s status %d, body %d bytes, complete by its framing: %t, error %v, after %d ms", id, a.status, len(a.body), a.complete, a.err,
+		time.Since(began).Milliseconds())
+	return a
+}
+
+// request is sendTokens without lines in the record.
+func (e *entry) request(method, path, id string, deadline time.Duration, tokens string) answer {
 	a := answer{}
-	defer func() {
-		record("client: %s status %d, body %d bytes, complete by its framing: %t, error %v, after %d ms", id, a.status, len(a.body), a.complete, a.err,
-			time.Since(began).Milliseconds())
-	}()
 	r, _ := http.NewRequest(method, "http://"+e.callers+path, nil)
 	if method == http.MethodPost {
 		r, _ = http.NewRequest(method, "http://"+e.callers+path, strings.NewReader("{}"))
