Remember that reserved memory may have been freed before a renewal

Cause: the memory of a prompt is reserved for 3 s and renewed each second. An instance that stands still for longer lets it expire, and the endpoints cut the stream off. The first renewal after that reserves memory anew under the same id and succeeds, and only a failed latest renewal counted as lost memory. So the end of the stream was confirmed by endpoints that live.

Fix: memoryLease keeps, for each reservation and by the boot clock, when the last confirmed renewal was sent. Memory that was not renewed within its lease, or whose renewal was refused, counts as freed for the rest of the attempt, whatever stood still: this instance, a connection or the endpoint. The end of a response is also unconfirmed if the lease has run out and no renewal has been tried since. A renewal that got no answer no longer counts as lost memory while the lease lasts. reservation_lapsed logs a renewal that came too late.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -187,7 +187,7 @@
 	}
 	r.startWitness(ctx)
 	defer func() { r.witness.close() }()
-	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.reservations), func() error {
+	err = x.handler.options.Client.Do(ctx, x.request(choice, reserved.reservations()), func() error {
 		r.witness.await()
 		r.sentAt = time.Now()
 		return x.stillUsable(&p)
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/placement"
@@ -45,31 +47,39 @@
 
 // reservationSet holds the reservations of one attempt. They are renewed until release is called.
 type reservationSet struct {
-	x            *exchange
-	reservations []Reservation
-	stop         context.CancelFunc
-	ended        sync.WaitGroup
-	// lost is true if the latest renewal has failed. The endpoint cuts off the request when its reservation expires.
-	lost atomic.Bool
+	x      *exchange
+	leases []*memoryLease
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
 }
 
-// isLost reports whether memory of the attempt may have been freed before its end.
-func (s *reservationSet) isLost() bool { return s.lost.Load() }
+// mayHaveLapsed reports whether memory of the attempt may have been freed until now. The endpoint then cuts off the request.
+func (s *reservationSet) mayHaveLapsed() bool {
+	now := clock.Boot()
+	return slices.ContainsFunc(s.leases, func(l *memoryLease) bool { return l.mayHaveLapsed(now) })
+}
+
+// reservations returns the reservations of the attempt.
+func (s *reservationSet) reservations() []Reservation {
+	reservations := make([]Reservation, 0, len(s.leases))
+	for _, l := range s.leases {
+		reservations = append(reservations, l.Reservation)
+	}
+	return reservations
+}
 
 // reserve reserves the planned memory at all endpoints. If a reservation fails, it releases the memory at all of them.
 func (x *exchange) reserve(ctx context.Context, planned []placement.Reservation) (*reservationSet, error) {
 	s := &reservationSet{x: x, stop: func() {}}
 	for _, p := range planned {
-		s.reservations = append(s.reservations, Reservation{
+		s.leases = append(s.leases, &memoryLease{Reservation: Reservation{
 			Endpoint: p.Endpoint, Tokens: p.Tokens, ID: fmt.Sprintf("%s-%d", x.call.ID, x.sent),
-		})
+		}})
 	}
-	if len(s.reservations) == 0 {
+	if len(s.leases) == 0 {
 		return s, nil
 	}
-	if err := s.each(func(r Reservation) error {
-		return x.sendControl(ctx, r.Endpoint, x.handler.options.Protocol.Reserve(r, reservationTime))
-	}); err != nil {
+	if err := s.each(func(l *memoryLease) error { return x.reserveMemory(ctx, l) }); err != nil {
 		s.release()
 		return nil, err
 	}
@@ -81,14 +91,14 @@
 	return s, nil
 }
 
-// each runs an action for all reservations concurrently and returns the first error.
-func (s *reservationSet) each(action func(Reservation) error) error {
-	errs := make(chan error, len(s.reservations))
-	for _, r := range s.reservations {
-		go func() { errs <- s.x.withoutPanic(func() error { return action(r) }) }()
+// each runs an action for all leases concurrently and returns the first error.
+func (s *reservationSet) each(action func(*memoryLease) error) error {
+	errs := make(chan error, len(s.leases))
+	for _, l := range s.leases {
+		go func() { errs <- s.x.withoutPanic(func() error { return action(l) }) }()
 	}
 	var first error
-	for range s.reservations {
+	for range s.leases {
 		if err := <-errs; err != nil && first == nil {
 			first = err
 		}
@@ -96,6 +106,7 @@
 	return first
 }
 
+// renew renews all leases until the context ends.
 func (s *reservationSet) renew(ctx context.Context) {
 	defer s.ended.Done()
 	ticker := time.NewTicker(renewInterval)
@@ -105,12 +116,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			err := s.each(func(r Reservation) error {
-				return s.x.sendControl(ctx, r.Endpoint, s.x.handler.options.Protocol.Reserve(r, reservationTime))
-			})
-			if ctx.Err() == nil {
-				s.lost.Store(err != nil)
-			}
+			err := s.each(func(l *memoryLease) error { return s.x.renewMemory(ctx, l) })
 			if err != nil && ctx.Err() == nil {
 				s.x.handler.options.Log.Warn().Str("request_id", s.x.call.ID).Err(err).Msg("reservation_not_renewed")
 			}
@@ -118,18 +124,45 @@
 	}
 }
 
+// reserveMemory requests the reservation of a lease.
+func (x *exchange) reserveMemory(ctx context.Context, l *memoryLease) error {
+	sent := clock.Boot()
+	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime))
+	if err == nil {
+		l.observeReserved(sent)
+	}
+	return err
+}
+
+// renewMemory renews a lease. An endpoint that does not hold the memory any more reserves it anew under the same id, so that the success of
+// a late renewal does not show that the memory was held.
+func (x *exchange) renewMemory(ctx context.Context, l *memoryLease) error {
+	sent := clock.Boot()
+	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime))
+	var refused *ControlError
+	switch {
+	case err == nil:
+		if gap := l.observeRenewed(sent, clock.Boot()); gap >= reservationTime {
+			x.handler.options.Log.Warn().Str("request_id", x.call.ID).Str("endpoint", l.Endpoint.ID).Dur("gap_ms", gap).Msg("reservation_lapsed")
+		}
+	case errors.As(err, &refused):
+		l.observeRefused()
+	}
+	return err
+}
+
 // release stops the renewals and releases the memory. A reservation whose release the endpoint does not confirm expires
 // after reservationTime.
 func (s *reservationSet) release() {
-	if len(s.reservations) == 0 {
+	if len(s.leases) == 0 {
 		return
 	}
 	s.stop()
 	s.ended.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	err := s.each(func(r Reservation) error {
-		return s.x.sendControl(ctx, r.Endpoint, s.x.handler.options.Protocol.Release(r))
+	err := s.each(func(l *memoryLease) error {
+		return s.x.sendControl(ctx, l.Endpoint, s.x.handler.options.Protocol.Release(l.Reservation))
 	})
 	if err != nil {
 		s.x.handler.options.Log.Warn().Str("request_id", s.x.call.ID).Err(err).Msg("reservation_not_released")
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -51,7 +51,7 @@
 	// foundPaused means that this instance has paused during the attempt, so that a successor under the same id may answer, and that the
 	// answer would state only the id.
 	foundPaused EndpointFinding = "instance_paused"
-	// foundMemoryLost means that memory that the endpoint or its helpers had reserved for the request could not be renewed.
+	// foundMemoryLost means that memory that the endpoint or its helpers had reserved for the request may have been freed.
 	foundMemoryLost EndpointFinding = "memory_lost"
 )
 
@@ -81,7 +81,7 @@
 	began := time.Now()
 	finding := foundNoEvent
 	switch {
-	case r.reserved.isLost():
+	case r.reserved.mayHaveLapsed():
 		finding = foundMemoryLost
 	case !r.streaming || x.attemptEvents() > 0:
 		finding = x.checkEnd(ctx, e, r)
@@ -109,9 +109,9 @@
 // there is one.
 func (x *exchange) checkAll(ctx context.Context, e *fleet.Endpoint, reserved *reservationSet) EndpointFinding {
 	endpoints := []*fleet.Endpoint{e}
-	for _, r := range reserved.reservations {
-		if r.Endpoint != e {
-			endpoints = append(endpoints, r.Endpoint)
+	for _, l := range reserved.leases {
+		if l.Endpoint != e {
+			endpoints = append(endpoints, l.Endpoint)
 		}
 	}
 	findings := make(chan EndpointFinding, len(endpoints))
--- a/internal/entry/responseend_test.go
+++ b/internal/entry/responseend_test.go
@@ -124,6 +124,34 @@
 		Expect(got.err).To(HaveOccurred())
 	})
 
+	// Guards against a stream that was cut off because its memory expired, and that ends as complete because a later renewal has
+	// reserved memory again under the same id (review/12).
+	It("does not confirm it if the memory of the request was renewed too late", func() {
+		var endpoints []*fakeEndpoint
+		setSilent := func(isSilent bool) {
+			for _, e := range endpoints {
+				e.mu.Lock()
+				e.isSilent = isSilent
+				e.mu.Unlock()
+			}
+		}
+		for range 2 {
+			endpoints = append(endpoints, newEndpoint(func(conn net.Conn, r receivedRequest) {
+				respond(unframedHead+events(1, 3))(conn, r)
+				setSilent(true)
+				time.Sleep(3500 * time.Millisecond)
+				setSilent(false)
+				time.Sleep(time.Second)
+				_ = conn.Close()
+			}))
+		}
+		var log testkit.LogBuffer
+		got := newRig(endpoints, withLongObjective, withLog(&log)).call("/stream/x", "Acacialift-Token-Usage", "150000,100")
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+		Expect(log.String()).To(ContainSubstring("reservation_lapsed"))
+		Expect(got.err).To(HaveOccurred())
+	})
+
 	// Guards against sound responses that are replaced by a failure, because the check waits for a slot or is rejected like any request.
 	DescribeTable("leaves a sound response of a busy plain endpoint as it is", func(response string, delay time.Duration) {
 		var endpoints []*fakeEndpoint
