Bound responses of the store by their progress

Callers on the large deployment get 404 for routes more than 4 s after their acknowledgement, and an instance at 8 or 10 Mbit/s refuses keys for as long as it is watched: it never reads the changes that it missed in an outage.

Cause: while the last confirmation is old, a watch asks for the changes with a wait of 1 ms, and its whole response had to arrive within 700 ms after that. A part of 1 MB takes longer on a slow or shared link; the call failed and asked for the same part again.

The specs of engine.FetchWithin pass.

--- a/internal/engine/fetch.go
+++ b/internal/engine/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 )
 
 // ErrBodyTooLarge means that a response body exceeds the limit passed to Fetch.
@@ -25,6 +26,55 @@
 	return &collected.response, nil
 }
 
+// FetchLimits bounds a response that may be large and arrive slowly.
+type FetchLimits struct {
+	// MaxBytes is the maximum size of the body.
+	MaxBytes int
+	// HeadTimeout bounds the time until the head has arrived, StallTimeout each time after that in which nothing more arrives, and Timeout the
+	// whole exchange.
+	HeadTimeout, StallTimeout, Timeout time.Duration
+}
+
+// FetchWithin sends the request and returns the complete response. It goes on as long as the response makes progress within the limits,
+// and fails with ErrIdleTimeout if there is none.
+func (c *Client) FetchWithin(ctx context.Context, req Request, limits FetchLimits) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, limits.Timeout)
+	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	stalled := time.AfterFunc(limits.HeadTimeout, func() { cancelCause(ErrIdleTimeout) })
+	defer stalled.Stop()
+	receiver := &progressCollector{collector: collector{maxBytes: limits.MaxBytes}, stalled: stalled, timeout: limits.StallTimeout}
+	err := c.Do(ctx, req, nil, receiver)
+	if err == nil {
+		return &receiver.response, nil
+	}
+	var failure *Error
+	if errors.As(err, &failure) && errors.Is(context.Cause(ctx), ErrIdleTimeout) {
+		return nil, &Error{BytesSent: failure.BytesSent, HeadReceived: failure.HeadReceived, Err: ErrIdleTimeout}
+	}
+	return nil, err
+}
+
+// progressCollector is a collector that begins a timeout anew with everything that arrives.
+type progressCollector struct {
+	collector
+	stalled *time.Timer
+	timeout time.Duration
+}
+
+// OnHead implements Receiver.
+func (c *progressCollector) OnHead(status int, header http.Header) error {
+	c.stalled.Reset(c.timeout)
+	return c.collector.OnHead(status, header)
+}
+
+// OnBody implements Receiver.
+func (c *progressCollector) OnBody(data []byte) error {
+	c.stalled.Reset(c.timeout)
+	return c.collector.OnBody(data)
+}
+
 // collector is a Receiver that buffers a response of limited size.
 type collector struct {
 	maxBytes int
