Recognize holders of memory in a back-off by the process that answers

Cause: after the end of such a stream an endpoint that has requested a back-off is not asked which incarnation it is, and a connection that it accepts counted as a sign of life. A holder of memory crashes 1.5 s before the end that its crash causes, so that its successor accepts the connection. The endpoint of the stream has the same gap if its successor listens at once, or if this instance stood still in between.

Fix: the control requests of a reservation, which are sent in a back-off too, each go over a connection that was opened before the response to the previous one arrived; a response on it comes from the same process (processLink). A holder in a back-off is confirmed by the release of the memory over that connection, which is sent anyway; nothing else confirms it. The endpoint of the response gets a witness connection also if it is a model endpoint in a back-off, and without one an accepted connection counts only if the instance has not paused. Number of connections: one more for each reservation, none for a renewal or release.

'does not confirm it if an endpoint that holds memory was restarted in a back-off' and 'if a model endpoint was restarted in a back-off', two entries each, failed before and pass; 'confirms it if an endpoint that holds memory goes on in a back-off' passes before and after, with no question asked.

--- a/internal/entry/memorylease.go
+++ b/internal/entry/memorylease.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/acacialift/acacialift/internal/engine"
 )
 
 // memoryLease is what is known of how long an endpoint has held reserved memory of an attempt. All times are boot-times, because the
@@ -10,6 +12,12 @@
 type memoryLease struct {
 	Reservation
 
+	// sending is held while a control request is sent. It guards link and isReleased.
+	sending sync.Mutex
+	link    processLink
+	// isReleased is true once the memory was released.
+	isReleased bool
+
 	mu sync.Mutex
 	// confirmed is the time immediately before the last confirmed renewal was sent; the endpoint holds the memory for reservationTime from
 	// then on at least.
@@ -19,6 +27,10 @@
 	isLapsed bool
 }
 
+func newMemoryLease(client *engine.Client, r Reservation) *memoryLease {
+	return &memoryLease{Reservation: r, link: processLink{client: client}}
+}
+
 // observeReserved records that the endpoint has confirmed the reservation, which was requested at a time.
 func (l *memoryLease) observeReserved(sent time.Duration) {
 	l.mu.Lock()
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -72,9 +72,9 @@
 func (x *exchange) reserve(ctx context.Context, planned []placement.Reservation) (*reservationSet, error) {
 	s := &reservationSet{x: x, stop: func() {}}
 	for _, p := range planned {
-		s.leases = append(s.leases, &memoryLease{Reservation: Reservation{
+		s.leases = append(s.leases, newMemoryLease(x.handler.options.Client, Reservation{
 			Endpoint: p.Endpoint, Tokens: p.Tokens, ID: fmt.Sprintf("%s-%d", x.call.ID, x.sent),
-		}})
+		}))
 	}
 	if len(s.leases) == 0 {
 		return s, nil
@@ -126,8 +126,10 @@
 
 // reserveMemory requests the reservation of a lease.
 func (x *exchange) reserveMemory(ctx context.Context, l *memoryLease) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
 	sent := clock.Boot()
-	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime))
+	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime), l.link.send)
 	if err == nil {
 		l.observeReserved(sent)
 	}
@@ -137,8 +139,13 @@
 // renewMemory renews a lease. An endpoint that does not hold the memory any more reserves it anew under the same id, so that the success of
 // a late renewal does not show that the memory was held.
 func (x *exchange) renewMemory(ctx context.Context, l *memoryLease) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	if l.isReleased {
+		return nil
+	}
 	sent := clock.Boot()
-	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime))
+	err := x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Reserve(l.Reservation, reservationTime), l.link.send)
 	var refused *ControlError
 	switch {
 	case err == nil:
@@ -151,8 +158,19 @@
 	return err
 }
 
-// release stops the renewals and releases the memory. A reservation whose release the endpoint does not confirm expires
-// after reservationTime.
+// releaseMemory releases the memory of a lease, once. An endpoint that does not confirm it frees the memory after reservationTime.
+func (x *exchange) releaseMemory(ctx context.Context, l *memoryLease) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	if l.isReleased {
+		return nil
+	}
+	l.isReleased = true
+	defer l.link.close()
+	return x.sendControl(ctx, l.Endpoint, x.handler.options.Protocol.Release(l.Reservation), l.link.sendLast)
+}
+
+// release stops the renewals and releases the memory.
 func (s *reservationSet) release() {
 	if len(s.leases) == 0 {
 		return
@@ -161,20 +179,21 @@
 	s.ended.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	err := s.each(func(l *memoryLease) error {
-		return s.x.sendControl(ctx, l.Endpoint, s.x.handler.options.Protocol.Release(l.Reservation))
-	})
+	err := s.each(func(l *memoryLease) error { return s.x.releaseMemory(ctx, l) })
 	if err != nil {
 		s.x.handler.options.Log.Warn().Str("request_id", s.x.call.ID).Err(err).Msg("reservation_not_released")
 	}
 }
 
+// controlSender sends a control request and returns the complete response.
+type controlSender func(ctx context.Context, req engine.Request, maxBytes int) (*engine.Response, error)
+
 // sendControl sends a control request to an endpoint. It returns nil if the endpoint has executed the request.
-func (x *exchange) sendControl(ctx context.Context, e *fleet.Endpoint, c ControlRequest) error {
+func (x *exchange) sendControl(ctx context.Context, e *fleet.Endpoint, c ControlRequest, send controlSender) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	x.handler.options.Metrics.ControlRequestSent()
-	response, err := x.handler.options.Client.Fetch(ctx, engine.Request{
+	response, err := send(ctx, engine.Request{
 		Method: c.Method, Target: c.Target, Address: e.Address, Header: c.Header, Body: c.Body, Alone: true,
 	}, maxControlResponseBytes)
 	if err != nil {
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -51,6 +51,9 @@
 	// foundPaused means that this instance has paused during the attempt, so that a successor under the same id may answer, and that the
 	// answer would state only the id.
 	foundPaused EndpointFinding = "instance_paused"
+	// foundUnasked means that an endpoint that holds memory for the request may not be asked, because it has requested a back-off, and that
+	// nothing else shows that the process runs that reserved it.
+	foundUnasked EndpointFinding = "not_asked"
 	// foundMemoryLost means that memory that the endpoint or its helpers had reserved for the request may have been freed.
 	foundMemoryLost EndpointFinding = "memory_lost"
 )
@@ -93,37 +96,23 @@
 	return &unconfirmedEndError{finding: finding}
 }
 
-// checkEnd checks the endpoint of a response and those with reserved memory. A plain endpoint is asked on the witness of the attempt if there
-// is one, because its health response states only an id, which a successor may have too.
+// checkEnd checks the endpoint of a response and those that hold memory for it at the same time. It returns the finding about one that is
+// not alive, if there is one.
 func (x *exchange) checkEnd(ctx context.Context, e *fleet.Endpoint, r *relay) EndpointFinding {
-	if finding, known := x.checkWitness(ctx, e, r.witness); known {
-		return finding
-	}
-	if !x.handler.options.Protocol.StatesIncarnation(e, x.service) && x.handler.options.Pauses.PausedSince(r.began) {
-		return foundPaused
-	}
-	return x.checkAll(ctx, e, r.reserved)
-}
-
-// checkAll checks an endpoint and those with reserved memory at the same time. It returns the finding about one that is not alive, if
-// there is one.
-func (x *exchange) checkAll(ctx context.Context, e *fleet.Endpoint, reserved *reservationSet) EndpointFinding {
-	endpoints := []*fleet.Endpoint{e}
-	for _, l := range reserved.leases {
-		if l.Endpoint != e {
-			endpoints = append(endpoints, l.Endpoint)
-		}
+	checks := []func() EndpointFinding{func() EndpointFinding { return x.checkResponding(ctx, e, r) }}
+	for _, l := range r.reserved.leases {
+		checks = append(checks, func() EndpointFinding { return x.checkHolder(ctx, l) })
 	}
-	findings := make(chan EndpointFinding, len(endpoints))
-	for _, e := range endpoints {
+	findings := make(chan EndpointFinding, len(checks))
+	for _, check := range checks {
 		go func() {
 			finding := foundSilent
-			x.handler.panics.Recover("check of an endpoint", func() { finding = x.checkEndpoint(ctx, e) })
+			x.handler.panics.Recover("check of an endpoint", func() { finding = check() })
 			findings <- finding
 		}()
 	}
 	worst := FoundSame
-	for range endpoints {
+	for range checks {
 		if f := <-findings; worst.isAlive() {
 			worst = f
 		}
@@ -131,19 +120,50 @@
 	return worst
 }
 
+// checkResponding checks the endpoint of a response. It is asked on the witness of the attempt if there is one, because an answer that states only an
+// id may be that of a successor.
+func (x *exchange) checkResponding(ctx context.Context, e *fleet.Endpoint, r *relay) EndpointFinding {
+	if finding, known := x.checkWitness(ctx, e, r.witness); known {
+		return finding
+	}
+	namesStart := x.handler.options.Protocol.StatesIncarnation(e, x.service) && x.mayAsk(e)
+	if !namesStart && x.handler.options.Pauses.PausedSince(r.began) {
+		return foundPaused
+	}
+	return x.checkEndpoint(ctx, e)
+}
+
+// checkHolder checks an endpoint that holds memory for a request. In a back-off, the memory is released, as it is at every end of an
+// attempt: the response shows whether the process that reserved it still runs. An accepted connection shows nothing, because the
+// endpoint of the response notices the end of a holder only after some time, in which a successor may have started.
+func (x *exchange) checkHolder(ctx context.Context, l *memoryLease) EndpointFinding {
+	if x.mayAsk(l.Endpoint) {
+		return x.checkEndpoint(ctx, l.Endpoint)
+	}
+	if err := x.releaseMemory(ctx, l); err != nil || !l.link.isIntact() {
+		return foundUnasked
+	}
+	return FoundSame
+}
+
+// mayAsk reports whether an endpoint may be asked which incarnation it is.
+func (x *exchange) mayAsk(e *fleet.Endpoint) bool {
+	return x.handler.options.Protocol.IncarnationTarget(e, x.service) != "" && x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) == 0
+}
+
 // checkEndpoint asks at the address of an endpoint which incarnation answers there. An endpoint that has requested a back-off gets no
 // request.
 func (x *exchange) checkEndpoint(ctx context.Context, e *fleet.Endpoint) EndpointFinding {
-	target := x.handler.options.Protocol.IncarnationTarget(e, x.service)
 	timeout := plainCheckTimeout
 	if x.service.Engine != nil {
 		timeout = engineCheckTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if target == "" || x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) > 0 {
+	if !x.mayAsk(e) {
 		return x.checkAccepts(ctx, e)
 	}
+	target := x.handler.options.Protocol.IncarnationTarget(e, x.service)
 	response, err := x.handler.options.Client.Fetch(ctx, engine.Request{
 		Method: http.MethodGet, Target: target, Address: e.Address, Alone: true,
 	}, maxCheckBytes)
--- a/internal/entry/responseend_test.go
+++ b/internal/entry/responseend_test.go
@@ -12,8 +12,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/acacialift/acacialift/internal/clock"
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
+	"github.com/acacialift/acacialift/internal/health"
 	"github.com/acacialift/acacialift/internal/testkit"
 )
 
@@ -138,8 +140,9 @@
 		for range 2 {
 			endpoints = append(endpoints, newEndpoint(func(conn net.Conn, r receivedRequest) {
 				respond(unframedHead+events(1, 3))(conn, r)
+				// The next renewal has its connection already.
 				setSilent(true)
-				time.Sleep(3500 * time.Millisecond)
+				time.Sleep(4500 * time.Millisecond)
 				setSilent(false)
 				time.Sleep(time.Second)
 				_ = conn.Close()
@@ -152,6 +155,81 @@
 		Expect(got.err).To(HaveOccurred())
 	})
 
+	// holdAndBackOff returns two model endpoints, of which the one that gets the prompt sends three events, and the other one holds memory of it. Then
+	// both request a back-off, act happens to the other one, and the stream ends after a pause.
+	holdAndBackOff := func(act func(holder *fakeEndpoint), log *testkit.LogBuffer) (*rig, []*fakeEndpoint) {
+		var tracker *health.Tracker
+		var r *rig
+		endpoints := make([]*fakeEndpoint, 2)
+		for i := range endpoints {
+			endpoints[i] = newEndpoint(func(conn net.Conn, request receivedRequest) {
+				respond(unframedHead+events(1, 3))(conn, request)
+				for _, e := range endpoints {
+					tracker.BackOff(r.state.Endpoint(e.id).Key(), time.Now().Add(time.Minute))
+				}
+				act(endpoints[1-i])
+				// The back-off is noticed by the time of the next event.
+				respond(streamEvent(4))(conn, request)
+				time.Sleep(1500 * time.Millisecond)
+				_ = conn.Close()
+			})
+		}
+		r = newRig(endpoints, withLongObjective, withLog(log), func(_ *fleet.Catalog, o *entry.HandlerOptions) { tracker = o.Health })
+		return r, endpoints
+	}
+
+	// Guards against a stream that is cut off because an endpoint with memory of it has crashed, and that ends as complete: the endpoint had requested a
+	// back-off, so that its successor was not asked which incarnation it is, and accepted connections (review/13).
+	DescribeTable("does not confirm it if an endpoint that holds memory was restarted in a back-off", func(inherited bool) {
+		var log testkit.LogBuffer
+		r, endpoints := holdAndBackOff(func(holder *fakeEndpoint) {
+			holder.restart(inherited)
+			DeferCleanup(holder.crash)
+		}, &log)
+		got := r.call("/stream/x", "Acacialift-Token-Usage", "150000,100")
+		Expect(totalRequests(endpoints...)).To(Equal(1))
+		Expect(got.err).To(HaveOccurred())
+		Expect(log.String()).To(ContainSubstring(`"check":"not_asked"`))
+	},
+		Entry("with a listener of its own", false),
+		Entry("with the listener of its predecessor", true),
+	)
+
+	// Guards against the same at the endpoint of the stream itself: its successor accepts connections at once, or has started while this instance
+	// stood still.
+	DescribeTable("does not confirm it if a model endpoint was restarted in a back-off", func(pause time.Duration) {
+		var tracker *health.Tracker
+		var r *rig
+		var e *fakeEndpoint
+		e = newEndpoint(func(conn net.Conn, request receivedRequest) {
+			tracker.BackOff(r.state.Endpoint(e.id).Key(), time.Now().Add(time.Minute))
+			respond(unframedHead+events(1, 3))(conn, request)
+			time.Sleep(pause)
+			e.restart(true)
+		})
+		r = newRig([]*fakeEndpoint{e}, withEngine, func(_ *fleet.Catalog, o *entry.HandlerOptions) {
+			// Nothing observes that this process runs, so that a pause begins 1 s after the start.
+			tracker, o.Pauses = o.Health, clock.NewPauseDetector()
+		})
+		Expect(r.call("/stream/").err).To(HaveOccurred())
+		Expect(e.checkCount()).To(BeZero(), "a question in a back-off")
+	},
+		Entry("at once", 50*time.Millisecond),
+		Entry("in a pause", 2500*time.Millisecond),
+	)
+
+	// Guards against sound streams that are cut because an endpoint that holds memory has requested a back-off.
+	It("confirms it if an endpoint that holds memory goes on in a back-off", func() {
+		var log testkit.LogBuffer
+		r, endpoints := holdAndBackOff(func(*fakeEndpoint) {}, &log)
+		got := r.call("/stream/x", "Acacialift-Token-Usage", "150000,100")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(events(1, 4)))
+		for _, e := range endpoints {
+			Expect(e.checkCount()).To(BeZero(), "a question in a back-off")
+		}
+	})
+
 	// Guards against sound responses that are replaced by a failure, because the check waits for a slot or is rejected like any request.
 	DescribeTable("leaves a sound response of a busy plain endpoint as it is", func(response string, delay time.Duration) {
 		var endpoints []*fakeEndpoint
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -74,6 +74,8 @@
 	// checkDelay is the time before each of these responses; it must not change once the endpoint is used.
 	checkResponse string
 	checkDelay    time.Duration
+	// checks counts these requests.
+	checks int
 	// open holds the connections that are open.
 	open map[net.Conn]bool
 }
@@ -162,6 +164,7 @@
 	time.Sleep(e.checkDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.checks++
 	if e.checkResponse != "" {
 		_, _ = io.WriteString(conn, strings.ReplaceAll(e.checkResponse, "%SELF", e.id))
 		return
@@ -181,6 +184,13 @@
 	return script
 }
 
+// checkCount returns the number of health checks and requests for a report.
+func (e *fakeEndpoint) checkCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.checks
+}
+
 // connectionCount returns the number of connections that were opened to the endpoint.
 func (e *fakeEndpoint) connectionCount() int {
 	e.mu.Lock()
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -45,7 +45,7 @@
 	return known && now.Sub(last) < unframedMemory
 }
 
-// witness is a connection to a plain endpoint that was opened during an attempt. After the end of a response without length, an answer on
+// witness is a connection to an endpoint that was opened during an attempt. After the end of a response without length, an answer on
 // it shows that the process lives that got the request, also if a successor under the same id listens at the address.
 type witness struct {
 	cancel context.CancelFunc
@@ -128,6 +128,10 @@
 	}
 }
 
+// needsWitness reports whether no question after the end of a response would tell its endpoint from a successor: it states only its id, or has
+// requested a back-off and may not be asked.
+func (r *relay) needsWitness() bool { return r.x.service.Engine == nil || !r.x.mayAsk(r.endpoint) }
+
 // startWitness opens a witness for an attempt at a plain service whose responses may have no length.
 func (r *relay) startWitness(ctx context.Context) {
 	r.ctx = ctx
@@ -138,11 +142,13 @@
 
 // observeUnframed opens the witness at the latest when the head of a response without length has arrived.
 func (r *relay) observeUnframed(isOpen func() bool) {
-	if r.x.service.Engine != nil {
+	r.isOpen = isOpen
+	if r.x.service.Engine == nil {
+		r.x.handler.unframed.observe(r.x.service.Name, time.Now())
+	}
+	if !r.needsWitness() {
 		return
 	}
-	r.x.handler.unframed.observe(r.x.service.Name, time.Now())
-	r.isOpen = isOpen
 	if r.witness == nil {
 		r.renewWitness()
 		return
@@ -160,9 +166,13 @@
 	r.witness = r.x.openWitness(r.ctx, r.endpoint, r.isOpen)
 }
 
-// refreshWitness opens a new witness if the last one has become so old that its end would soon show nothing.
+// refreshWitness opens a witness if the endpoint has requested a back-off during the response, or a new one if the last one has become so
+// old that its end would soon show nothing.
 func (r *relay) refreshWitness(now time.Time) {
-	if r.unframed && r.witness != nil && r.witness.isReady() && now.Sub(r.witness.opened) > maxWitnessAge/2 {
+	switch {
+	case !r.unframed:
+	case r.witness == nil && r.needsWitness(),
+		r.witness != nil && r.witness.isReady() && now.Sub(r.witness.opened) > maxWitnessAge/2:
 		r.renewWitness()
 	}
 }
@@ -174,15 +184,15 @@
 		return "", false
 	}
 	isYoung := time.Since(w.opened) <= maxWitnessAge
-	target := x.handler.options.Protocol.IncarnationTarget(e, x.service)
 	ctx, cancel := context.WithTimeout(ctx, plainCheckTimeout)
 	defer cancel()
-	if target == "" || x.handler.options.Health.BackOffLeft(e.Key(), time.Now()) > 0 {
+	if !x.mayAsk(e) {
 		if staysOpen(ctx, w.conn) {
 			return foundAccepts, true
 		}
 		return foundWitnessClosed, isYoung
 	}
+	target := x.handler.options.Protocol.IncarnationTarget(e, x.service)
 	response, err := w.conn.Fetch(ctx, engine.Request{Method: http.MethodGet, Target: target, Address: e.Address}, maxCheckBytes)
 	switch {
 	case ctx.Err() != nil:
