Take an endpoint that was silent in an outage of the store for cold

A server that was dark while the store is away is back cold under its id, gets 29 requests in a second (bound 26) and crashes of them.

Cause: an endpoint counts as possibly cold after a refused connection. A dark one refuses none: connections to it are not established in time, and requests on open ones get no answer.

Fix: both count too, but only while what is published is not confirmed as current. With the store, the entry tells, and a lost packet must not limit a sound endpoint. Of requests only those of plain services count, from half a second on; model endpoints are silent during a prefill.

'gets at most the requests of a cold start when it was silent and no entry can come', two entries, failed before and pass.

--- a/internal/entry/attemptresult.go
+++ b/internal/entry/attemptresult.go
@@ -22,6 +22,7 @@
 	crashed := x.observeCrash(ctx, e, r, err)
 	switch {
 	case ctx.Err() != nil:
+		x.observeUnanswered(e, r)
 		x.mayHaveRun = x.mayHaveRun || !r.sentAt.IsZero() && r.classification.Verdict != NotRun
 		x.endCancelled(ctx)
 		return false
--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -10,8 +11,8 @@
 	"github.com/acacialift/acacialift/internal/limit"
 )
 
-// isCold reports whether an endpoint is in cold start: by its entry, or because it has refused connections, so that what listens at
-// its address has just started. The entry is that of the earlier incarnation as long as the store is unavailable.
+// isCold reports whether an endpoint is in cold start: by its entry, or because it has refused connections or accepted none in time, so that
+// what listens at its address may have just started. The entry is that of the earlier incarnation as long as the store is unavailable.
 func (h *Handler) isCold(service *fleet.Service, e *fleet.Endpoint, now time.Time) bool {
 	return service.ColdRate > 0 && (e.IsCold(now) || h.options.Health.MayBeCold(e.Key(), h.isStateCurrent(), now))
 }
@@ -24,10 +25,25 @@
 	return clock.Boot()-h.options.State.Confirmed().At < maxCurrentAge
 }
 
-// observeRefused records that an endpoint has refused a connection.
-func (h *Handler) observeRefused(e *fleet.Endpoint, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+// observeDialError records that an endpoint has refused a connection, or that none was established in time.
+func (h *Handler) observeDialError(e *fleet.Endpoint, err error) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		h.options.Health.Refused(e.Key(), time.Now())
+	case errors.As(err, &timeout) && timeout.Timeout():
+		h.options.Health.Silent(e.Key(), time.Now())
+	}
+}
+
+// minSilence is the time without an answer from which a plain endpoint may have been dark. Its work takes a fraction of that.
+const minSilence = 500 * time.Millisecond
+
+// observeUnanswered records that a plain endpoint has not answered a request until the call ended. A model endpoint answers nothing during the
+// prefill of a long prompt.
+func (x *exchange) observeUnanswered(e *fleet.Endpoint, r *relay) {
+	if x.service.Engine == nil && !r.sentAt.IsZero() && !r.classified && time.Since(r.sentAt) >= minSilence {
+		x.handler.options.Health.Silent(e.Key(), time.Now())
 	}
 }
 
--- a/internal/entry/refused_test.go
+++ b/internal/entry/refused_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/acacialift/acacialift/internal/clock"
+	"github.com/acacialift/acacialift/internal/engine"
 	"github.com/acacialift/acacialift/internal/entry"
 	"github.com/acacialift/acacialift/internal/fleet"
 	"github.com/acacialift/acacialift/internal/limit"
@@ -66,6 +67,45 @@
 		Expect(sent).To(BeNumerically(">", 0))
 	})
 
+	// fullEndpoint returns an endpoint that accepts no connection until listen is called.
+	fullEndpoint := func() (e *fakeEndpoint, listen func()) {
+		listener, queued := newFullListener()
+		e = &fakeEndpoint{
+			listener: listener, scripts: []func(net.Conn, receivedRequest){respond(sealedResponse("answer"))}, open: make(map[net.Conn]bool),
+			started: endpointStarted,
+		}
+		return e, func() {
+			for _, conn := range queued {
+				_ = conn.Close()
+			}
+			go e.accept(listener)
+		}
+	}
+	// muteEndpoint returns an endpoint that does not answer its first request.
+	muteEndpoint := func() (e *fakeEndpoint, listen func()) {
+		return newEndpoint(neverRespond, respond(sealedResponse("answer"))), func() {}
+	}
+
+	// Guards against a server that was dark while the store is down and starts anew under its id (review/15): it refuses no connection.
+	DescribeTable("gets at most the requests of a cold start when it was silent and no entry can come", func(start func() (*fakeEndpoint, func())) {
+		e, listen := start()
+		r := newRig([]*fakeEndpoint{e}, coldRate, func(_ *fleet.Catalog, o *entry.HandlerOptions) {
+			o.Client = engine.NewClientWithOptions(engine.ClientOptions{Reuse: true, AllowUnframed: true, DialTimeout: unreachedTime})
+		})
+		confirmed := r.state.Confirmed().At
+		r.call("/once/x", "Acacialift-Deadline-Ms", "700")
+		// What is published counts as current for some seconds after its last confirmation.
+		const currentTime = 3 * time.Second
+		time.Sleep(currentTime - (clock.Boot() - confirmed))
+		listen()
+		sent := callFor(r, e, 2*time.Second)
+		Expect(sent).To(BeNumerically("<=", 2*bound))
+		Expect(sent).To(BeNumerically(">", 0))
+	},
+		Entry("it accepted no connection", fullEndpoint),
+		Entry("it answered nothing", muteEndpoint),
+	)
+
 	// Guards against an endpoint that is still treated as cold once the store states its new incarnation, and when it was.
 	It("is as its entry says once there is a new one", func() {
 		e := newEndpoint(respond(sealedResponse("answer")))
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -174,7 +174,7 @@
 	var timedOut net.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		x.handler.observeRefused(e, err)
+		x.handler.observeDialError(e, err)
 		return foundRefused
 	case ctx.Err() != nil, errors.As(err, &timedOut) && timedOut.Timeout():
 		return foundSilent
@@ -189,7 +189,7 @@
 	conn, err := x.handler.options.Client.OpenWitness(ctx, e.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		x.handler.observeRefused(e, err)
+		x.handler.observeDialError(e, err)
 		return foundRefused
 	case err != nil:
 		return foundSilent
--- a/internal/entry/unreached.go
+++ b/internal/entry/unreached.go
@@ -21,7 +21,7 @@
 // handleUnreached handles an attempt in which nothing was sent to the endpoint. It returns true if the call is to be retried.
 func (x *exchange) handleUnreached(e *fleet.Endpoint, r *relay, err error) bool {
 	x.logUnreached(e, clock.Boot()-r.began, err)
-	x.handler.observeRefused(e, err)
+	x.handler.observeDialError(e, err)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		x.unreached.ids = append(x.unreached.ids, e.ID)
 	}
--- a/internal/health/refused.go
+++ b/internal/health/refused.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// coldAfterRefusal is how long an endpoint may be in cold start after it last refused a connection while no new entry can come.
+	// coldAfterRefusal is how long an endpoint may be in cold start after it last refused a connection, or was silent, while no new entry can come.
 	// Nothing listened at its address then, so that what listens there later has just started, although its published entry is still
 	// that of the earlier incarnation. Published cold starts take 3 to 4.5 s, and an endpoint that is down is tried again every few
 	// seconds.
@@ -21,18 +21,25 @@
 	t.record(endpoint, now).refusedAt = now
 }
 
+// Silent records that the endpoint has accepted no connection in time, or has not answered a request.
+func (t *Tracker) Silent(endpoint uint32, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(endpoint, now).silentAt = now
+}
+
 // MayBeCold reports whether the endpoint may be in cold start although its entry does not say so. isCurrent is true while what is
-// published is known to be current.
+// published is known to be current. An endpoint that did not accept a connection in time may have been dark, or a packet was lost: that counts only while no
+// entry can tell.
 func (t *Tracker) MayBeCold(endpoint uint32, isCurrent bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[endpoint]
-	if r == nil || r.refusedAt.IsZero() {
+	if r == nil {
 		return false
 	}
-	memory := coldAfterRefusal
 	if isCurrent {
-		memory = entryRenewalTime
+		return now.Sub(r.refusedAt) < entryRenewalTime
 	}
-	return now.Sub(r.refusedAt) < memory
+	return now.Sub(r.refusedAt) < coldAfterRefusal || now.Sub(r.silentAt) < coldAfterRefusal
 }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -28,6 +28,8 @@
 	lastOutcome  time.Time
 	// refusedAt is the time at which the endpoint last refused a connection.
 	refusedAt time.Time
+	// silentAt is the time at which the endpoint was last found silent.
+	silentAt time.Time
 }
 
 // Tracker keeps a record of each endpoint. It is safe for concurrent use.
