--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -88,7 +88,7 @@
 		return
 	}
 	s := h.returns.schedule(x.service.Name)
-	x.returns = returnState{schedule: s, work: x.returnWork(), rank: x.catalog.Rank(x.service.Name, x.profile, x.team)}
+	x.returns = returnState{schedule: s, work: x.returnWork(), rank: x.rank()}
 	x.returns.returning = s.Arrived(uint64(x.call.Prompt.Own), now)
 	x.returns.precedes = x.returns.returning && s.MayPrecede(x.returns.work, now)
 }
