--- a/internal/entry/endpointfinding.go
+++ b/internal/entry/endpointfinding.go
@@ -24,8 +24,8 @@
 	foundWitnessClosed EndpointFinding = "witness_closed"
 	// foundNoEvent means that a stream has ended without an event, perhaps right after its head, and that nothing was asked.
 	foundNoEvent EndpointFinding = "no_event"
-	// foundPaused means that this instance has paused during the attempt, or has noticed the end late, so that a successor under the same id may answer, and that the
-	// answer would state only the id.
+	// foundPaused means that this instance has paused during the attempt, or has noticed the end late, so that a successor under the same
+	// id may answer, and that the answer would state only the id.
 	foundPaused EndpointFinding = "instance_paused"
 	// foundUnasked means that an endpoint that holds memory for the request may not be asked, because it has requested a back-off, and that
 	// nothing else shows that the process runs that reserved it.
