Keep the header of the caller's connection in forwarded responses

Cause: copyHeader removed hop-by-hop headers from the result, and with them the "Connection: close" that the handler sets in a planned stop, so that callers stayed on their connections. The spec of it could not fail: its client asked for the close itself. It keeps its connections now; the spec and a new one for streams failed before.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -115,10 +115,12 @@
 		Expect(r.call("/unsafe/", "Acacialift-Deadline-Ms", "2000").status).To(Equal(http.StatusOK))
 	})
 
-	// Guards against requests that an instance accepts during its graceful shutdown and cannot finish.
+	// Guards against requests that an instance accepts during its graceful shutdown and cannot finish, and against callers that stay on their
+	// connections until these are cut, because the header of the endpoint's response has replaced "Connection: close".
 	It("during a graceful shutdown refuses requests that would not end in time, and closes connections", func() {
 		e := newEndpoint(respond(sealedResponse("answer")))
 		r := newRig([]*fakeEndpoint{e})
+		Expect(r.call("/safe/x").closes).To(BeFalse())
 		r.handler.StartShutdown(time.Hour)
 		got := r.call("/safe/x")
 		Expect(got.status).To(Equal(http.StatusOK))
@@ -127,7 +129,16 @@
 		Expect(r.call("/stream/x").status).To(Equal(http.StatusServiceUnavailable))
 		r.handler.StartShutdown(time.Second)
 		Expect(r.call("/safe/x").status).To(Equal(http.StatusServiceUnavailable))
-		Expect(totalRequests(e)).To(Equal(1))
+		Expect(totalRequests(e)).To(Equal(2))
+	})
+
+	// Guards against callers that stay on their connections after a stream until these are cut.
+	It("during a graceful shutdown closes the connection after a stream", func() {
+		r := newRig([]*fakeEndpoint{newEndpoint(respond(streamHead + chunk(streamEvent(1)) + "0\r\n\r\n"))})
+		r.handler.StartShutdown(time.Hour)
+		got := r.call("/stream/x")
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.closes).To(BeTrue())
 	})
 
 	// Guards against malformed numbers that are treated as zero.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -169,12 +170,12 @@
 	return isSuccess(r.status)
 }
 
-// copyHeader copies a response header without the headers that belong to a single connection.
+// copyHeader copies the header of an endpoint's response without the headers that belong to a single connection. Those of the caller's
+// connection stay.
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	engine.RemoveHopHeaders(to)
+	forwarded := from.Clone()
+	engine.RemoveHopHeaders(forwarded)
+	maps.Copy(to, forwarded)
 }
 
 // sendBuffered forwards a buffered response.
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -368,9 +368,9 @@
 	return request
 }
 
-// call sends a request on a new connection and reads the complete response.
+// call sends a request on a new connection, which may be kept, and reads the complete response.
 func (r *rig) call(path string, headers ...string) reply {
-	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(r.newRequest(context.Background(), path, headers...))
 	if err != nil {
