Reset the connection of a cancelled request that was not acknowledged

Cause: a connection that is closed in order goes on to deliver what the kernel has accepted. The new spec failed before: the whole request arrived after it had been cancelled.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -225,13 +225,13 @@
 func (c *Client) doOn(
 	ctx context.Context, req Request, head []byte, conn *poolConn, reused bool, beforeWrite func() error, receiver Receiver,
 ) error {
-	stop := context.AfterFunc(ctx, func() { _ = conn.raw.Close() })
+	stop := context.AfterFunc(ctx, func() { abandon(conn.raw) })
 	defer stop()
 	returned := false
 	defer func() {
 		if !returned {
 			// The receiver or beforeWrite has panicked. The endpoint must not go on with a response that nobody reads.
-			_ = conn.raw.Close()
+			abandon(conn.raw)
 		}
 	}()
 	err := c.exchange(ctx, req, head, conn, reused, stop, beforeWrite, receiver)
@@ -272,11 +272,13 @@
 	if err == nil && c.keepForReuse(req.Address, conn, x, rr, stop) {
 		return nil
 	}
-	_ = conn.raw.Close()
-	sent, sendErr := x.sendResult()
 	if err == nil {
+		_ = conn.raw.Close()
+		_, _ = x.sendResult()
 		return nil
 	}
+	abandon(conn.raw)
+	sent, sendErr := x.sendResult()
 	return &Error{BytesSent: sent > 0, HeadReceived: rr.headReceived, Err: rr.cause(ctx, err, sendErr)}
 }
 
